Take SIGHUP as a new configuration: the watch moves, nothing else stops

Cause: cmd/linenwheel/command.go serve catches SIGTERM and SIGINT only, so SIGHUP's default action ends the process; nothing could move the watch either (inventory.go read its address once, and ROUTER_DISCOVERY went before the file). Ruled out: a panic (the log ends without one). Now the file is read again, before the environment; a bad one is logged and changes nothing. Checked by a scenario (bad file, then another discovery while a relay is out) and by real signals to the command.

--- a/cmd/linenwheel/command.go
+++ b/cmd/linenwheel/command.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -47,12 +48,13 @@
 		flags.Usage()
 		return 2
 	}
-	conf, err := node.Load(func(name string) string {
+	env := func(name string) string {
 		if name == "ROUTER_CONFIG" && *file != "" {
 			return *file
 		}
 		return getenv(name)
-	})
+	}
+	conf, err := node.Load(env)
 	if err != nil {
 		fmt.Fprintln(errs, "linenwheel: configuration:", err)
 		return 2
@@ -61,21 +63,28 @@
 		fmt.Fprintln(out, "linenwheel: the configuration is good")
 		return 0
 	}
-	if err := serve(conf, errs); err != nil {
+	if err := serve(conf, env, errs); err != nil {
 		fmt.Fprintln(errs, "linenwheel:", err)
 		return 1
 	}
 	return 0
 }
 
-// serve runs a node until SIGTERM or an interrupt.
-func serve(conf *node.Config, log io.Writer) error {
+// serve runs a node until SIGTERM or an interrupt. SIGHUP has it read its configuration again.
+func serve(conf *node.Config, env func(string) string, log io.Writer) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	again := make(chan os.Signal, 1) // a signal that comes while one waits here is the same news
+	signal.Notify(again, syscall.SIGHUP)
 	node.SetLimits(conf)
 	n, err := node.New(conf, log)
 	if err != nil {
 		return err
 	}
+	go func() {
+		for range again {
+			n.Reload(env)
+		}
+	}()
 	return n.Run(ctx)
 }
--- a/cmd/linenwheel/command_test.go
+++ b/cmd/linenwheel/command_test.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -41,3 +44,39 @@
 		assert.Contains(t, errs.String(), c.errs, c.args)
 	}
 }
+
+// lines passes each log line on.
+type lines chan string
+
+func (l lines) Write(b []byte) (int, error) { l <- string(b); return len(b), nil }
+
+// Guards against a SIGHUP that ends the process, that reads nothing again, or that takes a bad file.
+func TestHangup(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(strings.Replace(good, "127.0.0.1:1", "127.0.0.1:0", 1))
+	log, status := make(lines, 64), make(chan int, 1)
+	go func() { status <- run([]string{"-config", path}, func(string) string { return "" }, log, log) }()
+	await := func(part string) {
+		for end := time.After(10 * time.Second); ; {
+			select {
+			case line := <-log:
+				if strings.Contains(line, part) {
+					return
+				}
+			case <-end:
+				require.Fail(t, "not logged", part)
+			}
+		}
+	}
+	await("is ready")
+	write(strings.Replace(good, "127.0.0.1:2", "127.0.0.1:3", 1))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	await("discovery is at 127.0.0.1:3; a new name, listen")
+	write("{")
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	await("the new configuration is bad and the old one stays: ROUTER_CONFIG")
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	await("stopped, all is answered")
+	assert.Equal(t, 0, <-status)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -118,7 +118,13 @@
 )
 
 // Load reads the environment and the file that ROUTER_CONFIG names. A variable goes before the file.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return read(getenv, false) }
+
+// Reload reads the same again. The file may be newer than the environment, which is that of the start, so what it
+// says goes first.
+func Reload(getenv func(string) string) (*Config, error) { return read(getenv, true) }
+
+func read(getenv func(string) string, fileFirst bool) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return nil, &FieldError{"ROUTER_CONFIG", errMissing}
@@ -137,7 +143,7 @@
 	}
 	for name, field := range map[string]*string{"ROUTER_NAME": &f.Name, "ROUTER_LISTEN": &f.Listen,
 		"ROUTER_DISCOVERY": &f.Discovery} {
-		if v := getenv(name); v != "" {
+		if v := getenv(name); v != "" && (*field == "" || !fileFirst) {
 			*field = v
 		}
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -86,7 +86,7 @@
 
 // Watcher keeps a node's inventory up to date.
 type Watcher struct {
-	Address string
+	Address string // of discovery at the start; Move changes it
 	Loop    *loop.Loop
 	Clock   clock.Clock
 	Log     func(string, ...any)
@@ -94,18 +94,53 @@
 	First   func()                           // called once, when the first call has ended either way
 
 	conn *conn
+
+	mu    sync.Mutex
+	moved context.CancelFunc // ends the call that is on, nil before Run
+}
+
+// Move has the watch go on at another address, from the whole list there.
+func (w *Watcher) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.Address == address {
+		return
+	}
+	w.Address = address
+	if w.moved != nil {
+		w.moved()
+	}
+}
+
+// stay gives the present address, and a context that ends when the watch moves from it.
+func (w *Watcher) stay(ctx context.Context) (string, context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	here, moved := context.WithCancel(ctx)
+	w.moved = moved
+	return w.Address, here
 }
 
-// Run fetches the whole list, then watches until ctx ends.
+// Run watches until ctx ends, wherever Move sends it.
 func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		address, here := w.stay(ctx)
+		w.watch(here, address)
+		w.moved()
+		w.drop()
+	}
+}
+
+// watch fetches the whole list from an address, then watches until ctx ends.
+func (w *Watcher) watch(ctx context.Context, address string) {
 	pause, index, known := float64(firstPause), int64(0), false
-	for first := true; ; first = false {
+	for {
 		path, limit := "/discovery/hosts", float64(fetchLimit)
 		if known {
 			path = fmt.Sprintf("/discovery/hosts?index=%d&wait=%d", index, watchWait)
 			limit = watchWait + watchSlack
 		}
-		l, err := w.ask(ctx, path, limit)
+		l, err := w.ask(ctx, address, path, limit)
 		if err == nil && known && !l.Whole && l.Index < index {
 			err = fmt.Errorf("the list went back from %d to %d", index, l.Index)
 			known = false // start again from the whole list
@@ -121,11 +156,11 @@
 			index, known, pause = l.Index, true, firstPause
 		}
 		if ctx.Err() != nil {
-			w.drop()
 			return
 		}
-		if first && w.First != nil {
+		if w.First != nil {
 			w.First()
+			w.First = nil
 		}
 		if err != nil {
 			w.Log("inventory: %v; the list stays as it is", err)
@@ -145,12 +180,12 @@
 }
 
 // ask makes one call within a time.
-func (w *Watcher) ask(ctx context.Context, path string, limit float64) (l List, err error) {
+func (w *Watcher) ask(ctx context.Context, address, path string, limit float64) (l List, err error) {
 	until := w.Clock.Now() + limit
 	if w.conn == nil || !w.conn.usable() {
 		w.drop()
 		c := &conn{parser: http1.NewResponses(), came: make(chan struct{}, 1)}
-		_, err := w.Loop.Dial(ctx, w.Address, limit, func(n *loop.Conn) loop.Handler {
+		_, err := w.Loop.Dial(ctx, address, limit, func(n *loop.Conn) loop.Handler {
 			c.net = n
 			return c
 		})
@@ -160,7 +195,7 @@
 		w.conn = c
 	}
 	get := &http1.Message{Method: []byte("GET"), Target: []byte(path)}
-	if err := w.conn.net.Write(http1.AppendRequest(nil, get, w.Address, "", 0)); err != nil {
+	if err := w.conn.net.Write(http1.AppendRequest(nil, get, address, "", 0)); err != nil {
 		w.drop()
 		return l, err
 	}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -10,6 +10,7 @@
 //	r close    r expect close                            the host, or the node, ends the connection
 //	d expect /discovery/hosts                            discovery gets a call
 //	d send 2 whole h1:Ready h2:Terminating               and answers it; `changes` for what changed
+//	node send other                                      its configuration names the other discovery; it gets SIGHUP
 //	node close    node expect end                        the node is told to stop, and has stopped
 //	wait 250                                             the clock moves on by so many milliseconds
 //
@@ -39,10 +40,12 @@
 type Stage struct {
 	Clock     *clock.Manual
 	Discovery string
-	Hosts     map[string]string // addresses by name
-	Stop      func()            // to be set by the test: begins the graceful stop
-	Ended     chan error        // to be fed by the test when the node has ended
-	Address   func() string     // to be set by the test: where the node listens
+	Other     string             // another address of discovery, "other" in the steps
+	Reload    func(which string) // to be set by the test: gives the node a new configuration
+	Hosts     map[string]string  // addresses by name
+	Stop      func()             // to be set by the test: begins the graceful stop
+	Ended     chan error         // to be fed by the test when the node has ended
+	Address   func() string      // to be set by the test: where the node listens
 
 	t     *testing.T
 	calls chan *peer // requests that hosts got
@@ -63,7 +66,7 @@
 func New(t *testing.T, hosts ...string) *Stage {
 	s := &Stage{Clock: clock.NewManual(1.7e12), Hosts: map[string]string{}, Ended: make(chan error, 1), t: t,
 		calls: make(chan *peer, 64), asks: make(chan *peer, 64), peers: map[string]*peer{}}
-	s.Discovery = s.listen("", s.asks)
+	s.Discovery, s.Other = s.listen("", s.asks), s.listen("other", s.asks)
 	dead, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, dead.Close())
@@ -143,6 +146,9 @@
 	case who == "node" && verb == "close":
 		s.Stop()
 		return nil
+	case who == "node" && verb == "send":
+		s.Reload(rest)
+		return nil
 	case who == "node":
 		return within(s.Ended, func(err error) error { return err })
 	case who == "d" && verb == "expect":
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"io"
 	"log"
 	"math"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -51,6 +52,7 @@
 	loop  *loop.Loop
 	north *north.Side
 	pool  *south.Pool
+	watch *inventory.Watcher
 	poke  chan struct{}
 }
 
@@ -86,9 +88,32 @@
 	n.north = north.New(northSettings(conf, northMost, requests), n.clock, n.pilot, n.pool, n.log)
 	side = n.north
 	close(ready)
+	n.watch = &inventory.Watcher{Address: conf.Discovery, Loop: n.loop, Clock: n.clock, Log: n.log,
+		Take: n.pilot.Inventory, First: func() {
+			n.north.Ready()
+			n.log("node: %s is ready on %s", conf.Name, n.loop.Addr())
+		}}
 	return n, nil
 }
 
+// Reload reads the configuration again, at any time while the node runs. The watch goes on where the file now says
+// and the process's limits follow; what else is new there waits for the next start. A bad file changes nothing.
+func (n *Node) Reload(getenv func(string) string) {
+	conf, err := config.Reload(getenv)
+	if err != nil {
+		n.log("node: the new configuration is bad and the old one stays: %v", err)
+		return
+	}
+	SetLimits(conf)
+	n.watch.Move(conf.Discovery)
+	rest := ""
+	if conf.Name != n.conf.Name || conf.Listen != n.conf.Listen || conf.Sockets != n.conf.Sockets ||
+		!reflect.DeepEqual(conf.Settings, n.conf.Settings) {
+		rest = "; a new name, listen, limits.sockets or settings is taken at the next start"
+	}
+	n.log("node: configuration read again, discovery is at %s%s", conf.Discovery, rest)
+}
+
 func northSettings(conf *Config, connections, requests int) north.Settings {
 	set := north.Settings{ByName: map[string]int{}, Tenants: map[string]int{}, Connections: connections,
 		Requests: requests, ReadLimit: 2 * conf.MaxDeadline}
@@ -126,14 +151,9 @@
 		work.Wait()
 		n.loop.Stop()
 	}()
-	watcher := &inventory.Watcher{Address: n.conf.Discovery, Loop: n.loop, Clock: n.clock, Log: n.log,
-		Take: n.pilot.Inventory, First: func() {
-			n.north.Ready()
-			n.log("node: %s is ready on %s", n.conf.Name, n.loop.Addr())
-		}}
 	work.Go(func() { n.tick(back) })
 	work.Go(func() { n.retire(back) })
-	work.Go(func() { watcher.Run(back) })
+	work.Go(func() { n.watch.Run(back) })
 	<-ctx.Done()
 	return n.shutdown()
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -49,13 +49,19 @@
 		list = append(list, map[string]any{"name": name, "address": s.Hosts[name], "zone": "z", "type": "k",
 			"status": "Ready", "weight": 1})
 	}
-	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": s.Discovery,
-		"seed": "1", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
-		"known": map[string]any{"index": 0, "endpoints": list}, "settings": json.RawMessage(settings)})
-	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, text, 0o600))
-	conf, err := Load(func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] })
+	env := func(name string) string {
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_DISCOVERY": s.Discovery}[name]
+	}
+	write := func(discovery string) {
+		text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+			"seed": "1", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
+			"known": map[string]any{"index": 0, "endpoints": list}, "settings": json.RawMessage(settings)})
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, text, 0o600))
+	}
+	write(s.Discovery)
+	conf, err := Load(env)
 	require.NoError(t, err)
 	log := &logged{stopping: make(chan struct{})}
 	n, err := newNode(conf, log, s.Clock)
@@ -63,6 +69,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	s.Address = n.loop.Addr
+	s.Reload = func(which string) {
+		write(map[string]string{"other": s.Other, "bad": "nowhere"}[which])
+		n.Reload(env)
+	}
 	s.Stop = func() { cancel(); <-log.stopping }
 	go func() { s.Ended <- n.Run(ctx); close(ended) }()
 	t.Cleanup(func() {
@@ -255,6 +265,18 @@
 		wait 1000
 		wait 1000
 		a expect 400 Connection=close`},
+	{"a new configuration that is not followed, that ends what is going on, or a bad one that is taken", []string{"h1"}, `
+		a send ` + pay + `
+		r expect POST /pay/1
+		node send bad
+		d send 2 changes
+		d expect /discovery/hosts?index=2&wait=2000 host=
+		node send other
+		d expect /discovery/hosts host=other
+		d send 7 whole h1:Ready
+		d expect /discovery/hosts?index=7&wait=2000 host=other
+		r send 200 body=ok
+		a expect 200 body=ok`},
 	{"a planned restart that loses what still comes, or never ends", []string{"h1"}, `
 		a send GET /up
 		a expect 200
