Admit by what each rater holds, with curves learned over attempts held

The room for work swung from 200 to 435 units/s within seconds at a steady 370 asked, while one rater held 52 attempts and others none: the curve over the rate (decide.go refit, loadAt) is fitted to bursts that its rate does not show, admit() refused by it, and pick() gave up on passing turns after 16. Now latency is learned over the attempts held when each was sent, the curve over the share follows by Little's law, a turn is passed while one more would slow the rater, and a request is refused only if no rater is expected to answer soon enough for its worth.

--- a/decide/api.go
+++ b/decide/api.go
@@ -245,10 +245,6 @@
 	for i := range b.pools {
 		b.pools[i].idle = b.aim / dropAt // a guess until the first answer
 	}
-	for i := range b.bins {
-		b.bins[i].admit = 1
-		b.order = append(b.order, i)
-	}
 	return b, nil
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -5,8 +5,8 @@
 //
 //	List, Request, Outcome, Timer       the events, each a short list of steps
 //	latency, learn, reading, refit      the latency-versus-share curves and how they are learned
-//	solve, levels, give, admit          the periodic solve for shares and for what to refuse
-//	pick, setShare                      weighted round robin
+//	solve, levels, give                 the periodic solve for shares
+//	pick, setShare, admit               weighted round robin, and what is refused when all hold too much
 //	failed, putAway, trial              health, and the search by which a backend comes back
 //	again, sweep, late                  further attempts within their budget
 //	coldTop                             what a backend that has just started may get
@@ -61,7 +61,11 @@
 	zoneFails    = 4                      // failures without an answer after which a zone counts as cut off
 	retryPart    = 0.1                    // further attempts a first attempt earns
 	retryMost    = 10.0                   // and how many can be saved up
-	mostSkips    = 16                     // turns passed over for a backend that owes nothing overdue
+	mostSkips    = 16                     // turns passed over for a backend that is free
+	priorHeld    = 3.0                    // attempts held by size up to which an unmeasured curve rises so
+	reach        = 4.0                    // times what is usually held, at which latency is taken to double
+	crowdPart    = 1.5                    // times idle latency up to which a backend takes its turn
+	leastLimit   = 0.55                   // part of the bearable latency at which the cheapest work is refused
 	repeatPart   = 0.3                    // worth of a client's repeat, much of whose time has gone by
 	coldGap      = 0.7                    // part of the mean gap that must lie between sends to a cold one
 	coldPart     = 0.5                    // part of a cold backend's budget to use; its size is a guess
@@ -75,17 +79,18 @@
 	tokenAsk
 )
 
-func (f *fit) add(g fit)         { f.n, f.y, f.u2 = f.n+g.n, f.y+g.y, f.u2+g.u2 }
-func (f *fit) fade(keep float64) { f.n, f.y, f.u2 = f.n*keep, f.y*keep, f.u2*keep }
+func (f *fit) add(g fit)         { f.n, f.y, f.v2 = f.n+g.n, f.y+g.y, f.v2+g.v2 }
+func (f *fit) fade(keep float64) { f.n, f.y, f.v2 = f.n*keep, f.y*keep, f.v2*keep }
 
-func (p *pool) latency(u float64) float64 { return p.idle + p.bend*u*u }
+// held is the learned latency of a backend that holds v attempts by size, one just sent included.
+func (p *pool) held(v float64) float64 { return p.idle + p.crowd*v*v }
 
-// sample takes the latency of a backend of the kind.
-func (p *pool) sample(u, y float64) {
+// sample takes the latency of a backend of the kind that held v by size.
+func (p *pool) sample(v, y float64) {
 	if p.seen {
-		y = min(y, poolClip*p.latency(u))
+		y = min(y, poolClip*p.held(v))
 	}
-	p.recent.add(fit{1, y, u * u})
+	p.recent.add(fit{1, y, v * v})
 	p.batch += y
 	if p.batchN++; p.batchN == idleBatch {
 		if mean := p.batch / idleBatch; mean < p.idle || !p.seen {
@@ -95,7 +100,11 @@
 	}
 }
 
-// latency is the learned curve at the load u: that of the kind for a backend `slow` times slower.
+// delay is the learned latency of a backend that holds n attempts of ours.
+func (s *server) delay(n float64) float64 { return s.slow * s.pool.held(n/s.size) }
+
+// latency is the learned curve at the load u: that of the kind for a backend `slow` times slower. By Little's law a
+// load u holds u times its latency; bend is such that both curves tell twice the idle latency of the same load.
 func (s *server) latency(u float64) float64 {
 	m := s.slow
 	return m*s.pool.idle + s.pool.bend*m*m*m*u*u
@@ -202,9 +211,9 @@
 func (b *Balancer) reading(s *server, held float64) {
 	p := s.pool
 	s.read, s.readAt = p.idle*(1+heldPart*held/s.size), b.now
-	u := b.load(s)
-	y := min(s.read, poolClip*p.latency(u))
-	p.recent.add(fit{readingPart, readingPart * y, readingPart * u * u})
+	v := float64(s.out) / s.size
+	y := min(s.read, poolClip*p.held(v))
+	p.recent.add(fit{readingPart, readingPart * y, readingPart * v * v})
 }
 
 // ---- Requests ----
@@ -224,13 +233,9 @@
 	}
 	b.requests[r.ID] = q
 	b.asked += q.work
-	bin := &b.bins[b.binOf(&r)]
-	bin.load += q.work
-	bin.owed = min(bin.owed+bin.admit, 2)
 	s := b.trial(q) // before any refusal: a node that put all backends away must find out when they are back
-	if s == nil && bin.owed >= 1 {
-		bin.owed--
-		s = b.pick()
+	if limit := b.bins[b.binOf(&r)].limit; s == nil {
+		s = b.pick(limit)
 	}
 	if s == nil {
 		b.end(q)
@@ -297,10 +302,10 @@
 	if c.LateWorth == 0 && !c.Streaming { // an answer past the aim is waste
 		abandon = min(abandon, q.arrived+c.Aim)
 	}
-	q.attempts = append(q.attempts, attempt{server: s, sent: b.now, load: b.load(s), open: true})
 	b.sent += q.work
 	q.out++
 	s.out++
+	q.attempts = append(q.attempts, attempt{server: s, sent: b.now, held: float64(s.out) / s.size, open: true})
 	c.waiting = append(c.waiting, due{q.id, len(q.attempts) - 1})
 	b.act.Send(q.id, s.ID, abandon)
 }
@@ -391,9 +396,9 @@
 // learn adds a latency to the curves of a backend and of its kind.
 func (b *Balancer) learn(s *server, a *attempt, y float64) {
 	p := s.pool
-	expect := p.latency(a.load)
+	expect := p.held(a.held)
 	if a.charged == 0 {
-		p.sample(a.load, y)
+		p.sample(a.held, y)
 		s.n, s.expect = s.n+1, s.expect+expect
 	}
 	y = min(y, 2*dropAt*expect)
@@ -428,7 +433,7 @@
 		if !able || s.overdue > 0 || best != nil && best.next <= s.next || !b.mayRepeat(q, s) {
 			continue
 		}
-		if s.latency(b.load(s))*q.work < left.Seconds() {
+		if s.delay(float64(s.out)+1)*q.work < left.Seconds() {
 			best = s
 		}
 	}
@@ -580,23 +585,36 @@
 // Probed takes the result of a probe. The module asks for none yet.
 func (b *Balancer) Probed(now time.Duration, _ Outcome) { b.now = now }
 
-// pick takes the next turn. A backend that owes overdue work, or holds more of ours than it would if none
-// waited, passes its turn, a few times in a row at most: where most do, the cause is shared. Passing brings
-// the others' turns nearer, so a cold backend is held to its limit by the clock as well.
-func (b *Balancer) pick() *server {
-	for skips := 0; len(b.turns) > 0 && skips < mostSkips+len(b.turns); skips++ {
+// pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its turn.
+// Where all do, the one that is expected to answer soonest is taken, if that is soon enough; otherwise none is, and
+// the request is refused. Passing brings the others' turns nearer, so a cold backend is held to its limit by the clock
+// as well.
+func (b *Balancer) pick(limit float64) *server {
+	for range len(b.turns) + mostSkips {
+		if len(b.turns) == 0 {
+			break
+		}
 		s := b.turns[0]
 		b.clock = s.next
 		s.next += 1 / s.share
 		heap.Fix(&b.turns, 0)
-		busy := b.load(s) * s.size * s.slow * s.pool.idle
-		free := s.overdue == 0 && float64(s.out) < 0.5+busy || skips >= mostSkips
+		free := s.overdue == 0 && s.delay(float64(s.out)+1) <= crowdPart*s.slow*s.pool.idle
 		if free && b.now >= s.coldNext {
 			s.coldNext = b.now + seconds(coldGap/s.coldTop)
 			return s
 		}
 	}
-	return nil
+	var best *server
+	least := limit
+	for _, s := range b.turns {
+		if d := s.delay(float64(s.out) + 1); b.now >= s.coldNext && d < least {
+			best, least = s, d
+		}
+	}
+	if best != nil {
+		best.coldNext = b.now + seconds(coldGap/best.coldTop)
+	}
+	return best
 }
 
 // setShare gives a backend a new share; it keeps its place in the round.
@@ -651,7 +669,7 @@
 			usable++
 			idle := s.slow * s.pool.idle
 			s.coldTop = b.coldTop(s)
-			s.top = min(s.size*s.loadAt(max(min(dropAt*idle, aimPart*b.aim), 1.2*idle)), s.coldTop)
+			s.top = min(s.size*s.loadAt(max(min(2*idle, aimPart*b.aim), 1.2*idle)), s.coldTop)
 			room += s.top
 			u := max(b.load(s), fair) // the search's step: no further than idle over latency
 			s.top = min(s.top, s.size*u*(1+searchStep*idle/s.latency(u)))
@@ -787,10 +805,6 @@
 	b.askRate += k * (b.asked/span - b.askRate)
 	b.rate += k * (b.sent/span - b.rate)
 	b.asked, b.sent, b.newLate, b.heardNow = 0, 0, 0, 0
-	for i := range b.bins {
-		b.bins[i].rate += k * (b.bins[i].load/span - b.bins[i].rate)
-		b.bins[i].load = 0
-	}
 	keep := math.Exp(-span / ownMemory.Seconds())
 	b.lates, b.bads, b.answers = b.lates*keep, b.bads*keep, b.answers*keep
 	b.fillQuotas(span)
@@ -818,7 +832,7 @@
 func (b *Balancer) refit(span, keep float64) {
 	fair := b.fair()
 	for _, s := range b.servers {
-		s.shift(b.now, b.load(s))
+		s.shift(b.now)
 		k := keep
 		if s.n > ownMost {
 			k = min(k, ownMost/s.n)
@@ -839,22 +853,26 @@
 func (p *pool) refit(span, fair float64) {
 	keep := math.Exp(-span / poolMemory.Seconds())
 	if r := &p.recent; r.n >= driftLeast {
-		if off := r.y / (r.n*p.idle + p.bend*r.u2); off > 1+driftOff || off < 1-driftOff {
+		if off := r.y / (r.n*p.idle + p.crowd*r.v2); off > 1+driftOff || off < 1-driftOff {
 			keep = driftKeep
 		}
 	}
 	p.fit.fade(keep)
 	p.fit.add(p.recent)
 	p.recent = fit{}
-	p.bend = (max(0, p.fit.y-p.fit.n*p.idle) + priorRise*priorOwn*p.idle) / (p.fit.u2 + priorOwn*fair*fair)
+	v := max(fair*p.idle, priorHeld)
+	p.crowd = (max(0, p.fit.y-p.fit.n*p.idle) + priorRise*priorOwn*p.idle) / (p.fit.v2 + priorOwn*v*v)
+	seen := (p.fit.v2 + priorOwn*v*v) / (p.fit.n + priorOwn) // no rise up to there tells little of far beyond
+	p.crowd = max(p.crowd, p.idle/(reach*reach*seen))
+	p.bend = 4 * p.crowd * p.idle * p.idle
 	p.idle *= 1 + 0.01*span
 }
 
 // shift sets how much slower than its kind a backend is, from its own samples and the prior.
-func (s *server) shift(now time.Duration, u float64) {
+func (s *server) shift(now time.Duration) {
 	n, y, expect := s.n, s.y, s.expect
 	if now-s.readAt < readingLife && s.readAt > 0 {
-		at := s.pool.latency(u)
+		at := s.pool.held(float64(s.out) / s.size)
 		n, y, expect = n+readingWorth, y+readingWorth*s.read, expect+readingWorth*at
 	}
 	if n < 0.01 || expect <= 0 {
@@ -862,34 +880,29 @@
 		return
 	}
 	mean := expect / n
-	ratio := (y + priorOwn*mean) / (expect + priorOwn*mean)
-	queued := min(1, max(0, 1-s.pool.idle/mean)) // part of the latency that grows with the cube
-	s.slow = math.Pow(ratio, 1/(1+2*queued))
+	s.slow = (y + priorOwn*mean) / (expect + priorOwn*mean)
 }
 
-// admit refuses the cheapest by worth a unit where more is asked for than the curves have room for.
+// admit sets up to which latency each kind of work is let in: the cheapest by worth a unit is refused first.
 func (b *Balancer) admit(room float64) {
+	if short := b.askRate > room; short != b.shedding {
+		if b.shedding = short; short {
+			b.act.Log(fmt.Sprintf("overload: room for %.1f of %.1f units/s", room, b.askRate))
+		}
+	}
+	b.wait = math.Inf(1)
+	for _, c := range b.classes {
+		b.wait = min(b.wait, aimPart*c.Aim.Seconds()/c.work)
+	}
 	parts := [4]float64{1, b.set.OverShareWorth, repeatPart, repeatPart * b.set.OverShareWorth}
+	most := 1e-12
 	for i := range b.bins {
 		c := &b.classes[i/4]
 		b.bins[i].value = c.Worth / c.work * parts[i%4]
+		most = max(most, b.bins[i].value)
 	}
-	slices.SortStableFunc(b.order, func(x, y int) int {
-		return cmp.Compare(b.bins[y].value, b.bins[x].value)
-	})
-	short := b.askRate > room
-	if short != b.shedding {
-		if b.shedding = short; short {
-			b.act.Log(fmt.Sprintf("overload: room for %.1f of %.1f units/s", room, b.askRate))
-		}
-	}
-	for _, i := range b.order {
-		bin := &b.bins[i]
-		bin.admit = 1
-		if bin.rate > room {
-			bin.admit = room / bin.rate
-		}
-		room = max(0, room-bin.rate)
+	for i := range b.bins {
+		b.bins[i].limit = b.wait * (leastLimit + (1-leastLimit)*math.Sqrt(b.bins[i].value/most))
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -8,7 +8,7 @@
 )
 
 // fit holds fading sums over samples of (load, latency) for a curve latency = idle + bend * load^2.
-type fit struct{ n, y, u2 float64 }
+type fit struct{ n, y, v2 float64 }
 
 // pool is the evidence of all backends of one kind, in this zone or in the others. It is the prior for each
 // of them: on a large fleet a node sends one backend too little to learn a curve from that alone.
@@ -16,7 +16,8 @@
 	fit    fit     // fading
 	recent fit     // since the last solve
 	idle   float64 // latency at no load, seconds
-	bend   float64
+	crowd  float64 // of the curve over attempts held
+	bend   float64 // of the curve over load that follows from it
 	seen   bool    // idle is more than a guess
 	batch  float64 // the mean being collected for idle
 	batchN int
@@ -60,7 +61,7 @@
 type attempt struct {
 	server  *server
 	sent    time.Duration
-	load    float64 // load of the backend when it was sent, units a second by size
+	held    float64 // attempts that the backend held when it was sent, this one included, by size
 	charged float64 // latency already counted against the backend while the attempt was out
 	open    bool
 	overdue bool
@@ -98,13 +99,10 @@
 	head    int
 }
 
-// bin counts requests of equal worth.
+// bin holds requests of equal worth.
 type bin struct {
 	value float64 // worth a unit
-	load  float64 // units asked for since the last solve
-	rate  float64 // units a second, smoothed
-	admit float64 // part to be let in
-	owed  float64 // let in so far, less what came
+	limit float64 // seconds a unit: the expected latency up to which they are let in
 }
 
 // zone is what the node learns of the way to a zone.
@@ -137,7 +135,6 @@
 	classes  []class
 	cheap    int // the class that trials are made with
 	bins     []bin
-	order    []int // bins by falling value
 	quota    []float64
 
 	asked, sent       float64 // units since the last solve
@@ -152,6 +149,7 @@
 	watching          bool
 	sweepEvery        time.Duration
 	askFails          int
+	wait              float64 // seconds a unit: the latency that the dearest work can bear
 	shedding          bool
 }
 
