--- a/decide/decide.go
+++ b/decide/decide.go
@@ -103,8 +103,9 @@
 // delay is the learned latency of a backend that holds n attempts of ours.
 func (s *server) delay(n float64) float64 { return s.slow * s.pool.held(n/s.size) }
 
-// latency is the learned curve at the load u: that of the kind for a backend `slow` times slower. By Little's law a
-// load u holds u times its latency; bend is such that both curves tell twice the idle latency of the same load.
+// latency is the learned curve at the load u: that of the kind for a backend `slow` times slower. By Little's
+// law a load u holds u times its latency; bend is such that both curves tell twice the idle latency of the
+// same load.
 func (s *server) latency(u float64) float64 {
 	m := s.slow
 	return m*s.pool.idle + s.pool.bend*m*m*m*u*u
@@ -585,10 +586,10 @@
 // Probed takes the result of a probe. The module asks for none yet.
 func (b *Balancer) Probed(now time.Duration, _ Outcome) { b.now = now }
 
-// pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its turn.
-// Where all do, the one that is expected to answer soonest is taken, if that is soon enough; otherwise none is, and
-// the request is refused. Passing brings the others' turns nearer, so a cold backend is held to its limit by the clock
-// as well.
+// pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its
+// turn. Where all do, the one that is expected to answer soonest is taken, if that is soon enough; otherwise
+// none is, and the request is refused. Passing brings the others' turns nearer, so a cold backend is held to
+// its limit by the clock as well.
 func (b *Balancer) pick(limit float64) *server {
 	for range len(b.turns) + mostSkips {
 		if len(b.turns) == 0 {
