--- a/decide/decide.go
+++ b/decide/decide.go
@@ -65,7 +65,7 @@
 	priorHeld    = 3.0                    // attempts held by size up to which an unmeasured curve rises so
 	reach        = 4.0                    // times what is usually held, at which latency is taken to double
 	crowdPart    = 1.5                    // times idle latency up to which a backend takes its turn
-	leastLimit   = 0.55                   // part of the bearable latency at which the cheapest work is refused
+	leastLimit   = 0.55                   // part of the bearable latency that the cheapest work may meet
 	repeatPart   = 0.3                    // worth of a client's repeat, much of whose time has gone by
 	coldGap      = 0.7                    // part of the mean gap that must lie between sends to a cold one
 	coldPart     = 0.5                    // part of a cold backend's budget to use; its size is a guess
@@ -306,7 +306,8 @@
 	b.sent += q.work
 	q.out++
 	s.out++
-	q.attempts = append(q.attempts, attempt{server: s, sent: b.now, held: float64(s.out) / s.size, open: true})
+	held := float64(s.out) / s.size
+	q.attempts = append(q.attempts, attempt{server: s, sent: b.now, held: held, open: true})
 	c.waiting = append(c.waiting, due{q.id, len(q.attempts) - 1})
 	b.act.Send(q.id, s.ID, abandon)
 }
