Put a rater away for two silences, not one; let the module's times go with the shortest aim

Checked: a log of solves and of putAway. At fault: decide.go failed(), where one late attempt among 471 answers put a rater away (at a usual rate of 0.01 one silence is rarer than lateChance 0.02), and putAway(), where each attempt sent before doubled the time (one rater was at 7 doublings 200 ms after its pause). Times were for an aim of 0.6 s, but aims here are down to 0.13 s, so a rater was away for five aims at the least. Now a silence needs a chance under 2e-4, what was sent before adds nothing, and times go with the shortest aim.

--- a/decide/api.go
+++ b/decide/api.go
@@ -242,6 +242,7 @@
 			b.cheap = i
 		}
 	}
+	b.pace = min(1, b.aim/usualAim)
 	for i := range b.pools {
 		b.pools[i].idle = b.aim / dropAt // a guess until the first answer
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,7 +54,7 @@
 	readingWorth = 8.0                    // and with its backend
 	readingLife  = 2 * time.Second        // while it is not older than this
 	lateNews     = 0.25                   // overdue attempts an answer that are news to solve for at once
-	lateChance   = 0.02                   // a silence less likely than this at the usual rate is a fault
+	lateChance   = 2e-4                   // a silence less likely than this at the usual rate is a fault
 	failChance   = 2e-4                   // and so is a run of failures less likely than this,
 	failOff      = 3.0                    // or more of them than are usual by so many deviations
 	failLeast    = 0.01                   // part of attempts that is taken to fail at the least
@@ -69,6 +69,7 @@
 	repeatPart   = 0.3                    // worth of a client's repeat, much of whose time has gone by
 	coldGap      = 0.7                    // part of the mean gap that must lie between sends to a cold one
 	coldPart     = 0.5                    // part of a cold backend's budget to use; its size is a guess
+	usualAim     = 0.6                    // seconds: the times above are for this aim, and shorter for a shorter
 	askBackoff   = time.Second            // before a failed call for the list is repeated, doubled each time
 )
 
@@ -159,7 +160,7 @@
 func (b *Balancer) start() {
 	b.started = true
 	b.lastSolve = b.now
-	b.act.Wake(time.Duration(b.rand.Float64()*float64(solveEvery)), tokenSolve)
+	b.act.Wake(b.paced(b.rand.Float64(), solveEvery), tokenSolve)
 	b.sweepEvery = max(seconds(b.aim/sweepParts), 10*time.Millisecond)
 	b.act.Wake(b.sweepEvery, tokenSweep)
 	if b.set.Ask {
@@ -168,6 +169,11 @@
 	}
 }
 
+// paced is part of a time that is given for requests of the usual length.
+func (b *Balancer) paced(part float64, t time.Duration) time.Duration {
+	return time.Duration(part * b.pace * float64(t))
+}
+
 // askLater asks for the list again after a pause that doubles, with jitter, so that a list that cannot keep
 // up is not buried in calls, but soon enough for AskWithin.
 func (b *Balancer) askLater() {
@@ -533,7 +539,7 @@
 		if a.sent >= s.silentAt { // those sent before the last one was given up tell nothing new
 			s.silent, s.silentAt = s.silent+1, b.now
 		}
-		usual := b.lates / (b.lates + b.answers + 1)
+		usual := max(failLeast, b.lates/(b.lates+b.answers+1))
 		if !s.away && math.Pow(usual, float64(s.silent)) > lateChance { // as any backend might be just now
 			return
 		}
@@ -541,7 +547,7 @@
 	if z := &b.zones[s.Zone]; o.Result != Full && o.Result != Failed && s.Zone != b.set.Zone {
 		z.fails++
 		if z.fails >= zoneFails && b.now >= z.until && (b.now-z.heard).Seconds() > b.aim {
-			z.until = b.now + awayFirst<<min(z.times, 3)
+			z.until = b.now + b.paced(1, awayFirst<<min(z.times, 3))
 			z.times++
 			z.fails = 0
 			b.act.Log("zone " + b.set.Zones[s.Zone] + " does not answer: nothing is sent there for a while")
@@ -560,9 +566,12 @@
 
 // putAway takes a backend out of the turns for a while, longer each time.
 func (b *Balancer) putAway(s *server) {
+	if s.away && !s.onTrial { // what was sent before tells nothing new
+		return
+	}
 	s.onTrial = false
 	wait := min(awayFirst<<min(s.fails, 10), awayMost)
-	s.until = b.now + time.Duration((0.75+b.rand.Float64()/2)*float64(wait))
+	s.until = b.now + b.paced(0.75+b.rand.Float64()/2, wait)
 	s.fails++
 	s.away = true
 	if s.turn >= 0 {
@@ -645,7 +654,7 @@
 	switch token {
 	case tokenSolve:
 		b.solve()
-		b.act.Wake(time.Duration((0.9+0.2*b.rand.Float64())*float64(solveEvery)), tokenSolve)
+		b.act.Wake(b.paced(0.9+0.2*b.rand.Float64(), solveEvery), tokenSolve)
 	case tokenSweep:
 		b.sweep()
 		if b.newLate > lateNews*b.heardNow+lateNews*20 { // news that cannot wait: work piles up
@@ -796,18 +805,18 @@
 // measure closes the time since the last solve: rates, the work of classes, the curves.
 func (b *Balancer) measure() {
 	span := (b.now - b.lastSolve).Seconds()
-	if span < 0.05 {
+	if span < 0.05*b.pace {
 		return
 	}
 	b.lastSolve = b.now
-	k := 1 - math.Exp(-span/rateMemory)
+	k := 1 - math.Exp(-span/b.pace/rateMemory)
 	if b.rate == 0 {
 		k = 1
 	}
 	b.askRate += k * (b.asked/span - b.askRate)
 	b.rate += k * (b.sent/span - b.rate)
 	b.asked, b.sent, b.newLate, b.heardNow = 0, 0, 0, 0
-	keep := math.Exp(-span / ownMemory.Seconds())
+	keep := math.Exp(-span / b.pace / ownMemory.Seconds())
 	b.lates, b.bads, b.answers = b.lates*keep, b.bads*keep, b.answers*keep
 	b.fillQuotas(span)
 	b.weighClasses(keep)
@@ -847,7 +856,7 @@
 		if twin.seen && (!p.seen || twin.idle < p.idle) {
 			p.idle, p.seen = twin.idle, true
 		}
-		p.refit(span, fair)
+		p.refit(span/b.pace, fair)
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -145,6 +145,7 @@
 	bads              float64 // and of those that failed
 	tokens            float64 // further attempts that may be made
 	aim               float64 // seconds, the shortest
+	pace              float64 // how much faster all goes than usual: times are this part of what they are then
 	trials            []*server
 	watching          bool
 	sweepEvery        time.Duration
