Keep a class from a rater that leaves it unanswered; second copies for keyed requests

Checked: a log of each relay. Four of eight raters answered no cap-alert for ten seconds and every post-charge as usual; decide.go heard() let each such answer clear the rater, so each retry went to the next mute one, and second copies were for Safe classes only (late()). Ruled out: admission (0.1% refused) and the sockets. A connection that was told to make room is no longer asked again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -69,7 +69,7 @@
 	repeatPart   = 0.3                    // worth of a client's repeat, much of whose time has gone by
 	coldGap      = 0.7                    // part of the mean gap that must lie between sends to a cold one
 	coldPart     = 0.5                    // part of a cold backend's budget to use; its size is a guess
-	usualAim     = 0.6                    // seconds: the times above are for this aim, and shorter for a shorter
+	usualAim     = 0.6                    // seconds: times above are for this aim, shorter for a shorter
 	askBackoff   = time.Second            // before a failed call for the list is repeated, doubled each time
 )
 
@@ -191,12 +191,13 @@
 		if e.State == Deleted {
 			return
 		}
-		s = &server{turn: -1, slow: 1}
+		s = &server{turn: -1, slow: 1, ills: make([]ill, len(b.classes))}
 		b.byID[e.ID] = s
 		b.servers = append(b.servers, s)
 	} else if e.Started > s.Started { // a new process: what is known of the old one is void
 		s.y, s.expect, s.n, s.slow, s.good, s.bad, s.run = 0, 0, 0, 1, 0, 0, 0
 		s.away, s.onTrial, s.fails = false, false, 0
+		clear(s.ills)
 	}
 	s.Backend = *e
 	s.pool, s.price = &b.pools[2*e.Kind], 0
@@ -242,7 +243,7 @@
 	b.asked += q.work
 	s := b.trial(q) // before any refusal: a node that put all backends away must find out when they are back
 	if limit := b.bins[b.binOf(&r)].limit; s == nil {
-		s = b.pick(limit)
+		s = b.pick(q, limit)
 	}
 	if s == nil {
 		b.end(q)
@@ -312,6 +313,9 @@
 	b.sent += q.work
 	q.out++
 	s.out++
+	if e := &s.ills[q.class]; e.times > 0 { // one at a time, until it is answered
+		e.until = max(e.until, b.now+b.paced(1, awayFirst))
+	}
 	held := float64(s.out) / s.size
 	q.attempts = append(q.attempts, attempt{server: s, sent: b.now, held: held, open: true})
 	c.waiting = append(c.waiting, due{q.id, len(q.attempts) - 1})
@@ -398,6 +402,7 @@
 	b.heardNow++
 	s.answered, s.fails, s.silent, s.run, s.away, s.onTrial = b.now, 0, 0, 0, false, false
 	s.good++
+	s.ills[q.class] = ill{heard: b.now}
 	b.zones[s.Zone] = zone{heard: b.now}
 }
 
@@ -438,7 +443,8 @@
 	for _, s := range b.servers {
 		// One bound to a group may go to a backend of it that this node does not use otherwise.
 		able := s.turn >= 0 || c.Effect == Keyed && q.ran && b.able(s)
-		if !able || s.overdue > 0 || best != nil && best.next <= s.next || !b.mayRepeat(q, s) {
+		able = able && s.overdue == 0 && b.fit(s, q)
+		if !able || best != nil && best.next <= s.next || !b.mayRepeat(q, s) {
 			continue
 		}
 		if s.delay(float64(s.out)+1)*q.work < left.Seconds() {
@@ -508,9 +514,12 @@
 	a.overdue = true
 	a.server.overdue++
 	b.newLate++
-	b.learn(a.server, a, (b.now-a.sent).Seconds()/q.work)
-	may := b.set.Limits.SecondCopies && b.classes[q.class].Effect == Safe
-	if may && !q.closed && !q.begun && q.out == 1 && a.server.answered <= a.sent {
+	if a.server.ills[q.class].times == 0 {
+		b.learn(a.server, a, (b.now-a.sent).Seconds()/q.work)
+	}
+	c := &b.classes[q.class]
+	may := b.set.Limits.SecondCopies && (c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll)
+	if may && !q.closed && !q.begun && q.out == 1 && a.server.ills[q.class].heard <= a.sent {
 		b.again(q)
 	}
 }
@@ -518,6 +527,13 @@
 // failed takes an attempt that brought no answer.
 func (b *Balancer) failed(q *request, a *attempt, o *Outcome) {
 	s := a.server
+	if e := &s.ills[q.class]; o.Result.MayHaveRun() && o.Result != Cancelled && a.sent >= e.at {
+		usual := max(failLeast, (b.lates+b.bads)/(b.lates+b.bads+b.answers+1))
+		if e.run, e.at = e.run+1, b.now; math.Pow(usual, e.run) < lateChance {
+			e.until = b.now + b.paced(1, min(awayFirst<<min(e.times, 10), awayMost))
+			e.times++
+		}
+	}
 	switch o.Result {
 	case NotSent, Cancelled:
 		s.onTrial = false
@@ -534,7 +550,9 @@
 		}
 	case Late:
 		// How late it would have been is hidden, so it counts as a drop.
-		b.learn(s, a, max(o.Latency.Seconds()/q.work, 2*dropAt*s.pool.idle))
+		if s.ills[q.class].times == 0 { // else it tells of the class alone
+			b.learn(s, a, max(o.Latency.Seconds()/q.work, 2*dropAt*s.pool.idle))
+		}
 		b.lates++
 		if a.sent >= s.silentAt { // those sent before the last one was given up tell nothing new
 			s.silent, s.silentAt = s.silent+1, b.now
@@ -596,11 +614,14 @@
 // Probed takes the result of a probe. The module asks for none yet.
 func (b *Balancer) Probed(now time.Duration, _ Outcome) { b.now = now }
 
+// fit tells whether a backend answers a class, as far as is known. After a time it gets one to try.
+func (b *Balancer) fit(s *server, q *request) bool { return b.now >= s.ills[q.class].until }
+
 // pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its
 // turn. Where all do, the one that is expected to answer soonest is taken, if that is soon enough; otherwise
 // none is, and the request is refused. Passing brings the others' turns nearer, so a cold backend is held to
 // its limit by the clock as well.
-func (b *Balancer) pick(limit float64) *server {
+func (b *Balancer) pick(q *request, limit float64) *server {
 	for range len(b.turns) + mostSkips {
 		if len(b.turns) == 0 {
 			break
@@ -610,7 +631,7 @@
 		s.next += 1 / s.share
 		heap.Fix(&b.turns, 0)
 		free := s.overdue == 0 && s.delay(float64(s.out)+1) <= crowdPart*s.slow*s.pool.idle
-		if free && b.now >= s.coldNext {
+		if free && b.now >= s.coldNext && b.fit(s, q) {
 			s.coldNext = b.now + seconds(coldGap/s.coldTop)
 			return s
 		}
@@ -618,7 +639,7 @@
 	var best *server
 	least := limit
 	for _, s := range b.turns {
-		if d := s.delay(float64(s.out) + 1); b.now >= s.coldNext && d < least {
+		if d := s.delay(float64(s.out) + 1); b.now >= s.coldNext && d < least && b.fit(s, q) {
 			best, least = s, d
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -247,6 +247,55 @@
 	}
 }
 
+// A backend may answer one class and leave another unanswered: only that one is kept from it (real day of a failing
+// class), and a keyed request that waits there gets a second copy elsewhere.
+func TestClassLeftUnansweredGoesElsewhere(t *testing.T) {
+	set := settings()
+	set.Classes[1].Group = GroupAll
+	b, r := start(t, set, backends(4)...)
+	type end struct {
+		at time.Duration
+		o  Outcome
+	}
+	var ends []end
+	sent, late, copies := [3]int{}, 0, 0
+	for i, now := 0, 2*second; now < 22*second; i, now = i+1, now+5*time.Millisecond {
+		before := len(r.sends)
+		b.Request(now, Request{ID: RequestID(i), Class: 1 + i%2, Tenant: -1, Deadline: now + second})
+		rest := ends[:0]
+		for _, e := range ends {
+			if e.at <= now {
+				b.Outcome(now, e.o)
+			} else {
+				rest = append(rest, e)
+			}
+		}
+		ends = rest
+		b.Timer(now, tokenSweep)
+		if i%100 == 0 {
+			b.Timer(now, tokenSolve)
+		}
+		for _, s := range r.sends[before:] {
+			class, n := 1+int(s.id)%2, len(b.requests[s.id].attempts)-1
+			copies += n
+			if s.to == 3 {
+				sent[class]++
+			}
+			o, l := Outcome{Request: s.id, Backend: s.to, Attempt: n, Result: Good, Over: true}, 40*time.Millisecond
+			if s.to == 3 && class == 1 {
+				o.Result, o.Over, l = Late, b.requests[s.id].closed, second/2
+				late++
+			}
+			o.Latency = l
+			ends = append(ends, end{now + l, o})
+		}
+	}
+	if sent[1] > 40 || sent[2] < 300 || copies == 0 {
+		t.Errorf("the backend got %d of the class that it leaves unanswered, %d of the other; %d copies", sent[1],
+			sent[2], copies)
+	}
+}
+
 // A request that a backend turns away as bad is no use to the next one, and tells nothing against any.
 func TestRejectedRequestEndsThere(t *testing.T) {
 	b, r := start(t, settings(), backends(4)...)
--- a/decide/state.go
+++ b/decide/state.go
@@ -56,6 +56,16 @@
 	out      int  // attempts out
 	overdue  int  // and those that should have been answered by now
 	answered time.Duration
+	ills     []ill // by class
+}
+
+// ill is what the node knows of a backend that may leave one class of requests unanswered.
+type ill struct {
+	heard time.Duration // the last answer to the class
+	run   float64       // attempts of the class given up since, each sent after the one before was,
+	at    time.Duration // the last then
+	until time.Duration // the class is not sent there before
+	times int           // how often in a row
 }
 
 type attempt struct {
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -62,6 +62,7 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	retired  int                 // of them, those that were told to make room
 	taken    int                 // requests not answered
 	open     map[string]struct{} // the ids of requests that are not answered
 	ready    bool
@@ -90,8 +91,11 @@
 	c := &conn{side: s, net: n, parser: http1.NewRequests(), state: silent, since: now, accepted: now}
 	s.mu.Lock()
 	var victim *conn
-	if len(s.conns) >= s.set.Connections {
-		victim = s.victim(now)
+	if len(s.conns)-s.retired >= s.set.Connections {
+		if victim = s.victim(now); victim != nil {
+			victim.retired = true
+			s.retired++
+		}
 		c.once = victim == nil
 	}
 	s.conns[c] = struct{}{}
@@ -108,6 +112,8 @@
 func (s *Side) victim(now float64) *conn {
 	rank := func(c *conn) float64 {
 		switch age := now - c.since; {
+		case c.retired:
+			return 0
 		case c.state == leaving:
 			return 4e12 + age
 		case c.state == silent && age >= settleMs:
@@ -248,6 +254,8 @@
 	since float64 // it is in its state since then
 	asked bool    // a whole request has come
 
+	retired bool // it was told to make room
+
 	mu     sync.Mutex
 	parser *http1.Parser
 	came   float64 // when bytes came last
@@ -262,6 +270,9 @@
 	c.side.mu.Lock()
 	if c.state != state {
 		c.state, c.since = state, c.side.clock.Now()
+		if state == reading {
+			c.since = c.came
+		}
 	}
 	c.asked = c.asked || state == busy
 	c.side.mu.Unlock()
@@ -275,7 +286,14 @@
 	c.mu.Unlock()
 	if free {
 		c.net.End()
+		return
 	}
+	c.side.mu.Lock()
+	if c.retired {
+		c.retired = false
+		c.side.retired--
+	}
+	c.side.mu.Unlock()
 }
 
 // Data takes bytes from the client.
@@ -326,8 +344,8 @@
 	}
 	c.enter(leaving)
 	c.side.log("north: %d to a client: %v", status, err)
-	_ = c.net.Write(http1.AppendResponse(nil, status, nil, []byte(err.Error()+"\n"), true))
 	c.side.clock.At(c.side.clock.Now()+lingerMs, c.net.Close)
+	_ = c.net.Write(http1.AppendResponse(nil, status, nil, []byte(err.Error()+"\n"), true))
 }
 
 // request handles one request under the lock.
@@ -479,17 +497,18 @@
 	end := m.Close || c.once || c.deaf || c.side.closing
 	c.side.mu.Unlock()
 	c.ended = end
+	if end {
+		c.enter(leaving)
+	} else {
+		c.enter(idle)
+	}
 	_ = c.net.Write(http1.AppendResponse(make([]byte, 0, 128+len(body)), status, fields, body, end))
 	switch {
 	case end:
-		c.enter(leaving)
 		c.net.End()
 	case c.net.Backlog() > backlogMax:
 		c.ended = true
-		c.enter(leaving)
 		go c.net.Close()
-	default:
-		c.enter(idle)
 	}
 }
 
@@ -501,6 +520,9 @@
 	c.mu.Unlock()
 	c.side.mu.Lock()
 	delete(c.side.conns, c)
+	if c.retired {
+		c.side.retired--
+	}
 	c.side.check()
 	c.side.mu.Unlock()
 	if t != nil {
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -24,6 +24,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,10 +69,7 @@
 	s := &Stage{Clock: clock.NewManual(1.7e12), Hosts: map[string]string{}, Ended: make(chan error, 1), t: t,
 		calls: make(chan *peer, 64), asks: make(chan *peer, 64), peers: map[string]*peer{}}
 	s.Discovery, s.Other = s.listen("", s.asks), s.listen("other", s.asks)
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, dead.Close())
-	s.Hosts["dead"] = dead.Addr().String()
+	s.Hosts["dead"] = deadAddress(t)
 	for _, name := range hosts {
 		s.Hosts[name] = s.listen(name, s.calls)
 		s.Hosts["heir"] = s.Hosts[name]
@@ -79,6 +77,17 @@
 	return s
 }
 
+// deadAddress binds a port, so that no one else gets it, but does not listen there.
+func deadAddress(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	at, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
 // listen accepts connections, each message on which goes to came.
 func (s *Stage) listen(host string, came chan *peer) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/node/node.go
+++ b/node/node.go
@@ -158,8 +158,8 @@
 		n.loop.Stop()
 	}()
 	work.Go(func() { n.tick(back) })
-	work.Go(func() { n.every(back, retireEvery, n.pool.Retire) })
-	work.Go(func() { n.every(back, sweepEvery, n.north.Sweep) })
+	n.every(back, retireEvery, n.pool.Retire)
+	n.every(back, sweepEvery, n.north.Sweep)
 	work.Go(func() { n.watch.Run(back) })
 	<-ctx.Done()
 	return n.shutdown()
@@ -216,14 +216,12 @@
 	}
 }
 
-// every calls f again and again until ctx ends.
+// every has the clock call f again and again until ctx ends.
 func (n *Node) every(ctx context.Context, ms float64, f func()) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.after(n.clock.Now() + ms):
+	n.clock.At(n.clock.Now()+ms, func() {
+		if ctx.Err() == nil {
 			f()
+			n.every(ctx, ms, f)
 		}
-	}
+	})
 }
