Price lost answers instead of taking them for slowness; copies for those that seem lost

Checked: a log of solves. Four raters lost some of their answers; each counted as ten idle latencies, so they seemed 2 to 3 times slower and their kind's curve three times steeper (0.011 to 0.033), and the room fell from 400 to 100 of 380 units/s. At fault: decide.go late() and failed(), which learn from an attempt that others sent later have overtaken; Request(), which earned no further attempts while shedding. Now such an attempt tells nothing of speed, losses beyond chance price a rater in the solve, and a keyed request that was overtaken gets a second copy.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,7 +45,8 @@
 	driftLeast   = 8.0                    // if there are so many
 	driftKeep    = 0.25                   // and the older ones then weigh so much
 	ownMost      = 16.0                   // own samples beyond which older ones fade faster
-	crossAims    = 3.0                    // aims of latency that a crossing's price of 1 weighs as much as
+	crossAims    = 3.0                    // aims of latency that a price of 1 weighs as much as
+	riskOff      = 1.5                    // deviations of losses that are taken for chance
 	awayFirst    = time.Second            // a backend that failed stays away so long, doubled each time,
 	awayMost     = 16 * time.Second       // up to this
 	poolClip     = 3.0                    // a sample counts for no more than this many times what is expected
@@ -59,7 +60,7 @@
 	failOff      = 3.0                    // or more of them than are usual by so many deviations
 	failLeast    = 0.01                   // part of attempts that is taken to fail at the least
 	zoneFails    = 4                      // failures without an answer after which a zone counts as cut off
-	retryPart    = 0.1                    // further attempts a first attempt earns
+	retryPart    = .2                    // further attempts a first attempt earns
 	retryMost    = 10.0                   // and how many can be saved up
 	mostSkips    = 16                     // turns passed over for a backend that is free
 	priorHeld    = 3.0                    // attempts held by size up to which an unmeasured curve rises so
@@ -195,7 +196,7 @@
 		b.byID[e.ID] = s
 		b.servers = append(b.servers, s)
 	} else if e.Started > s.Started { // a new process: what is known of the old one is void
-		s.y, s.expect, s.n, s.slow, s.good, s.bad, s.run = 0, 0, 0, 1, 0, 0, 0
+		s.y, s.expect, s.n, s.slow, s.good, s.bad, s.lost, s.run = 0, 0, 0, 1, 0, 0, 0, 0
 		s.away, s.onTrial, s.fails = false, false, 0
 		clear(s.ills)
 	}
@@ -249,9 +250,7 @@
 		b.end(q)
 		return
 	}
-	if !b.shedding {
-		b.tokens = min(b.tokens+retryPart, retryMost)
-	}
+	b.tokens = min(b.tokens+retryPart, retryMost)
 	b.send(q, s)
 }
 
@@ -402,6 +401,7 @@
 	b.heardNow++
 	s.answered, s.fails, s.silent, s.run, s.away, s.onTrial = b.now, 0, 0, 0, false, false
 	s.good++
+	s.newest = max(s.newest, a.sent)
 	s.ills[q.class] = ill{heard: b.now}
 	b.zones[s.Zone] = zone{heard: b.now}
 }
@@ -514,16 +514,23 @@
 	a.overdue = true
 	a.server.overdue++
 	b.newLate++
-	if a.server.ills[q.class].times == 0 {
+	if b.tells(q, a) {
 		b.learn(a.server, a, (b.now-a.sent).Seconds()/q.work)
 	}
 	c := &b.classes[q.class]
 	may := b.set.Limits.SecondCopies && (c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll)
-	if may && !q.closed && !q.begun && q.out == 1 && a.server.ills[q.class].heard <= a.sent {
+	lost := a.server.ills[q.class].heard <= a.sent || a.server.newest > a.sent // or just in a queue
+	if may && lost && !q.closed && !q.begun && q.out == 1 {
 		b.again(q)
 	}
 }
 
+// tells tells whether an attempt without an answer says that its backend is slow: not if the class gets no
+// answers there, nor if one sent later was answered, for then this answer is lost.
+func (b *Balancer) tells(q *request, a *attempt) bool {
+	return a.server.ills[q.class].times == 0 && a.server.newest <= a.sent
+}
+
 // failed takes an attempt that brought no answer.
 func (b *Balancer) failed(q *request, a *attempt, o *Outcome) {
 	s := a.server
@@ -550,7 +557,10 @@
 		}
 	case Late:
 		// How late it would have been is hidden, so it counts as a drop.
-		if s.ills[q.class].times == 0 { // else it tells of the class alone
+		if s.ills[q.class].times == 0 {
+			s.lost++
+		}
+		if b.tells(q, a) {
 			b.learn(s, a, max(o.Latency.Seconds()/q.work, 2*dropAt*s.pool.idle))
 		}
 		b.lates++
@@ -639,7 +649,7 @@
 	var best *server
 	least := limit
 	for _, s := range b.turns {
-		if d := s.delay(float64(s.out) + 1); b.now >= s.coldNext && d < least && b.fit(s, q) {
+		if d := s.delay(float64(s.out)+1) + s.risk; b.now >= s.coldNext && d < least && b.fit(s, q) {
 			best, least = s, d
 		}
 	}
@@ -701,6 +711,7 @@
 			usable++
 			idle := s.slow * s.pool.idle
 			s.coldTop = b.coldTop(s)
+			s.risk = crossAims * b.aim * b.risk(s)
 			s.top = min(s.size*s.loadAt(max(min(2*idle, aimPart*b.aim), 1.2*idle)), s.coldTop)
 			room += s.top
 			u := max(b.load(s), fair) // the search's step: no further than idle over latency
@@ -716,6 +727,13 @@
 	b.give(need)
 }
 
+// risk is the part of a backend's attempts that bring no answer, beyond the usual and what chance explains.
+func (b *Balancer) risk(s *server) float64 {
+	n := s.good + s.lost + s.bad + 1
+	usual := max(failLeast, (b.lates+b.bads)/(b.lates+b.bads+b.answers+1))
+	return max(0, (s.lost+s.bad)/n-usual-riskOff*math.Sqrt(usual/n))
+}
+
 // narrow sets the part of the fleet that this node keeps to, so that it sends each of them enough to learn
 // from and that a backend is not held by a connection from every node. Nodes begin at places on a circle that
 // are evenly spread, so that each backend is in as many parts as any other; the part grows as backends fail.
@@ -758,7 +776,7 @@
 func (b *Balancer) levels(need, step float64, fine bool) {
 	low, high := 0.0, 0.0
 	for _, s := range b.servers { // no level costs more than the last unit at w_max
-		high = max(high, s.price+3*s.latency(s.top/s.size))
+		high = max(high, s.price+s.risk+3*s.latency(s.top/s.size))
 	}
 	for range 24 {
 		price := (low + high) / 2
@@ -783,7 +801,7 @@
 		return 0
 	}
 	// A further unit at the load u adds idle + 3 * bend * u^2.
-	level := s.size * s.loadAt((price-s.price+2*s.slow*s.pool.idle)/3) / s.top
+	level := s.size * s.loadAt((price-s.price-s.risk+2*s.slow*s.pool.idle)/3) / s.top
 	level = math.Floor(min(level, 1)/step) * step
 	if fine {
 		was := s.goal / s.top
@@ -870,7 +888,7 @@
 			k = min(k, ownMost/s.n)
 		}
 		s.y, s.expect, s.n = s.y*k, s.expect*k, s.n*k
-		s.good, s.bad = s.good*keep, s.bad*keep
+		s.good, s.bad, s.lost = s.good*keep, s.bad*keep, s.lost*keep
 	}
 	for i := range b.pools {
 		p, twin := &b.pools[i], &b.pools[i^1] // here and across zones, idle is much the same
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,6 +48,9 @@
 	silent   int           // attempts given up since the last answer, each sent after the one before ended
 	good     float64       // fading count of answers,
 	bad      float64       // and of failures
+	lost     float64       // and of attempts without an answer in time
+	risk     float64       // price of those that bring no answer, as latency in seconds
+	newest   time.Duration // when the attempt was sent that was sent last of those answered
 	run      float64       // failures since the last answer
 	silentAt time.Duration // when the last of them was given up
 	until    time.Duration // away until then
