--- a/decide/decide.go
+++ b/decide/decide.go
@@ -60,7 +60,7 @@
 	failOff      = 3.0                    // or more of them than are usual by so many deviations
 	failLeast    = 0.01                   // part of attempts that is taken to fail at the least
 	zoneFails    = 4                      // failures without an answer after which a zone counts as cut off
-	retryPart    = .2                    // further attempts a first attempt earns
+	retryPart    = .2                     // further attempts a first attempt earns
 	retryMost    = 10.0                   // and how many can be saved up
 	mostSkips    = 16                     // turns passed over for a backend that is free
 	priorHeld    = 3.0                    // attempts held by size up to which an unmeasured curve rises so
