Put a rater away only for a run of failures beyond chance or for failing mostly

Three of nine raters, the largest among them, broke one answer in eight and were put away again and again by the test of their number (decide.go faulty()), while one was slow and two were draining; one refusal for a full queue did the same. Ruled out: memory and descriptors (20 MB, 225 of 256), connections to raters (105 at once).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,7 +57,7 @@
 	lateNews     = 0.25                   // overdue attempts an answer that are news to solve for at once
 	lateChance   = 2e-4                   // a silence less likely than this at the usual rate is a fault
 	failChance   = 2e-4                   // and so is a run of failures less likely than this,
-	failOff      = 3.0                    // or more of them than are usual by so many deviations
+	failMost     = 4.0                    // or more than so many that are more than half of all
 	failLeast    = 0.01                   // part of attempts that is taken to fail at the least
 	zoneFails    = 4                      // failures without an answer after which a zone counts as cut off
 	retryPart    = .2                     // further attempts a first attempt earns
@@ -549,9 +549,11 @@
 		q.useless = true
 		s.fails, s.run, s.away, s.onTrial = 0, 0, false, false
 		return
-	case Failed, Reset, NoConnect: // any backend's answer may be spoilt now and then
-		s.bad, s.run = s.bad+1, s.run+1
-		b.bads++
+	case Failed, Reset, NoConnect, Full: // any backend's answer may be spoilt now and then
+		if s.run++; o.Result != Full {
+			s.bad++
+			b.bads++
+		}
 		if !s.away && !b.faulty(s) {
 			return
 		}
@@ -585,11 +587,12 @@
 	b.putAway(s)
 }
 
-// faulty tells whether a backend fails more than chance has it where the others fail as they do.
+// faulty tells whether a backend is better left alone: it fails in a row beyond chance, or mostly. One that
+// fails now and then, even more than others, still has work to give; its risk prices it.
 func (b *Balancer) faulty(s *server) bool {
-	usual := max(failLeast, (b.bads-s.bad)/(b.answers+b.bads-s.good-s.bad+1/failLeast))
-	n := s.good + s.bad
-	return math.Pow(usual, s.run) < failChance || s.bad > 1+n*usual+failOff*math.Sqrt(n*usual)+1
+	others, n := b.answers+b.bads-s.good-s.bad, s.good+s.bad
+	usual := max(failLeast, (b.bads-s.bad)/(others+1/failLeast), (s.bad-s.run)/(n+1))
+	return math.Pow(usual, s.run) < failChance || s.bad > max(failMost, n/2)
 }
 
 // putAway takes a backend out of the turns for a while, longer each time.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -247,6 +247,32 @@
 	}
 }
 
+// A backend that fails one in six is still worth the other five where work presses (real long day: the largest one
+// was left out of a fleet that was short), and one that loses answers is no slower for it (real day of resets).
+func TestPartlyFailingBackendIsPricedNotPutAway(t *testing.T) {
+	for _, result := range []Result{Failed, Late} {
+		b, r := start(t, settings(), backends(4)...)
+		n, away := 0, 0
+		serve(b, r, second, 20*second, 2*time.Millisecond, func(to BackendID) (time.Duration, Result) {
+			if s := b.byID[2]; s.away {
+				away++
+			}
+			if n++; to == 2 && n%6 == 0 {
+				if result == Late {
+					return second / 2, Late
+				}
+				return 40 * time.Millisecond, Failed
+			}
+			return 40 * time.Millisecond, Good
+		})
+		s := b.byID[2]
+		if away > 0 || s.slow > 1.3 || b.risk(s) < 0.05 || b.risk(b.byID[1]) > 0.02 || s.share >= b.byID[1].share {
+			t.Errorf("result %d: away for %d of %d, slow %v, risk %v, share %v and %v", result, away, n, s.slow,
+				b.risk(s), s.share, b.byID[1].share)
+		}
+	}
+}
+
 // A backend may answer one class and leave another unanswered: only that one is kept from it (real day of a failing
 // class), and a keyed request that waits there gets a second copy elsewhere.
 func TestClassLeftUnansweredGoesElsewhere(t *testing.T) {
