End connections with the answer in a crowd of clients; keep them for 0.7 s of a stop

Checked: a log of accepts, answers and ends at north. 194 connections stood, the cap; clients held theirs for 1.4 s after one answer and asked on new ones, so 128 that they may hold made 91 requests a second. At fault: north.go write(), which kept every connection however many were held. Ruled out: the module (att/r as tries allow), our cap (silent ones made room at 46 a second). Now from a quarter of the descriptors on an answer ends its connection.

--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -28,6 +28,7 @@
 	ByName      map[string]int // the place of each class
 	Tenants     map[string]int // and of each tenant
 	Connections int            // the most open at once
+	Crowded     int            // from so many on that have asked, an answer ends its connection
 	Requests    int            // the most taken and not answered
 	IdleLimit   float64        // milliseconds after which a connection without a request is closed
 	ReadLimit   float64        // and in which a request that has begun must be whole,
@@ -62,10 +63,12 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	retired  int                 // of them, those that were told to make room
+	retired  int                 // of them, those that were told to make room,
+	askers   int                 // and those that have asked and do not have their last answer
 	taken    int                 // requests not answered
 	open     map[string]struct{} // the ids of requests that are not answered
 	ready    bool
+	stopping bool // no connection can be replaced any more
 	closing  bool // answers end their connections
 	shedding bool
 	empty    chan struct{} // closed once nothing is left while closing
@@ -135,18 +138,18 @@
 	return victim
 }
 
-// Bleed makes every answer from now on end its connection.
-func (s *Side) Bleed() {
+// Stop tells that new connections will soon not be taken: those that there are stay until CloseIdle.
+func (s *Side) Stop() {
 	s.mu.Lock()
-	s.closing = true
+	s.stopping = true
 	s.mu.Unlock()
 }
 
-// CloseIdle ends the connections that carry no request and returns a channel that is closed when all others have
-// been answered and have ended.
+// CloseIdle ends the connections that carry no request, lets every answer from now on end its connection, and returns
+// a channel that is closed when all have ended.
 func (s *Side) CloseIdle() <-chan struct{} {
-	s.Bleed()
 	s.mu.Lock()
+	s.closing = true
 	var free []*conn
 	for c := range s.conns {
 		if c.state == silent || c.state == idle {
@@ -252,7 +255,8 @@
 	// Under the side's lock.
 	state state
 	since float64 // it is in its state since then
-	asked bool    // a whole request has come
+	asked bool    // a whole request has come,
+	left  bool    // and it has had its last answer
 
 	retired bool // it was told to make room
 
@@ -274,10 +278,24 @@
 			c.since = c.came
 		}
 	}
-	c.asked = c.asked || state == busy
+	if state == busy && !c.asked {
+		c.asked = true
+		c.side.askers++
+	}
+	if state == leaving {
+		c.leave()
+	}
 	c.side.mu.Unlock()
 }
 
+// leave counts a connection out, under the side's lock, that has had its last answer or has ended.
+func (c *conn) leave() {
+	if c.asked && !c.left {
+		c.left = true
+		c.side.askers--
+	}
+}
+
 // retire closes the connection if it still carries nothing, or has its last answer.
 func (c *conn) retire() {
 	c.mu.Lock()
@@ -494,7 +512,9 @@
 // write answers m, under the lock, and ends the connection where it is to end.
 func (c *conn) write(m *http1.Message, status int, fields, body []byte) {
 	c.side.mu.Lock()
-	end := m.Close || c.once || c.deaf || c.side.closing
+	// Clients may hold only so many, and some hold on to what they do not use again.
+	crowded := c.side.askers >= c.side.set.Crowded && !c.side.stopping
+	end := m.Close || c.once || c.deaf || crowded || c.side.closing
 	c.side.mu.Unlock()
 	c.ended = end
 	if end {
@@ -520,6 +540,7 @@
 	c.mu.Unlock()
 	c.side.mu.Lock()
 	delete(c.side.conns, c)
+	c.leave()
 	if c.retired {
 		c.side.retired--
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,7 @@
 	reserve     = 24    // descriptors kept for the engine, the runtime, discovery and accepting
 	spare       = 4     // connections of clients over the cap that are answered once and closed
 	idlePart    = 0.5   // of the time after which a host closes an idle connection
+	crowdedPart = 0.25  // of the descriptors: clients hold a third at the most for their requests
 )
 
 // Node is one proxy node.
@@ -122,6 +123,7 @@
 
 func northSettings(conf *Config, connections, requests int) north.Settings {
 	set := north.Settings{ByName: map[string]int{}, Tenants: map[string]int{}, Connections: connections,
+		Crowded:  max(1, int(crowdedPart*float64(conf.Sockets))),
 		Requests: requests, IdleLimit: clientIdle, ReadLimit: readLimit, FirstLimit: firstLimit}
 	for i, c := range conf.Settings.Classes {
 		method := "POST"
@@ -170,10 +172,10 @@
 	begin := n.clock.Now()
 	accepted, served := n.after(begin+acceptFor), n.after(begin+serveFor)
 	over := n.after(begin + serveFor + n.conf.MaxDeadline + restFor)
+	n.north.Stop()
 	n.log("node: stopping: taking connections for %d ms, requests for %d ms", acceptFor, serveFor)
 	<-accepted
 	n.loop.StopAccepting()
-	n.north.Bleed()
 	<-served
 	select {
 	case <-n.north.CloseIdle():
