Spread calls for the list over the fleet, and begin the watch from what is known

Where the list comes only when asked for, the first call now falls anywhere in the time that the settings give for it (100 ms a node, half of ask_within_s at the most), begins at the version of the configuration, is left to wait its turn, and a failure's pause doubles from half of that time to twice it. A node with a known list is ready at once. Elsewhere nothing changes.

--- a/decide/api.go
+++ b/decide/api.go
@@ -127,6 +127,11 @@
 	Rules          Rules
 }
 
+// AskSpread is the time over which the calls of all nodes for the list are spread, which one service answers in turn.
+func (s *Settings) AskSpread() time.Duration {
+	return min(s.Rules.AskWithin/2, time.Duration(s.Nodes)*100*time.Millisecond)
+}
+
 // State is the listed state of a backend.
 type State uint8
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -171,8 +171,7 @@
 	b.sweepEvery = max(seconds(b.aim/sweepParts), 10*time.Millisecond)
 	b.act.Wake(b.sweepEvery, tokenSweep)
 	if b.set.Ask {
-		spread := min(float64(b.set.Rules.AskWithin)/2, float64(b.set.Nodes)*float64(100*time.Millisecond))
-		b.act.Wake(time.Duration(b.rand.Float64()*spread), tokenAsk)
+		b.act.Wake(time.Duration(b.rand.Float64()*float64(b.set.AskSpread())), tokenAsk)
 	}
 }
 
--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -98,6 +98,12 @@
 	Sink    Sink
 	Most    int    // bytes in an answer
 	First   func() // called once, when the first call has ended either way
+	// Spread is the time over which the first calls of all nodes and those that follow a failure are spread, where each
+	// one loads a service that all nodes have together: calls in step would bury it. 0 = a call costs nothing.
+	Spread float64
+	// Known is the version that the node has from its configuration, -1 = none. With Spread the watch begins there
+	// instead of from the whole list.
+	Known int64
 	// Chance gives numbers from 0 to 1, by which the calls of many nodes are kept from falling together; nil = there is
 	// only this one.
 	Chance func() float64
@@ -160,6 +166,8 @@
 const (
 	waitSpread  = 0.1 // a watch is held so much shorter at the most: silence is noticed no later
 	pauseSpread = 1.0 // a pause is so much longer or shorter, half of it each way
+	openWait    = 1.0 // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
+	mostSpreads = 2.0 // a pause is no longer than so many times Spread
 )
 
 // spread varies a time.
@@ -191,21 +199,32 @@
 
 // watch fetches the whole list from an address, then watches until ctx ends.
 func (w *Watcher) watch(ctx context.Context, address string) {
-	pause, index, known, epoch := 0.0, int64(0), false, ""
+	pause, index, known, epoch, open := 0.0, int64(0), false, "", false
+	if w.Spread > 0 && w.Known >= 0 && w.First != nil {
+		index, known = w.Known, true
+		w.asked()
+		w.wait(ctx, w.Spread*w.Chance())
+		if ctx.Err() != nil {
+			return
+		}
+	}
 	for {
 		set := w.limits()
-		path, limit := "/discovery/hosts", set.Fetch
+		path, limit := "/discovery/hosts", max(set.Fetch, w.Spread)
 		call, look, done := w.calls(ctx)
 		switch {
 		case look && epoch != "":
 			path = "/discovery/hosts?look=1"
 		case known && !look:
 			wait := w.spread(set.Wait, 1-waitSpread, waitSpread)
+			if w.Spread > 0 && !open {
+				wait = openWait
+			}
 			path = fmt.Sprintf("/discovery/hosts?index=%d&wait=%.0f", index, wait)
 			if epoch != "" {
 				path += "&epoch=" + epoch
 			}
-			limit = wait + set.Slack
+			limit = wait + max(set.Slack, w.Spread)
 		}
 		l, err := w.ask(call, address, path, limit)
 		if done() {
@@ -236,6 +255,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		open = err == nil
 		if err != nil {
 			if look {
 				w.again()
@@ -243,12 +263,9 @@
 			_, at := w.Seen()
 			w.Sink.Away(at)
 		}
-		if w.First != nil {
-			w.First()
-			w.First = nil
-		}
+		w.asked()
 		if err != nil {
-			pause = min(max(2*pause, set.FirstPause), set.LastPause)
+			pause = min(max(2*pause, set.FirstPause, w.Spread/2), max(set.LastPause, mostSpreads*w.Spread))
 			now := w.spread(pause, 1-pauseSpread/2, pauseSpread)
 			w.Log.Warn("discovery gave no list that can be used: the last one stays", "address", address, "error", err,
 				"again_ms", now)
@@ -257,6 +274,14 @@
 	}
 }
 
+// asked tells that the first call has ended, or that the node begins with what it knows.
+func (w *Watcher) asked() {
+	if w.First != nil {
+		w.First()
+		w.First = nil
+	}
+}
+
 // calls begins a call: a second look, if one was asked for; else one that ends early when that happens, which done tells.
 func (w *Watcher) calls(ctx context.Context) (call context.Context, look bool, done func() bool) {
 	w.mu.Lock()
--- a/internal/inventory/discovery/discovery_test.go
+++ b/internal/inventory/discovery/discovery_test.go
@@ -1,12 +1,17 @@
 package discovery
 
 import (
+	"context"
+	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
+	"linenwheel.dev/linenwheel/internal/script"
 )
 
 // Guards against one bad entry costing the others, and against half-read lists.
@@ -26,3 +31,42 @@
 		assert.Error(t, err, text)
 	}
 }
+
+// nowhere takes the news of a watch.
+type nowhere struct{}
+
+func (nowhere) Take(List) error { return nil }
+func (nowhere) Same(List)       {}
+func (nowhere) Away(float64)    {}
+
+// Guards against nodes that bury the service that has the list for all of them: by asking in step when they start, for the
+// whole list that they have already, sooner and sooner after failures, or by leaving a call that waits there in turn.
+func TestCallsThatCostAreSpread(t *testing.T) {
+	s := script.New(t, "h1")
+	l, err := loop.Listen("127.0.0.1:0", 1, func(*loop.Conn) loop.Handler { return nil })
+	require.NoError(t, err)
+	asked := make(chan struct{})
+	w := &Watcher{Address: s.Discovery, Limits: Limits{Fetch: 1000, Wait: 2000, Slack: 1000, FirstPause: 25, LastPause: 1000},
+		Loop: l, Clock: s.Clock, Log: slog.New(slog.DiscardHandler), Sink: nowhere{}, Most: 1 << 20, Spread: 5000, Known: 41,
+		Chance: func() float64 { return 0.5 }, First: func() { close(asked) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended; l.Stop() })
+	<-asked // it can serve with what it knows
+	until := func(at float64) { // its timer stands, and nothing is due before
+		require.Eventually(t, func() bool { return s.Clock.Next()-s.Clock.Now() == at }, 5*time.Second, time.Millisecond)
+		s.Clock.Advance(at)
+	}
+	until(2500)
+	const refused = `d send raw "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"`
+	for _, pause := range []float64{2500, 5000, 10000, 10000} {
+		s.Run("d expect /discovery/hosts?index=41&wait=1\n" + refused)
+		until(pause)
+	}
+	s.Run(`
+		d expect /discovery/hosts?index=41&wait=1
+		wait 4900
+		d send 42 changes h1:Terminating
+		d expect /discovery/hosts?index=42&wait=1900`)
+}
--- a/node/inventory.go
+++ b/node/inventory.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 
+	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/inventory"
 	"linenwheel.dev/linenwheel/internal/inventory/discovery"
@@ -141,6 +142,15 @@
 // mostAnswer is how many bytes an agent's answer may have: its list is bounded by most_hosts.
 const mostAnswer = 256 << 20
 
+// callSpread is the time in milliseconds over which the calls for the list of all nodes are spread, where it comes only
+// when asked for and one service has it for all of them.
+func callSpread(set *decide.Settings) float64 {
+	if !set.Ask || set.Nodes < 2 {
+		return 0
+	}
+	return set.AskSpread().Seconds() * 1000
+}
+
 // tune lets options hold from now on.
 func (l *lists) tune(o *Options) {
 	for _, src := range l.sources {
--- a/node/node.go
+++ b/node/node.go
@@ -217,7 +217,10 @@
 	}
 	n.watch = &discovery.Watcher{Address: conf.Discovery, Limits: watchLimits(&o), Loop: n.loop, Clock: n.clock,
 		Log: sparse.With("part", "inventory"), Sink: plain{n.inventory}, Most: o.Inventory.Discovery.ListMost.Bytes,
-		Chance: chances(conf, n.fleet), First: n.firstAsked(len(o.Inventory.Sources()))}
+		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: n.firstAsked(len(o.Inventory.Sources()))}
+	if len(conf.Known.Hosts) > 0 {
+		n.watch.Known = conf.Known.Index
+	}
 	if !o.Inventory.Plain() {
 		if n.lists, err = gather(conf, &o.Inventory, n.watch, n.inventory); err != nil {
 			n.loop.Stop()
