Keep a node of a large fleet to few raters, and its part from being emptied

At fault: leastRate and leastPart in narrow(). A node now wants 4 units a second for each rater and at least 6 raters, and each rater at least 4 nodes, so that fleets of up to 4 nodes use all as before. A part is measured from the node's place until it holds its share of the size that serves, and half of that of what is able: one that falls whole into a loss goes on past it instead of refusing all.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,8 +34,9 @@
 	priorRise    = 0.5                    // rise of an unmeasured curve up to a fair share, in parts of idle
 	searchStep   = 0.25                   // part of the paper's step that shares grow by: solves come often
 	priorOwn     = 8.0                    // samples of its own that weigh as much as what its kind tells
-	leastRate    = 1.5                    // units a second that a node wants to send each backend it uses
-	leastPart    = 20.0                   // and at least so many it uses
+	leastRate    = 4.0                    // units a second that a node wants to send each backend it uses
+	leastPart    = 6.0                    // and at least so many it uses,
+	leastUsers   = 4.0                    // and each backend is to have so many nodes that use it
 	costPart     = 0.02                   // part of a hint that goes into its class's mean
 	rateMemory   = 1.5                    // seconds after which a rate weighs 1/e
 	idleBatch    = 4                      // samples in a mean that may set a kind's idle latency,
@@ -705,26 +706,41 @@
 	return max(0, (s.lost+s.bad)/n-usual-riskOff*math.Sqrt(usual/n))
 }
 
-// narrow sets the part of the fleet that this node keeps to, so that it sends each of them enough to learn
-// from and that a backend is not held by a connection from every node. Nodes begin at places on a circle that
-// are evenly spread, so that each backend is in as many parts as any other; the part grows as backends fail.
+// narrow sets the part of the fleet that this node keeps to, so that it sends each of them enough to learn from,
+// and that a backend is not held by a connection from every node. A part begins at the node's own place on the
+// circle of backends and goes on until it holds its share of them, and half of that of those that are able. Parts
+// begin evenly spread, so that each backend is in as many as any other.
 func (b *Balancer) narrow() {
-	able := 1e-9
+	const golden = 0.6180339887498949
+	arc, able := b.arc[:0], 0.0
 	for _, s := range b.servers {
+		if _, s.offset = math.Modf(s.place + float64(b.set.Node)*golden); s.State == Serving {
+			arc = append(arc, s)
+			if b.able(s) {
+				able += s.size
+			}
+		}
+	}
+	slices.SortFunc(arc, func(s, t *server) int { return cmp.Compare(s.offset, t.offset) })
+	n := float64(len(arc))
+	part := min(1, max(b.askRate/leastRate, leastPart, leastUsers*n/float64(b.set.Nodes))/max(n, 1))
+	b.arc, b.part = arc, 1
+	all, able := part*b.sizes, able*part/2
+	for _, s := range arc {
+		all -= s.size
 		if b.able(s) {
-			able++
+			able -= s.size
+		}
+		if all <= 0 && able <= 0 && part < 1 {
+			b.part = max(s.offset, 1e-9)
+			break
 		}
 	}
-	b.part = min(1, max(b.askRate/leastRate, leastPart)/able)
 	b.users = max(1, float64(b.set.Nodes)*b.part)
 }
 
 // inPart tells whether a backend is in the part that this node keeps to.
-func (b *Balancer) inPart(s *server) bool {
-	const golden = 0.6180339887498949
-	_, at := math.Modf(s.place + float64(b.set.Node)*golden)
-	return at < b.part
-}
+func (b *Balancer) inPart(s *server) bool { return s.offset <= b.part }
 
 // fair is the load of every backend in use if all that is asked were spread by size.
 func (b *Balancer) fair() float64 { return max(b.askRate, 1) / max(b.sizes*b.part, 1) }
--- a/decide/state.go
+++ b/decide/state.go
@@ -36,7 +36,8 @@
 	y, expect, n float64 // fading sums: own latencies, what the kind's curve expected, and how many
 	slow         float64 // how many times slower than its kind it is
 
-	place    float64       // on the circle of all backends, from 0 to 1
+	place    float64       // on the circle of all backends, from 0 to 1,
+	offset   float64       // and how far that is from where this node's part begins
 	share    float64       // of the node's load
 	each     float64       // attempts of all nodes that one of ours stands for,
 	others   float64       // and by size those that are there whatever ours are
@@ -142,10 +143,11 @@
 	pools   []pool
 	zones   []zone
 	turns   turns
-	part    float64 // of the fleet that this node keeps to
-	users   float64 // nodes that keep to one backend
-	sizes   float64 // of all backends that serve
-	clock   float64 // virtual time of round robin
+	part    float64   // of the fleet that this node keeps to
+	arc     []*server // reused: those that are able, from where the part begins
+	users   float64   // nodes that keep to one backend
+	sizes   float64   // of all backends that serve
+	clock   float64   // virtual time of round robin
 
 	requests map[RequestID]*request
 	free     []*request
