--- a/cmd/linenwheel-lab/survey.go
+++ b/cmd/linenwheel-lab/survey.go
@@ -46,7 +46,10 @@
 			if err := noArgs(args); err != nil {
 				return err
 			}
-			names := experiments.Names()
+			names := slices.DeleteFunc(experiments.Names(), func(name string) bool {
+				e, err := experiments.Load(name)
+				return err == nil && e.Virtual
+			})
 			if *on != "" {
 				names = strings.Split(*on, ",")
 			}
--- a/internal/inventory/discovery/discovery_test.go
+++ b/internal/inventory/discovery/discovery_test.go
@@ -53,7 +53,7 @@
 	ended := make(chan struct{})
 	go func() { w.Run(ctx); close(ended) }()
 	t.Cleanup(func() { cancel(); <-ended; l.Stop() })
-	<-asked // it can serve with what it knows
+	<-asked                     // it can serve with what it knows
 	until := func(at float64) { // its timer stands, and nothing is due before
 		require.Eventually(t, func() bool { return s.Clock.Next()-s.Clock.Now() == at }, 5*time.Second, time.Millisecond)
 		s.Clock.Advance(at)
--- a/lab/experiments/experiments.go
+++ b/lab/experiments/experiments.go
@@ -25,6 +25,7 @@
 	SiteName string   `toml:"site"`     // a shipped site's name, or a path relative to this file
 	Seeds    []uint64 `toml:"seeds"`    // one day each
 	Protocol string   `toml:"protocol"` // "http"
+	Virtual  bool     `toml:"virtual"`  // for virtual time alone: it has more nodes than one machine carries
 
 	// These go before the site's, where set.
 	Nodes  form.Range        `toml:"nodes"`
