Ask again for a whole list without a host before believing it

A whole list that names no host, where there were some, is asked for once more, at once; one that comes twice is taken, as the protocol has it. Measured: the new scenario fails without the change; those of node and internal/inventory pass (8 packages).

--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -200,6 +200,7 @@
 // watch fetches the whole list from an address, then watches until ctx ends.
 func (w *Watcher) watch(ctx context.Context, address string) {
 	pause, index, known, epoch, open := 0.0, int64(0), false, "", false
+	hosts, doubted := w.Known >= 0, false // whether the last list named some, and an empty one is asked for again
 	if w.Spread > 0 && w.Known >= 0 && w.First != nil {
 		index, known = w.Known, true
 		w.asked()
@@ -237,6 +238,14 @@
 		}
 		if err == nil {
 			l.Whole, l.Look = l.Whole || !known || look, look
+			if doubted = l.Whole && len(l.Hosts) == 0 && hosts && !doubted; doubted {
+				w.Log.Warn("a whole list without a host is asked for again before it is believed", "address", address)
+				known = false
+				continue
+			}
+		}
+		if err == nil {
+			hosts = len(l.Hosts) > 0 || hosts && !l.Whole
 			if l.Whole || len(l.Hosts) > 0 {
 				if err = w.Sink.Take(l); err != nil {
 					known = false
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -225,10 +225,21 @@
 		a send ` + pay + `
 		r expect POST /pay/1 host=h2`},
 	{"a host that is missing from a whole list being kept, and a final answer that is held back", []string{"h1"}, `
+		d send 2 whole
+		d expect /discovery/hosts
 		d send 2 whole
 		d expect /discovery/hosts?index=2&wait=2000
 		a send ` + pay + `
 		a expect 503`},
+	{"a fleet emptied by one empty list", []string{"h1"}, `
+		d send 2 whole
+		d expect /discovery/hosts
+		a send ` + pay + `
+		r expect POST /pay/1 host=h1
+		r send 200 body=ok
+		a expect 200
+		d send 3 whole h1:Ready
+		d expect /discovery/hosts?index=3&wait=2000`},
 	{"a refused connection taken for work that may have run", []string{"h1"}, `
 		d send 2 whole dead:Ready
 		d expect /discovery/hosts?index=2&wait=2000
