Put the pace of calls for the list into a pure package, tested for many nodes

Its test plays 1 to 200 nodes that all start, or all lose their watch, in one moment, before a service that answers little more than it must: each has its watch within three spreads, with three calls a node at the most. With the old pauses (25 ms to 1 s, all at once) it fails.

--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/inventory/form"
+	"linenwheel.dev/linenwheel/internal/inventory/pace"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
@@ -164,12 +165,16 @@
 
 // Parts by which times differ from node to node.
 const (
-	waitSpread  = 0.1 // a watch is held so much shorter at the most: silence is noticed no later
-	pauseSpread = 1.0 // a pause is so much longer or shorter, half of it each way
-	openWait    = 1.0 // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
-	mostSpreads = 2.0 // a pause is no longer than so many times Spread
+	waitSpread = 0.1 // a watch is held so much shorter at the most: silence is noticed no later
+	openWait   = 1.0 // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
 )
 
+// paced is when calls are made.
+func (w *Watcher) paced() pace.Settings {
+	set := w.limits()
+	return pace.Settings{Spread: w.Spread, First: set.FirstPause, Last: set.LastPause}
+}
+
 // spread varies a time.
 func (w *Watcher) spread(ms, least, part float64) float64 {
 	if w.Chance == nil {
@@ -199,12 +204,13 @@
 
 // watch fetches the whole list from an address, then watches until ctx ends.
 func (w *Watcher) watch(ctx context.Context, address string) {
-	pause, index, known, epoch, open := 0.0, int64(0), false, "", false
+	index, known, epoch, open := int64(0), false, "", false
+	calls := pace.Pace{Chance: w.Chance}
 	hosts, doubted := w.Known >= 0, false // whether the last list named some, and an empty one is asked for again
 	if w.Spread > 0 && w.Known >= 0 && w.First != nil {
 		index, known = w.Known, true
 		w.asked()
-		w.wait(ctx, w.Spread*w.Chance())
+		w.wait(ctx, calls.Begin(w.paced()))
 		if ctx.Err() != nil {
 			return
 		}
@@ -255,7 +261,8 @@
 			}
 		}
 		if err == nil {
-			index, known, pause, epoch = l.Index, true, 0, ""
+			calls.Answered()
+			index, known, epoch = l.Index, true, ""
 			if l.Origin != nil {
 				epoch = url.QueryEscape(l.Origin.Epoch)
 			}
@@ -274,8 +281,7 @@
 		}
 		w.asked()
 		if err != nil {
-			pause = min(max(2*pause, set.FirstPause, w.Spread/2), max(set.LastPause, mostSpreads*w.Spread))
-			now := w.spread(pause, 1-pauseSpread/2, pauseSpread)
+			now := calls.Failed(w.paced())
 			w.Log.Warn("discovery gave no list that can be used: the last one stays", "address", address, "error", err,
 				"again_ms", now)
 			w.wait(ctx, now)
