Send nothing for an answered call on a connection that was still coming up

A second copy to another hall waits for its connection's handshake, 60 ms there, while the first copy is served; when the connection is up the relay is written all the same. On one hall a handshake takes under 1 ms, so nothing showed. At fault: carrier.Relay looked only at whether the relay was called off, and nobody calls off a copy of a call that is served. It now looks whether the call is still owed its answer before the first byte goes out on a new connection, and keeps the connection. The simulated node does the same.

--- a/cmd/linenwheel-lab/replay.go
+++ b/cmd/linenwheel-lab/replay.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
+	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -22,7 +24,8 @@
 out as it did then. Or it is an experiment or a site, played with -policy.
 
   linenwheel-lab replay scale.json -cell 2 -seed 7 -rater 3 -from 10000 -upto 12000
-  linenwheel-lab replay hang -seed 2 -policy two -request #812`
+  linenwheel-lab replay hang -seed 2 -policy two -request #812
+  linenwheel-lab replay fleet-herd -seconds`
 
 // replayFlags are the flags of replay.
 type replayFlags struct {
@@ -30,6 +33,7 @@
 	seed            uint64
 	policy, request string
 	record          string
+	seconds         bool
 	trace           sim.Trace
 }
 
@@ -47,6 +51,7 @@
 	f.Float64Var(&p.trace.From, "from", 0, "ms of the day from which on")
 	f.Float64Var(&p.trace.Upto, "upto", 0, "and up to which (0 = the end)")
 	f.StringVar(&p.record, "record", "", "write what all parties saw to this file as JSON lines")
+	f.BoolVar(&p.seconds, "seconds", false, "count over all nodes, by the second")
 	return &ffcli.Command{
 		Name:       "replay",
 		ShortUsage: "linenwheel-lab replay FILE|NAME [flags]",
@@ -123,7 +128,8 @@
 			tr.Kind, tr.From, tr.To, tr.Raters, tr.Nodes,
 			tr.Size, tr.Share)
 	}
-	o := sim.Options{Policy: policy, Reports: matrix.Reports(cell.Policy), Watch: t.Watch, Follow: t}
+	o := sim.Options{Policy: policy, Reports: matrix.Reports(cell.Policy), Watch: t.Watch, Follow: t,
+		Count: p.seconds}
 	if p.record != "" {
 		f, err := os.Create(p.record)
 		if err != nil {
@@ -142,6 +148,9 @@
 	}
 	r := matrix.NewRun(p.seed, out)
 	fmt.Fprintf(to.out, "G %.4f, digest %s, %d broken\n", r.G, r.Digest, r.BrokenRules())
+	if p.seconds {
+		printSeconds(to.out, out.Seconds)
+	}
 	if then != nil && then.Digest != r.Digest {
 		fmt.Fprintf(to.errs, "the file has digest %s and G %.4f: this program plays the day otherwise\n",
 			then.Digest, then.G)
@@ -150,6 +159,18 @@
 	return nil
 }
 
+// printSeconds prints what was counted over the fleet.
+func printSeconds(w io.Writer, list []sim.Second) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "s\tnodes\tsends\tone rater\tfurther\topened\tone rater\theld\tone rater\tturned away\tno connect\treset\tcold use\talike\tlist calls\tfailed\tblind\t\n")
+	for _, s := range list {
+		fmt.Fprintf(t, "%.0f\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%d\t%d\t%d\t\n", s.At, s.NodesUp, s.Sends,
+			s.SendsMost, s.Further, s.Opened, s.OpenedMost, s.Held, s.HeldMost, s.Refused, s.NoConnect, s.Reset, s.ColdUse,
+			s.Alike, s.ListCalls, s.ListFailed, s.Blind)
+	}
+	_ = t.Flush()
+}
+
 // header is that of a record of a day.
 func header(day *world.Day, cell matrix.Cell, open matrix.Source) record.Header {
 	h := record.Header{Site: day.Site.Name, Seed: day.Seed, Command: []string{cell.Policy}}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -103,6 +103,10 @@
 	return c.cut
 }
 
+// Owed tells whether the call may still get its final answer from a relay: one that has not gone out for it when another
+// was served is not to.
+func (c *Call) Owed() bool { return !c.ticket.Over() }
+
 // HasLeft tells whether the client has gone.
 func (c *Call) HasLeft() bool {
 	c.mu.Lock()
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -260,6 +260,16 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
+// Over tells that the final answer is given, or that nobody waits for it.
+func (t *Ticket) Over() bool {
+	if t.p == nil {
+		return false
+	}
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	return t.over
+}
+
 func (t *Ticket) push(v Verdict) {
 	t.queue = append(t.queue, v)
 	t.signal()
--- a/internal/south/carrier/carrier_test.go
+++ b/internal/south/carrier/carrier_test.go
@@ -10,9 +10,12 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
 
@@ -57,6 +60,47 @@
 	assert.True(t, w.fit(10000))
 }
 
+// served answers each relay at once.
+type served struct{}
+
+func (served) Relay(core.Host, *core.Call, float64, <-chan struct{}) (pilot.Outcome, any) {
+	return pilot.Served, nil
+}
+
+// speechless is a protocol in which nothing may be said.
+type speechless struct{ t *testing.T }
+
+func (s speechless) Request([]byte, core.Host, *core.Call, int) ([]byte, any, error) {
+	s.t.Error("a request goes out for a call that has its answer")
+	return nil, nil, errors.New("nothing may be said")
+}
+func (speechless) Answers() Answers { return nil }
+
+// Guards against a second copy that goes out after the first was served, which a connection that took long would let happen,
+// and against the connection being lost for it.
+func TestNothingGoesOutAfterTheAnswer(t *testing.T) {
+	c, quiet := clock.NewManual(1000), slog.New(slog.DiscardHandler)
+	module, err := pilot.New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 1},
+		Classes: []decide.Class{{Name: "pay", Aim: 600e6, Deadline: 2e9}}}, 1, c, quiet, nil)
+	require.NoError(t, err)
+	module.Inventory(pilot.Whole, []pilot.Host{{Name: "h", Zone: "z", Kind: "k", Weight: 1}})
+	call := &core.Call{ID: "q", Tenant: -1, Deadline: 1900}
+	require.True(t, call.Owed())
+	require.Equal(t, core.Served, core.New(core.Settings{Calls: 1}, module, served{}, quiet).Serve(call).Kind)
+	require.False(t, call.Owed())
+	l, err := loop.Listen("127.0.0.1:0", 1, func(*loop.Conn) loop.Handler { return nil })
+	require.NoError(t, err)
+	defer l.Stop()
+	host, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer host.Close()
+	p := New(Settings{Connections: 1, ConnectTimeout: 5000, Protocol: func(core.Host) Protocol { return speechless{t} }}, c, l, quiet)
+	h := core.Host{Name: "h", Address: host.Addr().String()}
+	o, _ := p.Relay(h, call, 2000, make(chan struct{}))
+	assert.Equal(t, pilot.CalledOff, o)
+	assert.Equal(t, map[string]Use{"h": {1, 1}}, p.Uses())
+}
+
 // Guards against a node that takes more than its part of a host's connections, or blames that host for it.
 func TestPartOfAHostsConnections(t *testing.T) {
 	h, part := core.Host{Name: "h", Address: "127.0.0.1:1"}, 2
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -220,6 +220,11 @@
 			return pilot.Unsent, nil
 		}
 	}
+	if c.since == 0 && !call.Owed() { // while it connected another relay was served: nothing goes out any more
+		c.disarm()
+		p.put(c, true)
+		return pilot.CalledOff, nil
+	}
 	out, about, err := c.speaks.Request(nil, host, call, left)
 	if err != nil {
 		c.disarm()
--- a/lab/experiments/experiments.go
+++ b/lab/experiments/experiments.go
@@ -11,6 +11,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"linenwheel.dev/linenwheel/lab/form"
@@ -31,6 +32,8 @@
 	Nodes  form.Range        `toml:"nodes"`
 	Raters form.Range        `toml:"raters"`
 	Length form.Span         `toml:"length"` // of the day
+	Zones  []string          `toml:"zones"`  // that nodes and raters are dealt out to in turn
+	List   *ListService      `toml:"list"`   // whole: the list must be asked for
 	Load   *world.Load       `toml:"load"`   // field by field
 	Limits *world.NodeLimits `toml:"limits"` // whole: what a node may use and do
 
@@ -61,6 +64,13 @@
 	LatencyP99 form.Span `toml:"latency_p99"` // of served requests; 0 = not asked
 }
 
+// ListService is the one that all nodes ask for the list, see [world.DiscoveryDelays].
+type ListService struct {
+	LinesPerS form.Range `toml:"lines_per_s"`
+	CallLines float64    `toml:"call_lines"`
+	Patience  form.Span  `toml:"patience"`
+}
+
 // Files opens what an experiment names: its own file, a site, recorded arrivals.
 type Files func(path string) ([]byte, error)
 
@@ -115,6 +125,12 @@
 	switch f := e.Floors; {
 	case e.Protocol != "http":
 		return nil, wrong("protocol", "%q is not known, want \"http\"", e.Protocol)
+	case e.Zones != nil && float64(len(e.Zones)) > e.Site.Size.Raters.Lo:
+		return nil, wrong("zones", "%d zones are too many for %g raters", len(e.Zones), e.Site.Size.Raters.Lo)
+	case e.List != nil && !e.List.LinesPerS.Within(1, 1e9):
+		return nil, wrong("list.lines_per_s", "%g..%g lies outside 1..1e+09", e.List.LinesPerS.Lo, e.List.LinesPerS.Hi)
+	case e.List != nil && !(e.List.CallLines >= 0):
+		return nil, wrong("list.call_lines", "%g is below 0", e.List.CallLines)
 	case f.G < 0 || f.G > 1:
 		return nil, wrong("floors.g", "%g lies outside 0..1", f.G)
 	case f.WorstSeed < 0 || f.WorstSeed > 1:
@@ -127,6 +143,9 @@
 		if err := e.Troubles[i].Check(file, text, i); err != nil {
 			return nil, err
 		}
+		if zone, all := e.Troubles[i].Zone, e.Site.Size.Zones; zone != "" && !slices.Contains(all, zone) {
+			return nil, form.Wrong(file, text, "trouble.zone", i, "%q is none of %v", zone, all)
+		}
 	}
 	for _, seed := range e.Seeds { // what hangs on the draw: numbers of raters, names of classes
 		if _, err := e.Day(seed); err != nil {
@@ -169,6 +188,12 @@
 	lay(&s.Size.Raters, e.Raters)
 	lay(&s.Size.Day, e.Length)
 	s.Size.Troubles = e.Draws
+	if e.Zones != nil {
+		s.Size.Zones = e.Zones
+	}
+	if l := e.List; l != nil {
+		s.Discovery.LinesPerS, s.Discovery.CallLines, s.Discovery.Patience = l.LinesPerS, l.CallLines, l.Patience
+	}
 	if e.Limits != nil {
 		s.Node = *e.Limits
 	}
--- a/lab/experiments/experiments_test.go
+++ b/lab/experiments/experiments_test.go
@@ -82,6 +82,8 @@
 	for add, want := range map[string]string{
 		"speed = 3":              `x.toml:8: trouble.speed: unknown field`,
 		"size = \"9..2\"":        `x.toml:8: trouble.size: 9..2 is no range: the first end must not lie above the second`,
+		"zone = \"cellar\"":      `x.toml:8: trouble.zone: "cellar" is none of [hall-a]`,
+		"part = 1.5":             `x.toml:8: trouble.part: 1.5..1.5 lies outside 0..1`,
 		"size = 0.001":           `x.toml:8: trouble.size: 0.001 is below 0.01`,
 		"length = 3":             `x.toml:8: trouble.length: "3" is no time and no range of times such as "250ms..2s"`,
 		"share = 0.5":            `x.toml:8: trouble.share: a trouble of the kind slow has no share`,
@@ -95,11 +97,13 @@
 		require.EqualError(t, err, want, add)
 	}
 	for text, want := range map[string]string{
-		"site = \"rating\"\nprotocol = \"gopher\"":           `x.toml:2: protocol: "gopher" is not known, want "http"`,
-		"site = \"no.toml\"":                                 `x.toml:1: site: file does not exist`,
-		"site = \"rating\"\n[load]\nfile = \"arrivals.csv\"": `arrivals.csv:3: partner: no partner nobody`,
-		"site = \"rating\"\n[load]\nshape = [\"flat\"]":      `x.toml:3: load.shape: "flat" is none of poisson, steady, waves`,
-		"site = \"rating\"\n[limits]\ncores = 1 2":           `x.toml:3: expected newline but got U+0032 '2'`,
+		"site = \"rating\"\nprotocol = \"gopher\"":                     `x.toml:2: protocol: "gopher" is not known, want "http"`,
+		"site = \"rating\"\nraters = 2\nzones = [\"a\", \"b\", \"c\"]": `x.toml:3: zones: 3 zones are too many for 2 raters`,
+		"site = \"rating\"\n[list]\nlines_per_s = -1":                  `x.toml:3: list.lines_per_s: -1..-1 lies outside 1..1e+09`,
+		"site = \"no.toml\"":                                           `x.toml:1: site: file does not exist`,
+		"site = \"rating\"\n[load]\nfile = \"arrivals.csv\"":           `arrivals.csv:3: partner: no partner nobody`,
+		"site = \"rating\"\n[load]\nshape = [\"flat\"]":                `x.toml:3: load.shape: "flat" is none of poisson, steady, waves`,
+		"site = \"rating\"\n[limits]\ncores = 1 2":                     `x.toml:3: expected newline but got U+0032 '2'`,
 	} {
 		_, err := experiments.Parse("x.toml", text, files)
 		require.EqualError(t, err, want, fmt.Sprintf("%q", text))
--- a/lab/sim/attempt.go
+++ b/lab/sim/attempt.go
@@ -76,6 +76,7 @@
 		class: uint8(c.arrival.Class), request: c.try.ID, key: c.arrival.Key, sent: g.now, until: until}
 	// Its luck is that of the arrival, the try and the attempt, whatever the policy.
 	a.work, a.wait, a.luck = g.day.Cost(&c.arrival, uint64(c.try.Number)<<8|uint64(place))
+	g.tally.send(n.number, a)
 	r := &g.raters[rater]
 	r.coming += a.work
 	r.comingN++
@@ -151,6 +152,7 @@
 	if d != world.Connected {
 		e.How, e.Work = 1, 0
 	}
+	g.tally.open(a.rater)
 	if d != world.Silent {
 		g.see(e)
 	}
--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"linenwheel.dev/linenwheel/decide"
+	"linenwheel.dev/linenwheel/internal/inventory/pace"
 	"linenwheel.dev/linenwheel/lab/record"
 	"linenwheel.dev/linenwheel/lab/rivals"
 	"linenwheel.dev/linenwheel/lab/world"
@@ -21,14 +23,16 @@
 	until  float64 // but no longer than this; 0 = no end is known
 	dying  bool    // it was asked to stop
 
-	has    uint64            // version of the list that it has been told
-	listed []bool            // raters that a list has named
-	left   map[int32]float64 // when it was told that one drains or is gone
-	open   int               // tries that it owes an answer,
-	held   int               // and that it knows
-	unsent []decide.Outcome
-	asking bool // a call to discovery that broke off is to be repeated
-	spent  time.Duration
+	has      uint64            // version of the list that it has been told
+	listed   []bool            // raters that a list has named
+	left     map[int32]float64 // when it was told that one drains or is gone
+	open     int               // tries that it owes an answer,
+	held     int               // and that it knows
+	unsent   []decide.Outcome
+	watching bool // where the list must be asked for: the watch is open
+	pace     pace.Pace
+	asking   bool // a call to discovery that broke off is to be repeated
+	spent    time.Duration
 }
 
 // start begins a life of the node's process: it knows the list that it had last.
@@ -44,12 +48,50 @@
 		return err
 	}
 	n.policy = p
-	n.has = g.fleet.Discovery.Has(n.number)
+	if g.service == nil || n.life == 1 { // else it has the list that it had last
+		n.has = g.fleet.Discovery.Has(n.number)
+	}
 	list := g.fleet.Discovery.List(nil, n.has)
 	n.tell(list, decide.ListStored)
+	if g.service != nil {
+		n.watching = false
+		n.pace = pace.Pace{Chance: rand.New(rand.NewPCG(g.day.Seed, uint64(n.number)<<16|uint64(n.life))).Float64}
+		n.later(n.pace.Begin(n.calls()), askList)
+	}
 	return nil
 }
 
+// calls is when a node calls for the list, with the pauses that it has without options of its own.
+func (n *node) calls() pace.Settings {
+	set := Settings(n.engine.day, n.number)
+	return pace.Settings{Spread: set.AskSpread().Seconds() * 1000, First: 25, Last: 1000}
+}
+
+func (n *node) later(ms float64, k kind) {
+	n.engine.q.push(event{at: n.engine.now + ms, kind: k, id: int32(n.number), life: n.life})
+}
+
+// listCall opens the watch, as a node's own does: what changed since its list comes first.
+func (n *node) listCall(k kind) {
+	g := n.engine
+	switch k {
+	case askList:
+		d := g.fleet.Discovery
+		at, answered := g.service.Ask(g.now, float64(d.Has(n.number)-n.has))
+		if !answered || !d.Reached(n.number) {
+			n.later(at-g.now, notListed)
+		} else {
+			n.later(at-g.now, listed)
+		}
+	case listed:
+		n.pace.Answered()
+		n.watching = true
+		n.told()
+	case notListed:
+		n.later(n.pace.Failed(n.calls()), askList)
+	}
+}
+
 func (n *node) tell(list []world.Entry, how decide.ListKind) {
 	g := n.engine
 	entries := make([]decide.Backend, 0, len(list))
@@ -144,6 +186,7 @@
 func (n *node) ended(at int32, a *attempt, r decide.Result) {
 	g := n.engine
 	a.ended = true
+	g.tally.end(r)
 	c := g.calls.at(a.call)
 	c.relays[a.place].at = 0
 	c.out--
@@ -151,6 +194,7 @@
 		c.over = true
 		n.open--
 		g.answer(a.call, c, world.Served, 200, g.body(a), 0)
+		n.recall(c)
 	}
 	begun := n.begin()
 	n.policy.Outcome(clock(g.now), decide.Outcome{Request: id(a.call, c.gen), Backend: g.raters[a.rater].id,
@@ -171,6 +215,21 @@
 	}
 }
 
+// recall gives up what has not gone out for a try that has its final answer, as a node's carrier does.
+func (n *node) recall(c *call) {
+	g := n.engine
+	for i := range c.relays {
+		at := c.relays[i].at
+		if at == 0 {
+			continue
+		}
+		if a := g.tries.at(at); !a.off && (a.phase == dialing || g.now < a.writeAt) {
+			a.off = true
+			g.at(g.now, abandon, at, uint64(a.gen))
+		}
+	}
+}
+
 func (n *node) party() world.Party { return world.Party{Kind: world.NodeParty, Number: n.number} }
 
 // Send starts an attempt, unless a rule forbids it: then the policy hears that it was not sent.
@@ -300,7 +359,7 @@
 	g := n.engine
 	d := g.fleet.Discovery
 	n.asking = false
-	if n.policy == nil || !d.Reached(n.number) {
+	if n.policy == nil || !d.Reached(n.number) || g.service != nil && !n.watching {
 		return
 	}
 	upto := d.Has(n.number)
--- a/lab/sim/settings.go
+++ b/lab/sim/settings.go
@@ -12,7 +12,7 @@
 // lab/live writes into a node's configuration.
 func Settings(day *world.Day, node int) decide.Settings {
 	s := day.Site
-	set := decide.Settings{Nodes: day.Nodes, Node: node, Zone: day.Zone(node), Zones: s.Size.Zones,
+	set := decide.Settings{Nodes: day.Nodes, Node: node, Ask: day.List.Lines > 0, Zone: day.Zone(node), Zones: s.Size.Zones,
 		OverShareWorth: s.Load.OverShareWorth,
 		Limits: decide.Limits{MaxAttempts: max(1, s.Node.MaxAttempts), Cancel: s.Node.Cancel,
 			SecondCopies: s.Node.SecondCopies},
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -33,6 +33,7 @@
 	Reports bool
 	Watch   func(record.Event) // called for all that parties see, in order of time, if set
 	Follow  Follower           // told what policies do, if set
+	Count   bool               // count over the fleet, by the second
 	Measure bool               // take the time that policies need, and what they hold at the end
 	Beside  bool               // judge beside the day, on another thread
 }
@@ -74,6 +75,7 @@
 	Seen      uint64 // events that parties saw
 	Requests  uint64 // that reached a node
 	Guard     Guard
+	Seconds   []Second      // with Count
 	Policy    time.Duration // processor time of all policies, with Measure
 	Bytes     float64       // that a policy holds at the day's end, mean over nodes, with Measure
 }
@@ -125,6 +127,10 @@
 	idle             // a connection may have been idle for long: id = conn, arg = its generation
 	timer            // id = node, arg = token
 	told             // id = node
+	askList          // likewise: a call for the list is due
+	listed           // it is answered
+	notListed        // or has failed
+	second           // a second is over
 	ready            // a node's process is up: id = node
 	stopped          // it must have ended: id = node
 	doorsAt          // the front may send to fewer nodes: id = node
@@ -146,20 +152,22 @@
 	next     world.Arrival
 	more     bool
 
-	nodes  []node
-	doors  []int32 // nodes that the front sends to
-	raters []rater
-	byID   map[decide.BackendID]int32
-	calls  pool[call]
-	tries  pool[attempt]
-	conns  pool[conn]
-	idle   []int32 // first idle connection of each pair of node and rater, 0 = none
-	number uint32  // of attempts, probes and connections
-	open   int     // clients that are not settled
-	half   bool    // the day has an hour in which discovery's answers break off
-	spoils bool    // or raters' answers
-	out    Outcome
-	err    error
+	nodes   []node
+	doors   []int32 // nodes that the front sends to
+	raters  []rater
+	byID    map[decide.BackendID]int32
+	calls   pool[call]
+	tries   pool[attempt]
+	conns   pool[conn]
+	idle    []int32        // first idle connection of each pair of node and rater, 0 = none
+	number  uint32         // of attempts, probes and connections
+	open    int            // clients that are not settled
+	tally   *tally         // nil without Count
+	service *world.Service // of the list, nil where it is sent to all
+	half    bool           // the day has an hour in which discovery's answers break off
+	spoils  bool           // or raters' answers
+	out     Outcome
+	err     error
 }
 
 // pool hands out records that keep their place, and tells a new use of one from the one before.
@@ -195,6 +203,14 @@
 		nodes: make([]node, day.Nodes), raters: make([]rater, len(day.Raters)), byID: map[decide.BackendID]int32{},
 		idle: make([]int32, day.Nodes*len(day.Raters))}
 	g.seen = newSeen(day, o)
+	if o.Count {
+		g.tally = newTally(day.Nodes, len(day.Raters))
+		g.at(1000, second, 0, 0)
+	}
+	if day.List.Lines > 0 {
+		list := day.List
+		g.service = &list
+	}
 	for i := range day.Raters {
 		id := idOf(day.Raters[i].Name)
 		for _, taken := g.byID[id]; taken; _, taken = g.byID[id] {
@@ -313,6 +329,12 @@
 		}
 	case told:
 		g.nodes[e.id].told()
+	case askList, listed, notListed:
+		if n := &g.nodes[e.id]; n.life == e.life && n.policy != nil {
+			n.listCall(e.kind)
+		}
+	case second:
+		g.second()
 	case ready:
 		if n := &g.nodes[e.id]; n.policy == nil {
 			g.err = n.start()
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -109,6 +109,8 @@
 	c.in(s.Clients.Impatient, 0, 1, "clients.impatient", 0)
 	c.in(s.Clients.Body, 0, 65536, "clients.body_bytes", 0)
 	c.in(s.Clients.Answer, 32, 65536, "clients.answer_bytes", 0)
+	c.in(s.Discovery.LinesPerS, 0, many, "discovery.lines_per_s", 0)
+	c.need(s.Discovery.CallLines >= 0, "discovery.call_lines", 0, "%g is below 0", s.Discovery.CallLines)
 	c.in(s.Conns.FullTax, 0, 0.9, "connections.full_tax", 0)
 	c.in(s.Conns.PerCore, 1, 1e6, "connections.per_core", 0)
 	sum := s.Weights.Whole + s.Weights.WorstWindow + s.Weights.WorstClass + s.Weights.WorstPartner
@@ -198,7 +200,7 @@
 		{"share", !s.Share.IsZero(), !k.share.IsZero()}, {"every", !s.Every.IsZero(), !k.every.IsZero()},
 		{"pause", !s.Pause.IsZero(), !k.pause.IsZero()}, {"gap", !s.Gap.IsZero(), !k.gap.IsZero()},
 		{"delay", !s.Delay.IsZero(), !k.delay.IsZero()}, {"rate", !s.Rate.IsZero(), !k.rate.IsZero()},
-		{"raters", s.Raters != nil, k.whom == RaterParty}, {"nodes", s.Nodes != nil, k.whom == NodeParty},
+		{"raters", s.Raters != nil, k.whom == RaterParty}, {"zone", s.Zone != "", k.whom == RaterParty}, {"nodes", s.Nodes != nil, k.whom == NodeParty},
 		{"class", s.Class != "", false}, {"ways", s.Ways != nil, false}, {"between", s.Between != nil, k.between != nil},
 	}
 	for _, f := range fields {
--- a/lab/world/day.go
+++ b/lab/world/day.go
@@ -48,6 +48,7 @@
 	Impatient    float64
 	FrontNotice  float64 // ms until the front notices that a node is dead
 	Lateness     Lateness
+	List         Service // Lines is 0 where the list is sent to all nodes
 	ClientDelay  float64 // ms one way
 	WithinDelay  float64
 	AcrossDelay  float64
--- a/lab/world/draw.go
+++ b/lab/world/draw.go
@@ -153,6 +153,7 @@
 		l.Spread.Draw(rng), l.CountsAfter.Draw(rng)}
 	n := &s.Network
 	d.ClientDelay, d.WithinDelay, d.AcrossDelay, d.Jitter = n.Client.Draw(rng), n.Within.Draw(rng), n.Across.Draw(rng), n.Jitter.Draw(rng)
+	d.List = Service{Lines: l.LinesPerS.Draw(rng) / 1000, Call: l.CallLines, Patience: l.Patience.Draw(rng)}
 }
 
 func (d *Day) drawLoad(rng *rand.Rand) {
--- a/lab/world/plan.go
+++ b/lab/world/plan.go
@@ -53,7 +53,13 @@
 	part := or(s.Part, k.part).Draw(rng)
 	var err error
 	if k.whom == RaterParty {
-		t.Raters, err = chosen(rng, s.Raters, part, d.AtStart, "raters")
+		named := s.Raters
+		if s.Zone != "" {
+			if named, err = d.inZone(s.Zone); err != nil {
+				return nil, err
+			}
+		}
+		t.Raters, err = chosen(rng, named, part, d.AtStart, "raters")
 	} else if k.whom == NodeParty {
 		t.Nodes, err = chosen(rng, s.Nodes, part, d.Nodes, "nodes")
 	}
@@ -72,6 +78,23 @@
 	return t, nil
 }
 
+// inZone names the raters of the start in a zone.
+func (d *Day) inZone(name string) (list []int, err error) {
+	zone := slices.Index(d.Site.Size.Zones, name)
+	if zone < 0 {
+		return nil, fmt.Errorf("zone: %q is none of %v", name, d.Site.Size.Zones)
+	}
+	for i := range d.AtStart {
+		if d.Raters[i].Zone == zone {
+			list = append(list, i)
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("zone: no rater of the %d of the start is in %q", d.AtStart, name)
+	}
+	return list, nil
+}
+
 func chosen(rng *rand.Rand, named []int, part float64, of int, what string) ([]int, error) {
 	if len(named) > 0 {
 		for _, n := range named {
--- a/lab/world/site.go
+++ b/lab/world/site.go
@@ -106,6 +106,12 @@
 	Period       form.Span `toml:"period"`        // changes are sent out so often
 	Spread       form.Span `toml:"spread"`        // and reach one node up to so much later than another
 	CountsAfter  form.Span `toml:"counts_after"`  // counts as told so long after discovery had it to tell, come or not
+
+	// Where the list must be asked for, one service has it for all nodes and sends so many lines a second; 0 = it is sent to
+	// all nodes as it changes. A call costs CallLines besides the lines of its answer, and fails after Patience in turn.
+	LinesPerS form.Range `toml:"lines_per_s"`
+	CallLines float64    `toml:"call_lines"`
+	Patience  form.Span  `toml:"patience"`
 }
 
 // NodeLimits is what a node may use and do.
--- a/lab/world/trouble.go
+++ b/lab/world/trouble.go
@@ -68,6 +68,7 @@
 	Length  form.Span  `toml:"length"` // how long
 	Part    form.Range `toml:"part"`   // of the raters (or of the nodes)
 	Raters  []int      `toml:"raters"` // or these, by number
+	Zone    string     `toml:"zone"`   // or all raters of the start in this zone
 	Nodes   []int      `toml:"nodes"`
 	Size    form.Range `toml:"size"`
 	Share   form.Range `toml:"share"`
