Hold the last cold raters of a fleet to what they could bear if it were whole

Traced (seed 6, rater 59, one node's view at 12.45 s): the list held 6 raters of 60, all cold; with no warm one to go by, warmLoad took what the clients of the whole fleet asked for, spread over the six, and every node keeps to all of six. Where none is warm it is now what each would bear of the largest fleet that this node has seen.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -156,6 +156,7 @@
 			delete(b.byID, s.ID)
 		}
 	}
+	b.whole = max(b.whole, b.sizes)
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Deleted })
 	b.arrange()
 	if !b.started {
@@ -597,9 +598,8 @@
 func (b *Balancer) fit(s *server, q *request) bool { return b.now >= s.ills[q.class].until }
 
 // pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its
-// turn. Where all do, the one that is expected to answer soonest is taken, if that is soon enough; otherwise
-// none is, and the request is refused. Passing brings the others' turns nearer, so a cold backend is held to
-// its limit by the clock as well.
+// turn. Where all do, the one that should answer soonest is taken, if that is soon enough, else none. Passing
+// brings the others' turns nearer, so a cold backend is held to its limit by the clock as well.
 func (b *Balancer) pick(q *request, limit float64) *server {
 	var turn *server
 	for i := 0; turn == nil && len(b.turns) > 0 && i < len(b.turns)+mostSkips; i++ {
@@ -973,7 +973,7 @@
 	return r.ColdFrom + (1-r.ColdFrom)*age
 }
 
-// warmLoad is what warm backends bear now, by size; what all would, if none is warm.
+// warmLoad is what warm backends bear now, by size; if none is, what each would of the largest fleet seen.
 func (b *Balancer) warmLoad() float64 {
 	sum, size := 0.0, 0.0
 	for _, s := range b.servers {
@@ -982,7 +982,7 @@
 		}
 	}
 	if size == 0 {
-		return b.fair()
+		return b.fair() * b.sizes / max(b.whole, 1)
 	}
 	return sum * b.rate / size
 }
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -1,8 +1,10 @@
 package decide
 
 import (
+	"flag"
 	"fmt"
 	"math"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +13,12 @@
 	"pgregory.net/rapid"
 )
 
+// The histories are the same ones each time, unless -rapid.seed asks for others.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
 // Guards the parts of a fleet that nodes keep to: whatever the sizes and ids, a part holds its share of the fleet's size but
 // for one backend, so no node has more to do with less; a backend that comes or goes moves only those at the edges of a part;
 // and whichever backends are away, a part holds half of its share of the others, so that none is empty while one is able.
@@ -72,6 +80,23 @@
 	})
 }
 
+// Guards the fourth rule while most of a fleet is gone and all that is left is cold: what the clients of the whole fleet ask for
+// is not what the few can do.
+func TestColdLimitOfTheFewThatAreLeft(t *testing.T) {
+	set := settings()
+	set.Nodes = 10
+	b, err := New(set, 1, &recorder{})
+	require.NoError(t, err)
+	b.List(second, ListStored, backends(20))
+	b.now, b.askRate, b.rate, b.lastSolve = 9*second, 40, 40, 9*second
+	few := []Backend{{ID: 101, Started: b.now}, {ID: 102, Started: b.now}}
+	b.List(b.now, ListFull, few)
+	for _, s := range b.servers {
+		require.Positive(t, s.coldTop)
+		require.LessOrEqual(t, s.coldTop*10, set.Rules.ColdFrom*10*40/20, "as when all 20 were there")
+	}
+}
+
 // Guards what many nodes together take of raters, whatever the order of joins, losses and returns: none that is able is in no
 // node's part, a node has a turn to give while any warm one is able, and what all send a cold one stays by what pushes it over,
 // though each counts the others by its own part.
--- a/decide/state.go
+++ b/decide/state.go
@@ -147,6 +147,7 @@
 	arc     []*server // reused: those that are able, from where the part begins
 	users   float64   // nodes that keep to one backend
 	sizes   float64   // of all backends that serve
+	whole   float64   // the most that was
 	clock   float64   // virtual time of round robin
 
 	requests map[RequestID]*request
