--- a/lab/sim/node.go
+++ b/lab/sim/node.go
@@ -186,7 +186,7 @@
 func (n *node) ended(at int32, a *attempt, r decide.Result) {
 	g := n.engine
 	a.ended = true
-	g.tally.end(r)
+	g.tally.end(a.rater, r)
 	c := g.calls.at(a.call)
 	c.relays[a.place].at = 0
 	c.out--
