--- a/lab/sim/fleet_test.go
+++ b/lab/sim/fleet_test.go
@@ -16,7 +16,7 @@
 func TestFleetDays(t *testing.T) {
 	module, err := rivals.ByName("linenwheel")
 	require.NoError(t, err)
-	for _, name := range []string{"fleet-calm", "fleet-zone", "fleet-join", "fleet-herd", "fleet-lost", "fleet-nine", "fleet-cold"} {
+	for _, name := range []string{"fleet-calm", "fleet-zone", "fleet-join", "fleet-herd", "fleet-lost", "fleet-nine", "fleet-stale", "fleet-cold"} {
 		e, err := experiments.Load(name)
 		require.NoError(t, err)
 		day, err := e.Day(1)
