--- a/decide/state.go
+++ b/decide/state.go
@@ -144,7 +144,7 @@
 	zones   []zone
 	turns   turns
 	part    float64   // of the fleet that this node keeps to
-	arc     []*server // reused: those that are able, from where the part begins
+	arc     []*server // reused: those that serve, from where the part begins
 	users   float64   // nodes that keep to one backend
 	sizes   float64   // of all backends that serve
 	whole   float64   // the most that was
--- a/node/inventory.go
+++ b/node/inventory.go
@@ -121,7 +121,7 @@
 			l.sources = append(l.sources, source{watch.Run, func(*Options) {}}) // the node limits it anyway
 		case options.SourceEtcd:
 			w := &discovery.Watcher{Address: o.Etcd.Agent, Limits: watch.Limits, Loop: watch.Loop, Clock: l.clock,
-				Log: l.log.With("source", src.Name), Sink: asked, Most: mostAnswer, Chance: watch.Chance, First: first}
+				Log: l.log.With("source", src.Name), Sink: asked, Most: mostAnswer, Known: -1, Chance: watch.Chance, First: first}
 			l.keeper.Asks(i, w.Look)
 			l.sources = append(l.sources, source{w.Run, func(o *Options) { w.Limit(watchLimits(o)) }})
 		case options.SourceFiles:
@@ -246,7 +246,7 @@
 	left := new(atomic.Int32)
 	left.Store(int32(len(o.Inventory.Sources())))
 	watch := &discovery.Watcher{Address: conf.Discovery, Limits: watchLimits(o), Loop: s.loop, Clock: clock.NewSystem(),
-		Log: log.With("part", "inventory"), Most: o.Inventory.Discovery.ListMost.Bytes, First: func() {
+		Log: log.With("part", "inventory"), Most: o.Inventory.Discovery.ListMost.Bytes, Known: -1, First: func() {
 			if left.Add(-1) == 0 {
 				close(s.asked)
 			}
