End a watch of the scripted etcd whose call ended with a request in hand

The goroutine that reads a call's requests returned without a word when the call ended while it held a request that Watch, busy sending, had not taken; Watch then waited for news for good. Only the stand-in is at fault; no node uses it.

Change: the reader tells the call's end in that case too.

--- a/lab/etcdtest/watch.go
+++ b/lab/etcdtest/watch.go
@@ -60,6 +60,7 @@
 			select {
 			case requests <- r:
 			case <-call.Context().Done():
+				ended <- call.Context().Err()
 				return
 			}
 		}
