Have the lab's raters close only when nothing more is written down

Cause: in a second run of all checks, TestSpoiltAnswers failed with a data race: the goroutine that sends an answer writes it down once its client has it, and neither Fleet.Close nor anyone else waited for that before the record was read. In a run of the lab an answer's line could be missing in the same way.

Change: what may still write something down (connections served, answers on their way, late resets) is counted; Close resets the connections, waits for the count and lets nothing new begin. A test holds one such back in standing time.

--- a/lab/live/raters/answer.go
+++ b/lab/live/raters/answer.go
@@ -86,7 +86,8 @@
 		}
 	}
 	if a.spoil == resetAtOnce {
-		time.AfterFunc(time.Duration(luck(a, 0)*20e6), func() { a.reset() })
+		f := a.session.host.fleet
+		time.AfterFunc(time.Duration(luck(a, 0)*20e6), func() { f.work(func() {}, a.reset) })
 	}
 }
 
--- a/lab/live/raters/raters.go
+++ b/lab/live/raters/raters.go
@@ -21,6 +21,10 @@
 	keys  world.Keys
 	hosts []*host         // by number
 	spots map[place]*spot // each address for each node
+
+	mu      sync.Mutex
+	closed  chan struct{}
+	working sync.WaitGroup // on what may still be written down
 }
 
 type place struct{ node, address int }
@@ -55,7 +59,8 @@
 // All refuse connections until their rater starts.
 func Listen(st *stage.Stage, network func(node, address int) string) (*Fleet, error) {
 	day := st.Day
-	f := &Fleet{stage: st, keys: &lockedKeys{keys: world.NewKeys(day)}, spots: map[place]*spot{}}
+	f := &Fleet{stage: st, keys: &lockedKeys{keys: world.NewKeys(day)}, spots: map[place]*spot{},
+		closed: make(chan struct{})}
 	for i := range day.Raters {
 		f.hosts = append(f.hosts, newHost(f, &day.Raters[i]))
 	}
@@ -84,14 +89,46 @@
 	return f.spots[place{node, f.stage.Day.Raters[rater].Address}].listener.Addr()
 }
 
-// Close ends all raters.
+// Close ends all raters. It returns when nothing more is written down.
 func (f *Fleet) Close() {
 	for _, s := range f.spots {
 		s.listener.Close()
 	}
+	f.mu.Lock()
+	if !f.ended() {
+		close(f.closed)
+	}
+	f.mu.Unlock()
 	for _, h := range f.hosts {
 		h.close()
 	}
+	f.working.Wait()
+}
+
+// ended tells whether the raters have been closed.
+func (f *Fleet) ended() bool {
+	select {
+	case <-f.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// work runs what may write something down, which Close then waits for, after a start that Close finds whole; nothing once
+// the raters are closed.
+func (f *Fleet) work(start, do func()) bool {
+	f.mu.Lock()
+	if f.ended() {
+		f.mu.Unlock()
+		return false
+	}
+	f.working.Add(1)
+	start()
+	f.mu.Unlock()
+	defer f.working.Done()
+	do()
+	return true
 }
 
 // Step carries out a step of the plan that is about a rater.
@@ -196,7 +233,11 @@
 		_ = raw.Close()
 		return
 	}
-	h.serve(f.link(h, s.node).Wrap(raw), s.node)
+	var c *link.Conn
+	// A connection that is served is one that Close resets.
+	if !f.work(func() { c = f.link(h, s.node).Wrap(raw) }, func() { h.serve(c, s.node) }) {
+		_ = raw.Close()
+	}
 }
 
 // host is one rater: its machine, its timer, and the attempts that wait for an answer.
@@ -287,12 +328,16 @@
 	if fell {
 		h.lose(now, record.CutByRater)
 	}
+	h.fleet.working.Add(len(ends)) // before the host can be closed
 	h.mu.Unlock()
 	if fell {
 		h.fleet.down(h)
 	}
 	for _, end := range ends {
-		go end()
+		go func() {
+			defer h.fleet.working.Done()
+			end()
+		}()
 	}
 }
 
--- a/lab/live/raters/raters_test.go
+++ b/lab/live/raters/raters_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -205,3 +206,25 @@
 		}
 	}
 }
+
+// TestCloseWaitsForWhatIsWritten guards against a record that is judged while an answer is still being written down, and against what is
+// written down once it is judged.
+func TestCloseWaitsForWhatIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &Fleet{closed: make(chan struct{})}
+		sent, ended, closed := make(chan struct{}), make(chan bool, 1), make(chan struct{}, 1)
+		go func() { ended <- f.work(func() {}, func() { <-sent }) }()
+		synctest.Wait()
+		go func() {
+			f.Close()
+			closed <- struct{}{}
+		}()
+		synctest.Wait()
+		require.Empty(t, closed, "an answer is still on its way")
+		require.False(t, f.work(func() { t.Error("begun after the end") }, func() {}))
+		close(sent)
+		synctest.Wait()
+		require.Len(t, closed, 1)
+		require.True(t, <-ended)
+	})
+}
--- a/lab/live/raters/serve.go
+++ b/lab/live/raters/serve.go
@@ -154,8 +154,12 @@
 		})
 		return false
 	}
-	<-a.done // more came before the answer: it waits its turn
-	return a.goesOn
+	select {
+	case <-a.done: // more came before the answer: it waits its turn
+		return a.goesOn
+	case <-h.fleet.closed:
+		return false
+	}
 }
 
 // unfit tells with which status a request must be answered that no client sent in this form; 0 for one that a client did.
