Have the lab's list wait in turn on sockets too, where it must be asked for

Change: where the site has a capacity for the list, the agents take it from one service: calls wait in turn and fail with a 503 when that takes too long, a watch that goes on costs nothing, a node begins with what was last sent to it, and its settings say that the list is asked for. Agents that are closed write nothing down any more: a test read the record while one still could (a race that a loaded machine would have shown).

--- a/lab/live/agents/agents.go
+++ b/lab/live/agents/agents.go
@@ -27,11 +27,12 @@
 	sink  *stage.Sink
 	addr  func(node, rater int) string
 
-	mu     sync.Mutex
-	model  *world.Discovery
-	timer  *time.Timer
-	closed bool
-	agents []*agent
+	mu      sync.Mutex
+	model   *world.Discovery
+	service *world.Service // where the list must be asked for: all agents take it from there
+	timer   *time.Timer
+	closed  bool
+	agents  []*agent
 }
 
 // agent is that of one node.
@@ -41,6 +42,7 @@
 
 	// Guarded by All.mu.
 	told uint64        // version up to which the node's process has been told, or counts as told
+	had  uint64        // and the one that was last sent to the node, whichever of its processes
 	news chan struct{} // closed when there may be something new to say
 	door *door
 	base string
@@ -66,9 +68,12 @@
 // Listen starts an agent for each node. ip gives each its address, addr that of a rater as a node reaches it.
 func Listen(st *stage.Stage, ip func(node int) string, addr func(node, rater int) string) (*All, error) {
 	d := &All{stage: st, sink: st.Sink(), addr: addr, model: world.NewDiscovery(st.Day)}
+	if list := st.Day.List; list.Lines > 0 {
+		d.service = &list
+	}
 	d.timer = time.AfterFunc(time.Hour, d.advance)
 	for node := range st.Day.Nodes {
-		a := &agent{all: d, node: node, news: make(chan struct{}), base: ip(node)}
+		a := &agent{all: d, node: node, news: make(chan struct{}), base: ip(node), had: d.model.Has(node)}
 		d.agents = append(d.agents, a)
 		if err := a.listen(); err != nil {
 			d.Close()
@@ -229,9 +234,12 @@
 	})
 }
 
-// tell writes down that a node has been told up to a version, or counts as told.
+// tell writes down that a node has been told up to a version, or counts as told; nothing any more once all are closed.
 func (d *All) tell(a *agent, at float64, upto uint64, counts bool) {
-	if upto <= a.told {
+	if !counts {
+		a.had = upto
+	}
+	if upto <= a.told || d.closed {
 		return
 	}
 	for _, e := range d.model.Since(a.told, upto) {
@@ -261,6 +269,7 @@
 		o.mu.Unlock()
 	}()
 	in := bufio.NewReader(c)
+	var last uint64 // version that was sent on it
 	for {
 		req, err := http.ReadRequest(in)
 		if err != nil {
@@ -271,15 +280,40 @@
 			_, _ = in.Peek(1)
 			close(gone)
 		}()
-		if !a.answer(c, req, gone) {
+		if !a.answer(c, req, gone, &last) {
 			return
 		}
 		<-gone
 	}
 }
 
-// answer answers one call; false if the connection must end.
-func (a *agent) answer(c *link.Conn, req *http.Request, gone <-chan struct{}) bool {
+// turn has a call wait for its turn at the service that has the list; false if it waited there too long, or its node left. A call
+// that goes on from what was sent on its connection is part of an open watch and costs nothing.
+func (a *agent) turn(from, last uint64, gone <-chan struct{}) bool {
+	d := a.all
+	d.mu.Lock()
+	if d.service == nil || last > 0 && from == last {
+		d.mu.Unlock()
+		return true
+	}
+	lines := d.model.Has(a.node)
+	if lines -= min(from, lines); from == 0 {
+		lines = uint64(len(d.model.List(nil, lines)))
+	}
+	at, answered := d.service.Ask(d.stage.Clock.Now(), float64(lines))
+	d.mu.Unlock()
+	over := time.NewTimer(d.stage.Clock.Until(at))
+	defer over.Stop()
+	select {
+	case <-over.C:
+		return answered
+	case <-gone:
+		return false
+	}
+}
+
+// answer answers one call; false if the connection must end. last is the version that was sent on the connection before.
+func (a *agent) answer(c *link.Conn, req *http.Request, gone <-chan struct{}, last *uint64) bool {
 	query, err := url.ParseQuery(req.URL.RawQuery)
 	if err != nil || req.URL.Path != "/discovery/hosts" || req.Method != http.MethodGet {
 		_, err := c.Write([]byte("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"))
@@ -290,6 +324,10 @@
 	if wait = min(wait, mostWait); !query.Has("index") {
 		wait = 0
 	}
+	if !a.turn(from, *last, gone) {
+		_, err := c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+		return err == nil
+	}
 	over := time.NewTimer(time.Duration(wait * 1e6))
 	defer over.Stop()
 	for {
@@ -311,6 +349,7 @@
 		}
 		d.mu.Unlock()
 		if text != nil {
+			*last = has
 			_, err := c.Write(text)
 			return err == nil
 		}
@@ -357,10 +396,13 @@
 
 var states = [...]string{world.Ready: "Ready", world.Terminating: "Terminating", world.Gone: "Gone"}
 
-// Known is the whole list as a node last had it.
+// Known is the whole list as a node last had it: what its agent has, or, where the list must be asked for, what was last sent to it.
 func (d *All) Known(node int) List {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.service != nil {
+		return d.whole(node, d.agents[node].had)
+	}
 	return d.whole(node, d.model.Has(node))
 }
 
--- a/lab/live/agents/agents_test.go
+++ b/lab/live/agents/agents_test.go
@@ -87,6 +87,7 @@
 	assert.Equal(t, "Terminating", l.Endpoints[0].Status)
 
 	var told []record.Event
+	d.Close()
 	st.Events(func(e record.Event) {
 		if e.Kind == record.Told && e.Node == 1 && e.How != uint8(world.Ready) {
 			told = append(told, e)
@@ -137,5 +138,56 @@
 	st, d := begin(t, world.TroubleSpec{Kind: world.DiscoveryHalf, At: form.Millis(0.001), Length: form.Millis(3600e3), Share: form.Exactly(1)})
 	_, err := call(t, d.Address(0), "")
 	require.Error(t, err)
+	d.Close()
 	st.Events(func(e record.Event) { assert.NotEqual(t, record.Told, e.Kind) })
 }
+
+// TestListIsAskedFor guards against a list that costs nothing where it must be asked for: a call waits in turn and fails when that takes too
+// long, only a watch that goes on is free, and a node that starts knows no more than it was sent.
+func TestListIsAskedFor(t *testing.T) {
+	_, d := begin(t)
+	service := &world.Service{Lines: 1e9, Call: 1, Patience: -1} // nobody is ready to wait
+	d.mu.Lock()
+	d.service = service
+	d.mu.Unlock()
+	c, err := net.Dial("tcp4", d.Address(0))
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	in := bufio.NewReader(c)
+	ask := func(index uint64) (int, List) {
+		_, err := fmt.Fprintf(c, "GET /discovery/hosts?index=%d&wait=1 HTTP/1.1\r\nHost: d\r\n\r\n", index)
+		require.NoError(t, err)
+		answer, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		text, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		var l List
+		if answer.StatusCode == http.StatusOK {
+			require.NoError(t, json.Unmarshal(text, &l))
+		}
+		return answer.StatusCode, l
+	}
+	known := d.Known(0)
+	status, _ := ask(known.Index)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	d.mu.Lock()
+	service.Patience = 1e6
+	d.mu.Unlock()
+	status, first := ask(known.Index)
+	require.Equal(t, http.StatusOK, status)
+	status, _ = ask(first.Index)
+	require.Equal(t, http.StatusOK, status)
+
+	d.Step(world.Step{Do: world.DrainRater, Rater: 3, Node: -1})
+	heard, err := call(t, d.Address(1), fmt.Sprintf("?index=%d&wait=60000", known.Index)) // waits until agents have heard
+	require.NoError(t, err)
+	require.Greater(t, heard.Index, known.Index)
+	d.mu.Lock()
+	assert.Equal(t, []int{3, 1}, []int{service.Calls, service.Failed}, "the watch that went on is no further call")
+	d.mu.Unlock()
+	assert.Equal(t, known.Index, d.Known(0).Index, "it was not sent the change")
+	assert.Equal(t, heard.Index, d.Known(1).Index)
+	d.Started(1)
+	assert.Equal(t, heard.Index, d.Known(1).Index, "and a start changes nothing of that")
+}
--- a/lab/live/nodes/config.go
+++ b/lab/live/nodes/config.go
@@ -49,13 +49,17 @@
 			weights = "nominal"
 		}
 	}
+	discovery := "push"
+	if day.List.Lines > 0 {
+		discovery = "ask"
+	}
 	retryAfter := 0.0
 	if s.Node.RetryAfter {
 		retryAfter = sec(s.Clients.MaxRetryAfter.Hi)
 	}
 	return object{
 		"group_size": day.Nodes, "my_number": node, "locality": s.Size.Zones[day.Zone(node)], "zones": s.Size.Zones,
-		"machine_types": kinds, "weights": weights, "discovery": "push", "workload": "proxy", "stage": 0,
+		"machine_types": kinds, "weights": weights, "discovery": discovery, "workload": "proxy", "stage": 0,
 		"layers": []string{"rating-servers"}, "tick_s": 0.005, "worth_by": s.Load.WorthBy,
 		"over_share_worth": s.Load.OverShareWorth, "classes": classes, "projects": projects,
 		"clients": object{"marks_retry": s.Clients.MarksRetry},
