Let the official Thrift library for Node.js play clients, raters or both

Need: in every form a node had been held against one peer only, the official library for Go; a second implementation finds what both have in common.

Change: linenwheel-lab thrift -node clients|raters|both -modules FOLDER runs a small program on the npm package thrift in place of one side or both, in the four plain forms. It writes messages by hand, as api/rating.thrift has them.

--- a/cmd/linenwheel-lab/thrift.go
+++ b/cmd/linenwheel-lab/thrift.go
@@ -15,6 +15,8 @@
 	flags := flagSet("linenwheel-lab thrift", to)
 	calls := flags.Int("calls", 100000, "in each form")
 	connections := flags.Int("connections", 16, "of clients, each with one call at a time")
+	node := flags.String("node", "", "which sides are played by the library for Node.js: clients, raters or both (program node, npm package thrift)")
+	modules := flags.String("modules", "", "the folder node_modules in which that package stands")
 	return &ffcli.Command{
 		Name:       "thrift",
 		ShortUsage: "linenwheel-lab thrift [flags]",
@@ -24,11 +26,25 @@
 			if err := noArgs(args); err != nil {
 				return err
 			}
+			forms, others := thriftpeers.Forms, (*thriftplay.Others)(nil)
+			switch *node {
+			case "":
+			case "clients", "raters", "both":
+				others = &thriftplay.Others{Modules: *modules, Clients: *node != "raters", Raters: *node != "clients"}
+				forms = others.Forms()
+				remove, err := others.Open()
+				if err != nil {
+					return err
+				}
+				defer remove()
+			default:
+				return usage(fmt.Errorf("-node is %q: clients, raters or both wanted", *node))
+			}
 			w := tabwriter.NewWriter(to.out, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(w, "form\tcalls\twrong\trefused\trun twice\tseconds\tmean us")
 			bad := false
-			for _, f := range thriftpeers.Forms {
-				t, err := thriftplay.Play(ctx, f, *calls, *connections)
+			for _, f := range forms {
+				t, err := thriftplay.Play(ctx, f, *calls, *connections, others)
 				if err != nil {
 					return err
 				}
--- a/lab/thriftplay/play.go
+++ b/lab/thriftplay/play.go
@@ -42,12 +42,21 @@
  "safety":{"drain_grace_s":0.5}}`
 
 // Play sends many calls over several connections through a node to three raters, all in one form, each with a body of its
-// own that its result repeats, and compares every result with its call.
-func Play(ctx context.Context, f thriftpeers.Form, calls, connections int) (t Tally, err error) {
+// own that its result repeats, and compares every result with its call. others, if set, play one side or both.
+func Play(ctx context.Context, f thriftpeers.Form, calls, connections int, others *Others) (t Tally, err error) {
 	var mu sync.Mutex
 	heard := make(map[string]int, calls)
 	list := []map[string]any{}
 	for i := range 3 {
+		if others.raters() {
+			address, end, err := others.rater(f)
+			if err != nil {
+				return t, err
+			}
+			defer func() { t.Twice += end() }()
+			list = append(list, rater(i, address))
+			continue
+		}
 		r, err := thriftpeers.Listen(f, func(h thriftpeers.Heard) (thriftpeers.Result, error) {
 			mu.Lock()
 			heard[h.Args.ID]++
@@ -58,8 +67,7 @@
 			return t, err
 		}
 		defer r.Close()
-		list = append(list, map[string]any{"name": fmt.Sprint("r", i), "address": r.Address(), "zone": "z", "type": "k",
-			"status": "Ready", "weight": 1, "protocol": "thrift"})
+		list = append(list, rater(i, r.Address()))
 	}
 	front, stop, err := start(ctx, f, list)
 	if err != nil {
@@ -67,9 +75,14 @@
 	}
 	defer stop()
 	t = Tally{Form: f, Calls: calls}
+	begin := time.Now()
+	if others.clients() {
+		err := others.call(ctx, front, f, connections, &t)
+		t.time(begin, connections)
+		return t, err
+	}
 	var next, wrong, declined atomic.Int64
 	var work sync.WaitGroup
-	begin := time.Now()
 	for range connections {
 		c, err := thriftpeers.Dial(front, f)
 		if err != nil {
@@ -93,9 +106,8 @@
 		})
 	}
 	work.Wait()
-	t.Seconds = time.Since(begin).Seconds()
+	t.time(begin, connections)
 	t.Wrong, t.Declined = int(wrong.Load()), int(declined.Load())
-	t.Mean = t.Seconds * 1e6 * float64(connections) / float64(calls)
 	mu.Lock()
 	defer mu.Unlock()
 	for _, n := range heard {
@@ -106,6 +118,17 @@
 	return t, ctx.Err()
 }
 
+// time takes how long all calls took over so many connections.
+func (t *Tally) time(begin time.Time, connections int) {
+	t.Seconds = time.Since(begin).Seconds()
+	t.Mean = t.Seconds * 1e6 * float64(connections) / float64(t.Calls)
+}
+
+func rater(i int, address string) map[string]any {
+	return map[string]any{"name": fmt.Sprint("r", i), "address": address, "zone": "z", "type": "k", "status": "Ready", "weight": 1,
+		"protocol": "thrift"}
+}
+
 // start runs a node that speaks Thrift on both sides, with discovery.
 func start(ctx context.Context, f thriftpeers.Form, list []map[string]any) (address string, stop func(), err error) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
