--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -225,3 +225,31 @@
 	require.LessOrEqual(t, total, set.Rules.ColdFrom*bears*1.2)
 	require.Less(t, soon, users/4)
 }
+
+// TestStartTakesWhatComes guards against a node that refuses while it has learned nothing: load jumps from none to thousands a second on ten
+// idle raters, with answers that come at once, late, or not before the first solve.
+func TestStartTakesWhatComes(t *testing.T) {
+	for _, rate := range []int{1000, 5000, 20000} {
+		for _, latency := range []time.Duration{second / 2000, second / 20, second / 5} {
+			b, r := start(t, settings(), backends(10)...)
+			now, open, solve := second, []RequestID(nil), second+solveEvery
+			step := second / time.Duration(rate)
+			for i := range rate {
+				now += step
+				for len(open) > 0 && time.Duration(open[0])*step+second+latency <= now {
+					b.Outcome(now, Outcome{Request: open[0], Over: true, Latency: latency, Result: Good})
+					open = open[1:]
+				}
+				if now >= solve {
+					b.Timer(now, tokenSolve)
+					solve += solveEvery
+				}
+				b.Request(now, Request{ID: RequestID(i), Tenant: -1, Deadline: now + second})
+				open = append(open, RequestID(i))
+			}
+			if len(r.refused)+len(r.failed) > 0 {
+				t.Errorf("%d a second, answers after %v: %d of %d refused", rate, latency, len(r.refused), rate)
+			}
+		}
+	}
+}
