--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -36,7 +36,7 @@
 	nullCommand,
 	quotaCommand,
 	reportCommand,
-	simCommand,
+	simCommand, scaleCommand,
 	replayCommand,
 	duplicatesCommand,
 	thriftCommand,
--- /dev/null
+++ b/decide/parts_test.go
@@ -0,0 +1,101 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// subset gives the backends that one of many nodes keeps to, k of them if it can choose.
+type subset func(node, nodes int, ids []BackendID, k int) map[BackendID]bool
+
+func hashed(a, b uint64) uint64 { return rand.NewPCG(a, b).Uint64() }
+
+var subsets = map[string]subset{
+	"arc": func(node, nodes int, ids []BackendID, k int) map[BackendID]bool {
+		set := settings()
+		set.Nodes, set.Node = nodes, node
+		b, _ := New(set, 1, &recorder{})
+		var list []Backend
+		for _, id := range ids {
+			list = append(list, Backend{ID: id})
+		}
+		b.askRate = leastRate * float64(k)
+		b.List(second, ListStored, list)
+		b.askRate = leastRate * float64(k)
+		b.narrow()
+		mine := map[BackendID]bool{}
+		for _, s := range b.servers {
+			if b.inPart(s) {
+				mine[s.ID] = true
+			}
+		}
+		return mine
+	},
+	"rendezvous": func(node, nodes int, ids []BackendID, k int) map[BackendID]bool {
+		sorted := slices.Clone(ids)
+		slices.SortFunc(sorted, func(a, b BackendID) int {
+			return cmp.Compare(hashed(uint64(a), uint64(node)), hashed(uint64(b), uint64(node)))
+		})
+		return chosen(sorted[:k])
+	},
+	// Of Google's book on site reliability: rounds of nodes deal the backends out, shuffled anew in each.
+	"deterministic": func(node, nodes int, ids []BackendID, k int) map[BackendID]bool {
+		each := len(ids) / k
+		round := slices.Clone(ids)
+		slices.Sort(round)
+		rand.New(rand.NewPCG(uint64(node/each), 5)).Shuffle(len(round), func(i, j int) { round[i], round[j] = round[j], round[i] })
+		at := node % each * k
+		return chosen(round[at : at+k])
+	},
+}
+
+func chosen(ids []BackendID) map[BackendID]bool {
+	m := map[BackendID]bool{}
+	for _, id := range ids {
+		m[id] = true
+	}
+	return m
+}
+
+// TestPartsAgainstOtherSubsets guards against parts that cover the fleet less evenly than subsets that others use, or that move more when a
+// backend leaves. uses are the nodes that use a backend; moved is the part of all pairs that is new when one has left.
+func TestPartsAgainstOtherSubsets(t *testing.T) {
+	for _, c := range []struct{ nodes, backends, k int }{{20, 60, 12}, {80, 60, 6}, {200, 60, 6}} {
+		var ids []BackendID
+		for i := range c.backends {
+			ids = append(ids, BackendID(hashed(uint64(i), 9)))
+		}
+		spread, moves := map[string]float64{}, map[string]float64{}
+		for name, of := range subsets {
+			uses, pairs, moved := map[BackendID]int{}, 0, 0
+			for node := range c.nodes {
+				now, later := of(node, c.nodes, ids, c.k), of(node, c.nodes, ids[1:], c.k)
+				for id := range now {
+					uses[id]++
+					pairs++
+				}
+				for id := range later {
+					if !now[id] {
+						moved++
+					}
+				}
+			}
+			least, most := c.nodes, 0
+			for _, id := range ids {
+				least, most = min(least, uses[id]), max(most, uses[id])
+			}
+			mean := float64(pairs) / float64(len(ids))
+			spread[name], moves[name] = float64(most)/mean, float64(moved)/float64(pairs)
+			t.Log(fmt.Sprintf("%d nodes, %d backends, %s: %.1f uses on average, %d to %d; moved %.4f", c.nodes, c.backends, name, mean, least, most, moves[name]))
+			if name == "arc" && least == 0 {
+				t.Errorf("%d nodes, %d backends: one of them is in no part", c.nodes, c.backends)
+			}
+		}
+		if spread["arc"] > spread["rendezvous"] || moves["arc"] > moves["deterministic"] {
+			t.Errorf("%d nodes, %d backends: spread %v, moved %v", c.nodes, c.backends, spread, moves)
+		}
+	}
+}
