--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: build test race lint size fuzz run sim demo survey holiday fleet scale clean
+.PHONY: build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -62,3 +62,11 @@
 # The module in virtual time against its rivals, over every scale: docs/measurements/scale.md and its plots.
 scale: build
 	bin/linenwheel-lab scale -to docs/measurements
+
+# What a request costs the node beside two plain proxies: docs/measurements/cost.md.
+bench:
+	go run ./bench
+
+# Fails when a request costs more allocations or system calls than bench/kept.json has. Counts alone, no times.
+bench-check:
+	go run ./bench -check bench/kept.json
