--- a/decide/parts_test.go
+++ b/decide/parts_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -89,7 +88,7 @@
 			}
 			mean := float64(pairs) / float64(len(ids))
 			spread[name], moves[name] = float64(most)/mean, float64(moved)/float64(pairs)
-			t.Log(fmt.Sprintf("%d nodes, %d backends, %s: %.1f uses on average, %d to %d; moved %.4f", c.nodes, c.backends, name, mean, least, most, moves[name]))
+			t.Logf("%d nodes, %d backends, %s: %.1f uses on average, %d to %d; moved %.4f", c.nodes, c.backends, name, mean, least, most, moves[name])
 			if name == "arc" && least == 0 {
 				t.Errorf("%d nodes, %d backends: one of them is in no part", c.nodes, c.backends)
 			}
