--- a/bench/measure.go
+++ b/bench/measure.go
@@ -15,8 +15,8 @@
 	"time"
 )
 
-// kase is a kind of traffic.
-type kase struct {
+// traffic is what a proxy is measured under.
+type traffic struct {
 	name        string
 	connections int
 	burst       int // requests written at once on a connection
@@ -25,7 +25,7 @@
 	counted     bool // its counts are the same each time, so they can be kept
 }
 
-var cases = []kase{
+var cases = []traffic{
 	{name: "small", connections: 1, burst: 1, body: 100, counted: true},
 	{name: "get", connections: 1, burst: 1, get: true, counted: true},
 	{name: "64 KiB", connections: 1, burst: 1, body: 64 << 10},
@@ -36,12 +36,12 @@
 
 const (
 	raterCount = 10
-	warmUp     = 10 // requests for each of these many bursts before anything is counted
+	warmUp     = 10 // bursts on each connection before anything is counted
 	allWithin  = 60 * time.Second
 )
 
 // measure plays a case against a proxy in a process of its own and gives what that used for the requests.
-func measure(kind string, c *kase, requests int) (Counts, error) {
+func measure(kind string, c *traffic, requests int) (Counts, error) {
 	addresses, stop, err := raters(c)
 	if err != nil {
 		return Counts{}, err
@@ -104,12 +104,12 @@
 
 // clients are connections with what each writes; they allocate nothing while they play.
 type clients struct {
-	c     *kase
+	c     *traffic
 	conns []net.Conn
 	asks  [][]byte
 }
 
-func dial(address string, c *kase) (*clients, error) {
+func dial(address string, c *traffic) (*clients, error) {
 	cl := &clients{c: c}
 	for i := range c.connections {
 		conn, err := net.Dial("tcp", address)
@@ -211,7 +211,7 @@
 }
 
 // raters answer at once with as much as they were sent.
-func raters(c *kase) (addresses []string, stop func(), err error) {
+func raters(c *traffic) (addresses []string, stop func(), err error) {
 	var listeners []net.Listener
 	stop = func() {
 		for _, l := range listeners {
--- a/lab/experiments/experiments.go
+++ b/lab/experiments/experiments.go
@@ -26,7 +26,7 @@
 	SiteName string   `toml:"site"`     // a shipped site's name, or a path relative to this file
 	Seeds    []uint64 `toml:"seeds"`    // one day each
 	Protocol string   `toml:"protocol"` // "http"
-	Virtual  bool     `toml:"virtual"`  // for virtual time alone: it has more nodes than one machine carries
+	Virtual  bool     `toml:"virtual"`  // it has more nodes than one machine carries: on sockets it wants fewer, and a survey leaves it out
 
 	// These go before the site's, where set.
 	Nodes  form.Range        `toml:"nodes"`
