Open a door for operators: readiness, figures, raters out by hand, a drained node

Change: internal/admin (the door, plain blocking connections, eight callers, the longest silent one makes room), internal/figures (atomic counters), internal/inventory/ban (pure overlay on the list), internal/duty (pure, beside the stop in the gate). A connection that comes up after a drain's grace sends nothing. control that cannot be listened on ends with status 2 and names the field.

--- a/cmd/linenwheel/command.go
+++ b/cmd/linenwheel/command.go
@@ -52,12 +52,13 @@
 	}
 	err := root.Run(context.Background())
 	var faults badConfiguration
+	var fault *config.FieldError
 	switch {
 	case err == nil:
 		return 0
 	case errors.Is(err, flag.ErrHelp):
 		return 2
-	case errors.As(err, &faults):
+	case errors.As(err, &faults), errors.As(err, &fault):
 		fmt.Fprintln(errs, "linenwheel:", err)
 		return 2
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,17 @@
 	ConnIdle                float64 // milliseconds
 	MaxOpen                 int     // requests, 0 = no limit told
 	MaxDeadline             float64 // the longest that a client waits, milliseconds
+	Control                 string  // where operators call, empty = nowhere
+
+	faultOf func(field string, err error) *FieldError
+}
+
+// Fault words what turned out wrong with a field when it was put to use.
+func (c *Config) Fault(field string, err error) error {
+	if c.faultOf == nil {
+		return &FieldError{Field: field, Err: err}
+	}
+	return c.faultOf(field, err)
 }
 
 // file is the form of config.json.
@@ -36,6 +47,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Control   string `json:"control,omitempty"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -130,7 +142,8 @@
 }
 
 // variables are those of the environment that stand for a field of the file.
-var variables = map[string]string{"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY"}
+var variables = map[string]string{"name": "ROUTER_NAME", "listen": "ROUTER_LISTEN", "discovery": "ROUTER_DISCOVERY",
+	"control": "ROUTER_CONTROL"}
 
 // source is what was read, with the places that faults and values come from.
 type source struct {
@@ -156,7 +169,7 @@
 		return s, s.faults
 	}
 	f := &s.file
-	for name, field := range map[string]*string{"name": &f.Name, "listen": &f.Listen, "discovery": &f.Discovery} {
+	for name, field := range map[string]*string{"name": &f.Name, "listen": &f.Listen, "discovery": &f.Discovery, "control": &f.Control} {
 		if v := getenv(variables[name]); v != "" && (*field == "" || !fileFirst) {
 			*field, s.from[name] = v, variables[name]
 		}
@@ -196,11 +209,15 @@
 func (s *source) config() {
 	f := &s.file
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Cores: f.Limits.Cores,
-		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed)}
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets, Seed: seed(f.Seed), Control: f.Control}
+	c.faultOf = s.placed
 	s.conf = c
 	c.ConnectTimeout, c.ConnIdle = f.Settings.Limits.ConnectTimeout*1000, f.Settings.Limits.ConnIdle*1000
 	c.MaxOpen = f.Settings.Limits.MaxOpen
-	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}, {"control", c.Control}} {
+		if a.field == "control" && a.value == "" {
+			continue
+		}
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			s.fault(a.field, err)
 		}
--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -135,21 +135,23 @@
 	if len(s.faults) >= mostFaults {
 		return
 	}
+	s.faults = append(s.faults, s.placed(field, err))
+}
+
+// placed names a field and where it stands.
+func (s *source) placed(field string, err error) *FieldError {
 	if variable, ok := s.from[field]; ok {
-		s.faults = append(s.faults, &FieldError{Field: variable, Err: err})
-		return
+		return &FieldError{Field: variable, Err: err}
 	}
 	if s.spans == nil {
 		s.spans = spans(s.text)
 	}
 	for path := strings.ToLower(field); ; path = path[:max(0, strings.LastIndexByte(path, '.'))] {
 		if where, ok := s.spans[path]; ok {
-			s.faults = append(s.faults, &FieldError{s.path, PlaceOf(s.text, where.start), field, err})
-			return
+			return &FieldError{s.path, PlaceOf(s.text, where.start), field, err}
 		}
 		if path == "" {
-			s.faults = append(s.faults, &FieldError{File: s.path, Field: field, Err: err})
-			return
+			return &FieldError{File: s.path, Field: field, Err: err}
 		}
 	}
 }
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -10,6 +10,7 @@
 import (
 	"sync"
 
+	"linenwheel.dev/linenwheel/internal/figures"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
 
@@ -107,6 +108,9 @@
 // was served is not to.
 func (c *Call) Owed() bool { return !c.ticket.Over() }
 
+// Permits tells whether the rules let something new go to a host, which may be departing since the relay was decided.
+func (c *Call) Permits(host string) bool { return c.ticket.Permits(host) }
+
 // HasLeft tells whether the client has gone.
 func (c *Call) HasLeft() bool {
 	c.mu.Lock()
@@ -147,6 +151,11 @@
 
 func (k Kind) String() string { return kindNames[k] }
 
+// figure is how a kind is counted.
+func (k Kind) figure() figures.Kind {
+	return [...]figures.Kind{Served: figures.Served, Refused: figures.Refused, Failed: figures.Failed, Left: figures.Left}[k]
+}
+
 // Fault tells a front how to word a refusal or a failure in its protocol.
 type Fault uint8
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 
+	"linenwheel.dev/linenwheel/internal/figures"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
 
@@ -63,6 +64,8 @@
 	Calls  int  // the most that are open at once
 	Gate   Gate // nil = it stands open
 	Stages Stages
+	// Figures counts calls by class; nil = nobody asks.
+	Figures *figures.Set
 }
 
 // The reasons that this package gives itself.
@@ -146,6 +149,10 @@
 		c.count(refusal)
 	}
 	c.mu.Unlock()
+	c.set.Figures.Taken()
+	if !taken {
+		c.set.Figures.Ended(call.Class, refusal.Kind.figure())
+	}
 	if began {
 		c.log.Warn("the cap on open calls is reached: more get a back-off answer", "calls", c.set.Calls)
 	}
@@ -159,6 +166,7 @@
 	delete(c.open, call.ID) // before the answer goes out: a client may ask with the same id right after it
 	c.count(a)
 	c.mu.Unlock()
+	c.set.Figures.Ended(call.Class, a.Kind.figure())
 	if c.set.Gate != nil {
 		c.set.Gate.Answered(call.Class, call.taken, a.Kind == Served, call.Alone)
 	}
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,119 @@
+// Package figures counts what a node does, for whoever asks: one set of counters for the door, the status and the log. They
+// are written where the event is, on a call's way, and read without a lock, so that no reader ever holds up a call.
+//
+// Where each event is counted:
+//
+//   - taken: the core lets a call in, or answers at once that it does not;
+//   - served, refused, failed: its one final answer; an answer that flows counts with its last byte, as what it came to;
+//   - left: its client went away first;
+//   - attempts: the last byte of a relay has gone to the socket.
+//
+// So at any quiet moment taken = served + refused + failed + left + in flight. Bounds: four counters a class and five more.
+package figures
+
+import (
+	"strconv"
+	"sync/atomic"
+)
+
+// Kind is what became of a call.
+type Kind uint8
+
+// The kinds.
+const (
+	Served Kind = iota
+	Refused
+	Failed
+	Left
+	kinds
+)
+
+// Set is a node's counters. All of its methods may be called from any goroutine; a nil one counts nothing.
+type Set struct {
+	classes  []string
+	ended    [][kinds]atomic.Uint64 // by class
+	taken    atomic.Uint64
+	inFlight atomic.Int64
+	attempts atomic.Uint64
+	known    atomic.Int64
+	excluded atomic.Int64
+}
+
+// New makes the counters of a node with these classes; each of them is told of, also one that had nothing yet.
+func New(classes []string) *Set {
+	return &Set{classes: classes, ended: make([][kinds]atomic.Uint64, len(classes))}
+}
+
+// Taken counts a call in.
+func (s *Set) Taken() {
+	if s != nil {
+		s.taken.Add(1)
+		s.inFlight.Add(1)
+	}
+}
+
+// Ended counts a call out that was counted in.
+func (s *Set) Ended(class int, kind Kind) {
+	if s != nil {
+		s.ended[class][kind].Add(1)
+		s.inFlight.Add(-1)
+	}
+}
+
+// Attempt counts a relay whose last byte has gone out.
+func (s *Set) Attempt() {
+	if s != nil {
+		s.attempts.Add(1)
+	}
+}
+
+// Raters sets how many are listed, and how many of them the node avoids.
+func (s *Set) Raters(known, excluded int) {
+	s.known.Store(int64(known))
+	s.excluded.Store(int64(excluded))
+}
+
+// View is the counters at a moment.
+type View struct {
+	Served   map[string]uint64 `json:"served"`
+	Refused  map[string]uint64 `json:"refused"`
+	Failed   map[string]uint64 `json:"failed"`
+	Left     map[string]uint64 `json:"left"`
+	Taken    uint64            `json:"taken"`
+	Attempts uint64            `json:"attempts"`
+	InFlight int64             `json:"in_flight"`
+	Known    int64             `json:"raters_known"`
+	Excluded int64             `json:"raters_excluded"`
+}
+
+// View reads the counters. While calls come and go each of them is true, but they are not of one moment.
+func (s *Set) View() View {
+	v := View{Served: map[string]uint64{}, Refused: map[string]uint64{}, Failed: map[string]uint64{}, Left: map[string]uint64{},
+		Taken: s.taken.Load(), Attempts: s.attempts.Load(), InFlight: s.inFlight.Load(), Known: s.known.Load(),
+		Excluded: s.excluded.Load()}
+	for i, class := range s.classes {
+		for kind, m := range map[Kind]map[string]uint64{Served: v.Served, Refused: v.Refused, Failed: v.Failed, Left: v.Left} {
+			m[class] = s.ended[i][kind].Load()
+		}
+	}
+	return v
+}
+
+// String is one line for the log.
+func (v View) String() string {
+	sum := func(m map[string]uint64) (n uint64) {
+		for _, one := range m {
+			n += one
+		}
+		return n
+	}
+	line := ""
+	for _, f := range []struct {
+		name  string
+		count uint64
+	}{{"taken", v.Taken}, {"served", sum(v.Served)}, {"refused", sum(v.Refused)}, {"failed", sum(v.Failed)}, {"left", sum(v.Left)},
+		{"attempts", v.Attempts}} {
+		line += f.name + "=" + strconv.FormatUint(f.count, 10) + " "
+	}
+	return line[:len(line)-1]
+}
--- /dev/null
+++ b/internal/inventory/ban/ban_test.go
@@ -0,0 +1,94 @@
+package ban
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"linenwheel.dev/linenwheel/internal/pilot"
+)
+
+// TestBookHolds guards, over any history of lists and orders, against a rater that is out by hand and shown ready, one that is
+// back and shown warm, an order that a list undoes, and a book that the next process reads otherwise.
+func TestBookHolds(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.seed", "5"))
+	rapid.Check(t, func(t *rapid.T) {
+		var b Book
+		shown, out, back, listed := map[string]pilot.Host{}, map[string]bool{}, map[string]float64{}, map[string]bool{}
+		name := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("s", rapid.IntRange(0, 4).Draw(t, "rater")) })
+		see := func(list []pilot.Host) {
+			for _, h := range list {
+				if shown[h.Name] = h; h.Status == pilot.Gone {
+					delete(shown, h.Name)
+				}
+			}
+		}
+		for now := 1.0; now < 40; now++ {
+			who := name.Draw(t, "who")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				list := []pilot.Host{}
+				for i := range 5 {
+					if rapid.Bool().Draw(t, "listed") {
+						list = append(list, pilot.Host{Name: fmt.Sprint("s", i), Status: pilot.Status(rapid.IntRange(0, 1).Draw(t, "status"))})
+					}
+				}
+				clear(shown)
+				clear(listed)
+				for _, h := range list {
+					listed[h.Name] = true
+				}
+				see(b.Take(pilot.Whole, list))
+			case 1:
+				h := pilot.Host{Name: who, Status: pilot.Status(rapid.IntRange(0, 2).Draw(t, "status"))}
+				if listed[who] = h.Status != pilot.Gone; !listed[who] {
+					delete(listed, who)
+				}
+				see(b.Take(pilot.Changes, []pilot.Host{h}))
+			case 2, 3:
+				list, err := b.Suspend(who)
+				require.Equal(t, !listed[who] && !out[who], err != nil)
+				if err == nil && !out[who] {
+					out[who] = true
+					delete(back, who)
+				}
+				see(list)
+			case 4:
+				list, err := b.Resume(now, who)
+				require.Equal(t, !listed[who] && !out[who], err != nil)
+				if out[who] && listed[who] {
+					back[who] = now
+				}
+				delete(out, who)
+				see(list)
+			case 5:
+				var next Book
+				next.Take(pilot.Whole, b.all())
+				see(next.Recall(b.Remember()))
+				b = next
+			}
+			require.Equal(t, len(listed), b.Listed())
+			for name := range back {
+				if !listed[name] {
+					delete(back, name)
+				}
+			}
+			for name, h := range shown {
+				require.True(t, listed[name])
+				require.False(t, out[name] && h.Status == pilot.Ready, "%s is out and shown ready", name)
+				require.GreaterOrEqual(t, h.Since, back[name], "%s is back and shown warm", name)
+			}
+		}
+	})
+}
+
+// all is what the sources list.
+func (b *Book) all() (list []pilot.Host) {
+	for _, h := range b.listed {
+		list = append(list, h)
+	}
+	return list
+}
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -368,7 +368,7 @@
 	c.side.mu.Lock()
 	ready := c.side.ready
 	c.side.mu.Unlock()
-	ready = ready && c.side.gate.Policy().Replaceable
+	ready = ready && c.side.gate.Policy().Up
 	switch {
 	case string(m.Method) != "GET" && string(m.Method) != "HEAD":
 		c.write(m, text(405, "Allow: GET, HEAD\r\n", "this wants GET"))
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math"
 
+	"linenwheel.dev/linenwheel/internal/admin"
 	"linenwheel.dev/linenwheel/internal/config"
 )
 
@@ -50,6 +51,10 @@
 	KillAfter Duration `toml:"kill_after" default:"700ms" min:"0s" max:"1h" reload:"now"`
 	// LongestCounted is what a longer deadline counts as in that.
 	LongestCounted Duration `toml:"longest_counted" default:"3s" min:"0s" max:"1h" reload:"now"`
+	// DrainOver is how long after a call to drain the node no connection of a client may be idle any more.
+	DrainOver Duration `toml:"drain_over" default:"4s" min:"100ms" max:"1h"`
+	// DrainQuiet is the time before that in which no further request may have been taken.
+	DrainQuiet Duration `toml:"drain_quiet" default:"2s" min:"0s" max:"1h"`
 	// LongestWatch is how long discovery holds a call that waits for changes at the most.
 	LongestWatch Duration `toml:"longest_watch" default:"1m" min:"100ms" max:"1h" reload:"now"`
 }
@@ -206,22 +211,25 @@
 }
 
 // Room divides the platform's limits.sockets.
-func (o *Options) Room(sockets int) Room {
-	left := max(0, sockets-o.Service.Reserve)
+func (o *Options) Room(c *config.Config) Room {
+	left := max(0, c.Sockets-o.Service.Reserve)
+	if c.Control != "" {
+		left = max(0, left-admin.Descriptors)
+	}
 	r := Room{Hosts: int(math.Floor(o.South.ConnectionsPart*float64(left) + 1e-6)), Spare: o.North.HTTP.SpareConnections}
 	r.Clients = left - r.Hosts - r.Spare
 	if t := &o.North.Thrift; t.Listen != "" {
 		r.Thrift = max(1, int(t.ConnectionsPart*float64(r.Clients)))
 		r.Clients -= r.Thrift
 	}
-	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(sockets)))
+	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(c.Sockets)))
 	return r
 }
 
 // Against reports what leaves no room within the platform's limits.
 func (o *Options) Against(c *config.Config, report Report) {
 	const part, reserve, spare = "south.connections_part", "service.reserve", "north.http.spare_connections"
-	r := o.Room(c.Sockets)
+	r := o.Room(c)
 	if r.Hosts < 1 {
 		report(fmt.Sprintf("no connection to hosts is left of limits.sockets, %d", c.Sockets), part, reserve)
 	}
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -120,8 +120,8 @@
 	o := Default()
 	for sockets := 64; sockets < 1<<16; sockets++ {
 		hosts := (sockets - 24) * 45 / 100
-		if want := (Room{Hosts: hosts, Clients: sockets - 24 - hosts - 4, Spare: 4, Crowded: sockets / 4}); o.Room(sockets) != want {
-			require.Equal(t, want, o.Room(sockets))
+		if want := (Room{Hosts: hosts, Clients: sockets - 24 - hosts - 4, Spare: 4, Crowded: sockets / 4}); o.Room(&config.Config{Sockets: sockets}) != want {
+			require.Equal(t, want, o.Room(&config.Config{Sockets: sockets}))
 		}
 	}
 }
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -270,6 +270,18 @@
 	return t.over
 }
 
+// Permits tells whether the rules let something new go to a host now: one that departs gets nothing after its grace.
+func (t *Ticket) Permits(name string) bool {
+	p := t.p
+	if p == nil {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[p.ids[name]]
+	return h != nil && p.clock.Now() <= h.left+p.grace
+}
+
 func (t *Ticket) push(v Verdict) {
 	t.queue = append(t.queue, v)
 	t.signal()
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -55,6 +55,8 @@
 	// answer, does so before the next relay could take that for its own.
 	Settle float64
 	Limits Limits
+	// Sent is told of each relay whose last byte has gone out; nil = nobody.
+	Sent func()
 }
 
 // Limits are what can change while relays are carried.
@@ -225,6 +227,11 @@
 		p.put(c, true)
 		return pilot.CalledOff, nil
 	}
+	if c.since == 0 && !call.Permits(host.Name) { // or the host began to depart
+		c.disarm()
+		p.put(c, true)
+		return pilot.Unsent, nil
+	}
 	out, about, err := c.speaks.Request(nil, host, call, left)
 	if err != nil {
 		c.disarm()
@@ -238,8 +245,17 @@
 	stop := p.clock.At(until, func() { close(late) })
 	defer stop()
 	c.ask(about)
-	err = c.net.Write(out)
 	whole := func() bool { return c.net.Written()-start >= int64(len(out)) }
+	counted := false
+	count := func() {
+		if !counted && p.set.Sent != nil && whole() {
+			counted = true
+			p.set.Sent()
+		}
+	}
+	defer count()
+	err = c.net.Write(out)
+	count()
 	if err != nil {
 		broke = true
 		c.giveUp(done)
--- a/internal/stop/gate/gate.go
+++ b/internal/stop/gate/gate.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/duty"
 	"linenwheel.dev/linenwheel/internal/stop"
 )
 
@@ -29,6 +30,8 @@
 
 	mu      sync.Mutex
 	machine *stop.Machine
+	duty    duty.Duty
+	drain   duty.Times
 	timer   func() // stops the timer
 	due     float64
 	orders  []stop.Orders // not carried out yet,
@@ -36,8 +39,8 @@
 }
 
 // New makes the gate of a node that serves; see stop.New for usual.
-func New(usual []float64, c clock.Clock) *Gate {
-	return &Gate{clock: c, machine: stop.New(usual), ended: make(chan struct{}), timer: func() {}}
+func New(usual []float64, drain duty.Times, c clock.Clock) *Gate {
+	return &Gate{clock: c, drain: drain, machine: stop.New(usual), ended: make(chan struct{}), timer: func() {}}
 }
 
 // Hook sets who carries out orders, before the first signal.
@@ -60,7 +63,9 @@
 
 // Take tells whether a call is taken, and when that was, and counts it in.
 func (g *Gate) Take(class int, deadline float64, alone bool) (now float64, ok bool) {
-	g.event(func(at float64) { now, ok = at, g.machine.Take(at, class, deadline, alone) })
+	g.event(func(at float64) {
+		now, ok = at, !g.duty.Policy(at, g.drain).Refuse && g.machine.Take(at, class, deadline, alone)
+	})
 	return now, ok
 }
 
@@ -69,11 +74,48 @@
 	g.event(func(now float64) { g.machine.Answered(class, now-since, served, alone) })
 }
 
-// Policy is how the connections of clients are to be treated now.
-func (g *Gate) Policy() stop.Policy {
+// Policy is how the connections of clients are to be treated now, for the stop and for the node's duty.
+type Policy struct {
+	stop.Policy
+	Up bool // the front may be told to send clients
+}
+
+// Policy is the present one.
+func (g *Gate) Policy() Policy {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, d := Policy{Policy: g.machine.Policy()}, g.duty.Policy(g.clock.Now(), g.drain)
+	p.Up = p.Replaceable && d.Up
+	p.EndAnswered, p.EndIdle = p.EndAnswered || d.EndAnswered, p.EndIdle || d.EndIdle
+	return p
+}
+
+// Drain sends clients away until Activate; the stop goes its own way.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.duty.Drain(g.clock.Now())
+}
+
+// Activate takes clients again.
+func (g *Gate) Activate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.duty.Activate()
+}
+
+// Drained tells since when clients are sent away.
+func (g *Gate) Drained() (since float64, drained bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.duty.Since()
+}
+
+// DrainedSince takes over a drain that began at a time at another process of the node.
+func (g *Gate) DrainedSince(at float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.machine.Policy()
+	g.duty.Drain(at)
 }
 
 // event tells the machine what has happened and carries out what follows from it.
--- a/node/node.go
+++ b/node/node.go
@@ -16,9 +16,11 @@
 	"sync/atomic"
 
 	"linenwheel.dev/linenwheel/decide"
+	"linenwheel.dev/linenwheel/internal/admin"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/config"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/figures"
 	"linenwheel.dev/linenwheel/internal/inventory/discovery"
 	"linenwheel.dev/linenwheel/internal/log"
 	"linenwheel.dev/linenwheel/internal/loop"
@@ -127,6 +129,10 @@
 	journal *journal.Journal // of them, nil = none
 	locked  *os.File         // keeps other processes from the journal
 
+	figures *figures.Set
+	door    *admin.Door // nil = operators have none
+	orders  orders
+
 	since     float64            // when it was made
 	known     *Knowledge         // at the start
 	fleet     int                // how many instances there are
@@ -161,6 +167,7 @@
 	}
 	logger = log.On(logger, c).With("node", conf.Name)
 	n.log = logger.With("part", "node")
+	n.figures = figures.New(classNames(conf))
 	sparse := log.Sparse(logger, c, &n.flood)
 	var err error
 	set, seed := conf.Settings, conf.Seed
@@ -172,7 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	room := o.Room(conf.Sockets)
+	room := o.Room(conf)
 	var side *httpfront.Side
 	ready := make(chan struct{}) // a client may connect before the rest stands
 	n.loop, err = listen(&extra, conf.Listen, room.Clients+room.Spare, func(c *loop.Conn) loop.Handler {
@@ -184,12 +191,12 @@
 	}
 	n.pool = carrier.New(carrier.Settings{Protocol: protocols(conf, &o),
 		ConnectTimeout: conf.ConnectTimeout, Connections: room.Hosts,
-		Settle: o.South.Settle.Ms, ToOne: n.toOne(o.Fleet.RaterConnections, n.fleet), Limits: southLimits(conf, &o)}, n.clock, n.loop, sparse.With("part", "south"))
+		Settle: o.South.Settle.Ms, ToOne: n.toOne(o.Fleet.RaterConnections, n.fleet), Limits: southLimits(conf, &o), Sent: n.figures.Attempt}, n.clock, n.loop, sparse.With("part", "south"))
 	requests := room.Hosts
 	if conf.MaxOpen > 0 {
 		requests = min(requests, conf.MaxOpen)
 	}
-	n.gate = gate.New(worthFor(conf), c)
+	n.gate = gate.New(worthFor(conf), drainTimes(&o), c)
 	stages := core.Stages{First: extra.First, Last: extra.Last}
 	if o.Quota.On {
 		if n.quota, err = n.divide(&o.Quota, sparse.With("part", "quota")); err != nil {
@@ -205,7 +212,7 @@
 		}
 		stages.Repeats = n.repeats.Wrap
 	}
-	calls := core.Settings{Calls: requests, Gate: n.gate, Stages: stages}
+	calls := core.Settings{Calls: requests, Gate: n.gate, Stages: stages, Figures: n.figures}
 	n.core = core.New(calls, n.pilot, n.pool, sparse.With("part", "core"))
 	n.north = httpfront.New(frontSettings(conf, &o, room), n.clock, n.core, n.gate, sparse.With("part", "north"))
 	side = n.north
@@ -228,6 +235,10 @@
 		}
 	}
 	n.apply(o)
+	if err := n.open(); err != nil {
+		n.loop.Stop()
+		return nil, err
+	}
 	return n, nil
 }
 
@@ -392,6 +403,7 @@
 	var work, writing sync.WaitGroup
 	defer func() {
 		cancel()
+		n.shut()
 		work.Wait()
 		n.loop.Stop()
 		if n.thrift != nil && n.thrift.loop != nil {
@@ -409,6 +421,9 @@
 	work.Go(func() { n.tick(back) })
 	n.every(back, func(o *Options) float64 { return o.South.RetireEvery.Ms }, n.pool.Retire)
 	n.every(back, func(o *Options) float64 { return o.North.HTTP.SweepEvery.Ms }, n.sweep)
+	if n.door != nil {
+		n.every(back, func(*Options) float64 { return ratersEvery }, n.countRaters)
+	}
 	if n.lists != nil {
 		n.lists.run(back, &work)
 	} else {
--- a/node/status.go
+++ b/node/status.go
@@ -139,6 +139,8 @@
 	return s
 }
 
+const phaseServing = "serving"
+
 // phaseNow tells how far the node's life has come.
 func (n *Node) phaseNow() string {
 	closed := func(c <-chan struct{}) bool {
@@ -159,5 +161,5 @@
 	case !n.loop.Accepting():
 		return "waiting"
 	}
-	return "serving"
+	return phaseServing
 }
--- a/node/thrift.go
+++ b/node/thrift.go
@@ -116,8 +116,8 @@
 	return n.thrift.loop.Addr()
 }
 
-// inventory gives a list to the pilots, each the hosts of its own fleet.
-func (n *Node) inventory(from pilot.Source, list []pilot.Host) {
+// tell gives a list to the pilots, each the hosts of its own fleet.
+func (n *Node) tell(from pilot.Source, list []pilot.Host) {
 	t := n.thrift
 	if t == nil {
 		if !n.opts.Load().South.Thrift.Cross && slices.ContainsFunc(list, needsThrift) {
