Put a new version beside the running one on the platform's socket, without a refused request

Ruled out: the handover itself, which works from the control socket on.

Change: ROUTER_ACCEPT_FD is taken as the listener; both meet at a socket in TMPDIR; a taker that has the socket anyway serves whatever becomes of the takeover; what operators ordered is handed on, and an order to either binds both before its yes; the old one says what descriptors it holds and the new one takes the rest, memory in halves. A stop that comes before the handover is over goes on as one.

--- a/cmd/linenwheel/process_test.go
+++ b/cmd/linenwheel/process_test.go
@@ -390,3 +390,81 @@
 	require.Equal(t, "all", set["NotifyAccess"])
 	require.Equal(t, "yes", set["RuntimeDirectoryPreserve"], "else the first node that ends takes the others' sockets away")
 }
+
+// call is an operator's, at a door; it gives the status and what was said.
+func (s *site) call(door, method, path string) (int, string) {
+	r := must(http.NewRequest(method, "http://"+door+path, nil))
+	r.Close = true
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, string(must(io.ReadAll(resp.Body)))
+}
+
+// Guards against a new version on the platform's socket that refuses a connection, loses an answer that is owed, forgets what
+// operators have ordered, or ends because the process before hangs, is killed, or left something behind; and against an order
+// that binds only one of two processes.
+func TestUpgradeOnThePlatformsSocket(t *testing.T) {
+	s := newSite(t)
+	l := must(net.Listen("tcp", s.address)).(*net.TCPListener)
+	held := must(l.File())
+	t.Cleanup(func() { _ = held.Close() })
+	require.NoError(t, l.Close()) // held has the socket
+	s.write("n1.toml", "")
+	start := func() (*process, string) {
+		door := must(net.Listen("tcp", "127.0.0.1:0"))
+		at := door.Addr().String()
+		require.NoError(t, door.Close())
+		c := exec.Command(os.Args[0], "serve")
+		c.ExtraFiles = []*os.File{held}
+		p := s.startWith(c, "ROUTER_ACCEPT_FD=3", "ROUTER_CONTROL="+at, "TMPDIR="+s.dir)
+		p.await("the node is ready")
+		require.Eventually(t, func() bool { code, _ := s.call(at, "GET", "/v1/readyz"); return code == 200 }, time.Minute, time.Millisecond)
+		return p, at
+	}
+	s.write("linenwheel.sock.1", "left behind")
+	first, door := start()
+	s.served()
+	id, owed := s.held()
+	code, said := s.call(door, "POST", "/v1/raters/nobody/suspend")
+	require.Equal(t, 404, code, said)
+	code, said = s.call(door, "POST", "/v1/raters/r/suspend")
+	require.Equal(t, 200, code, said)
+
+	second, door2 := start()
+	first.await("the node answers what it owes and ends")
+	code, _ = s.call(door, "GET", "/v1/readyz")
+	require.Equal(t, 503, code)
+	_, said = s.call(door2, "GET", "/v1/metrics")
+	require.Contains(t, said, `"raters_excluded":1`)
+	_, answer := s.ask("/pay/1")
+	require.Regexp(t, "^503", <-answer, "the only rater is out, over the upgrade too")
+	code, said = s.call(door, "POST", "/v1/raters/r/resume") // the old one still owes an answer
+	require.Equal(t, 200, code, said)
+	s.served()
+	code, said = s.call(door2, "POST", "/v1/node/drain")
+	require.Equal(t, 200, code, said)
+	s.answer <- struct{}{}
+	require.Equal(t, "200 served "+id+"<nil>", <-owed)
+	first.signal(syscall.SIGTERM)
+	require.Zero(t, first.end())
+	second.await("the process before has ended")
+
+	require.NoError(t, second.cmd.Process.Signal(syscall.SIGSTOP)) // it hangs
+	third, door3 := start()
+	require.NoError(t, second.cmd.Process.Kill())
+	second.end()
+	s.served()
+	require.Contains(t, strings.Join(third.seen, " "), "there is no process to take over from")
+	fourth, door4 := start()
+	_ = third.cmd.Process.Kill() // it may have ended, for it owes nothing
+	third.end()
+	s.served()
+	code, _ = s.call(door4, "POST", "/v1/node/drain")
+	require.Equal(t, 200, code, "nobody else is to obey")
+	require.NotEqual(t, door3, door4)
+	fourth.signal(syscall.SIGTERM)
+	require.Zero(t, fourth.end())
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -24,7 +24,7 @@
 		return nil, err
 	}
 	defer c.Close()
-	w := wire{c}
+	w := wireOn(c)
 	m, files, err := w.ask(wantStatus, release)
 	closeAll(files)
 	if err != nil {
@@ -52,6 +52,7 @@
 	Release   string
 	Sockets   map[string]net.Listener // by name; none if the process has stopped accepting
 	Knowledge json.RawMessage
+	Held      int // descriptors that it keeps to
 }
 
 // Hooks carry out what a takeover decides, from the goroutine that reads, one after the other.
@@ -63,6 +64,9 @@
 	Leave   func(reason string)             // stop, answering what was accepted: the running process goes on after all
 	Ended   func(unanswered int)            // the process before this one has ended with so many calls unanswered
 	Died    func()                          // it has ended without telling how many
+	Gone    func()                          // it has gone, either way, or cannot be spoken with any more; nil = nobody wants to know
+	Holds   func(descriptors int)           // the process before keeps to so many; nil = nobody wants to know
+	Obey    func(order json.RawMessage) error
 }
 
 // Take is a takeover seen from the new process.
@@ -78,6 +82,9 @@
 	yours   json.RawMessage
 	alarm   func()
 	ended   bool
+	version int // that is spoken, 0 = it is not known yet
+
+	orders exchange
 }
 
 // Begin asks the process at a path to hand over. The hooks are called from here on.
@@ -87,6 +94,15 @@
 	return t
 }
 
+// Pass has the process before obey an order, and tells why it did not. Nothing is passed to one that has ended, or of a
+// release that knows no orders.
+func (t *Take) Pass(order json.RawMessage) error {
+	if t.speaks() < 2 {
+		return nil
+	}
+	return t.orders.pass(t.wire, order)
+}
+
 // Prepared tells that this process could serve.
 func (t *Take) Prepared() {
 	t.event(func(now float64) []takeover.Action { return t.machine.Prepared(now) })
@@ -103,7 +119,7 @@
 		return
 	}
 	defer conn.Close()
-	t.wire = wire{conn}
+	t.wire = wireOn(conn)
 	who, err := credentials(conn)
 	if err == nil && int(who.Uid) != os.Geteuid() {
 		err = fmt.Errorf("the process at %s runs as user %d", path, who.Uid)
@@ -123,6 +139,7 @@
 		t.event(nil)
 		t.listen()
 	}
+	t.orders.end()
 	t.mu.Lock()
 	owner, ended := t.machine.Owner(), t.ended
 	t.mu.Unlock()
@@ -131,6 +148,16 @@
 	}
 	alive := t.alive()
 	t.event(func(float64) []takeover.Action { return t.machine.Lost(alive) })
+	if t.hooks.Gone != nil && t.speaks() > 0 {
+		t.hooks.Gone()
+	}
+}
+
+// speaks is the version that is spoken, 0 = none was agreed on.
+func (t *Take) speaks() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
 }
 
 // listen takes what the running process says until the connection ends.
@@ -144,6 +171,14 @@
 		if !ok || kind != takeover.State {
 			closeAll(files)
 		}
+		switch m.Type {
+		case typeHolds:
+			if t.hooks.Holds != nil {
+				t.hooks.Holds(m.Held)
+			}
+		case typeOrder, typeObeyed:
+			t.orders.told(t.wire, m, t.hooks.Obey)
+		}
 		switch {
 		case !ok:
 		case kind == takeover.State && agree(m.Version, m.Version) == 0:
@@ -152,6 +187,9 @@
 			return
 		case kind == takeover.State:
 			heritage, err := inherit(m, files)
+			t.mu.Lock()
+			t.version = m.Version
+			t.mu.Unlock()
 			if err != nil {
 				t.refuse(err.Error())
 				return
@@ -187,7 +225,7 @@
 // inherit makes listeners of the descriptors that came.
 func inherit(m message, files []*os.File) (Inheritance, error) {
 	defer closeAll(files)
-	h := Inheritance{PID: m.PID, Release: m.Release, Sockets: map[string]net.Listener{}, Knowledge: m.Knowledge}
+	h := Inheritance{PID: m.PID, Release: m.Release, Sockets: map[string]net.Listener{}, Knowledge: m.Knowledge, Held: m.Held}
 	if len(files) != len(m.Sockets) {
 		return h, fmt.Errorf("the running process gave %d sockets and %d names", len(files), len(m.Sockets))
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -31,6 +31,10 @@
 func (n node) Regain()                             { n.did <- "regain" }
 func (n node) Yield(pid int)                       { n.did <- fmt.Sprint("yield to itself: ", pid == os.Getpid()) }
 func (n node) Refuses() string                     { return n.why }
+func (n node) Lend()                               {}
+func (n node) Retake()                             {}
+func (n node) Held() int                           { return 3 }
+func (n node) Obey(o json.RawMessage) error        { n.did <- string(o); return nil }
 func (n node) Sockets(f func([]string, []int) error) error {
 	raw, err := n.listener.(*net.TCPListener).SyscallConn()
 	if err != nil {
@@ -185,7 +189,7 @@
 			_, _ = conn.Write(b)
 		}
 		_ = conn.CloseWrite()
-		m, _, _ := wire{conn}.read(10 * time.Second)
+		m, _, _ := wireOn(conn).read(10 * time.Second)
 		return m
 	}
 	hello := func(more string) []byte {
@@ -197,15 +201,15 @@
 	}
 	for text, want := range map[string]string{
 		`{"type":"ready"}`: "hello was wanted first",
-		`{"type":"hello","min":2,"max":9,"want":"takeover"}`:   "it speaks versions 2 to 9, and versions 1 to 1 are spoken here",
-		`{"type":"hello","want":"status"}`:                     "it speaks versions 0 to 0, and versions 1 to 1 are spoken here",
+		`{"type":"hello","min":3,"max":9,"want":"takeover"}`:   "it speaks versions 3 to 9, and versions 1 to 2 are spoken here",
+		`{"type":"hello","want":"status"}`:                     "it speaks versions 0 to 0, and versions 1 to 2 are spoken here",
 		`{"type":"hello","min":1,"max":1,"want":"everything"}`: `it wants "everything"`,
 	} {
 		assert.Equal(t, want, say(frame(text)).Reason)
 	}
-	m := say(hello(`,"max":2,"dance":[1],"min":0`), frame(`{"type":"later","x":{}}`), frame(`{"type":"mine"}`))
+	m := say(hello(`,"max":3,"dance":[1],"min":0`), frame(`{"type":"later","x":{}}`), frame(`{"type":"mine"}`))
 	assert.Equal(t, "state", m.Type, "one of the next release, which speaks this one's version too")
-	assert.Equal(t, 1, m.Version)
+	assert.Equal(t, 2, m.Version)
 
 	conn, _, err := dial(path)
 	require.NoError(t, err)
@@ -215,8 +219,8 @@
 	for i := range many {
 		many[i] = int(null.Fd())
 	}
-	_ = wire{conn}.write(message{Type: "hello", Min: 1, Max: 1, Want: wantTakeover}, time.Second, many...)
-	_, _, err = wire{conn}.read(10 * time.Second)
+	_ = wireOn(conn).write(message{Type: "hello", Min: 1, Max: 1, Want: wantTakeover}, time.Second, many...)
+	_, _, err = wireOn(conn).read(10 * time.Second)
 	assert.Error(t, err)
 	var mute []net.Conn
 	for range 3 * maxPeers {
--- a/internal/control/frame.go
+++ b/internal/control/frame.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,7 +24,7 @@
 // The versions of the protocol that are spoken: always the last two. There has been one so far.
 const (
 	lowest  = 1
-	highest = 1
+	highest = 2 // has orders and holds
 )
 
 const (
@@ -38,6 +39,13 @@
 	wantTakeover = "takeover"
 )
 
+// What the two sides tell each other beside the takeover, from version 2 on.
+const (
+	typeOrder  = "order"
+	typeObeyed = "obeyed"
+	typeHolds  = "holds"
+)
+
 // message is a frame's object: the fields of all types.
 type message struct {
 	Type string `json:"type"`
@@ -55,10 +63,20 @@
 	Knowledge  json.RawMessage `json:"knowledge,omitempty"`  // of state and yours
 	Unanswered int             `json:"unanswered,omitempty"` // of ended
 	Status     json.RawMessage `json:"status,omitempty"`     // of status
+
+	// From version 2 on.
+	Held  int             `json:"held,omitempty"`  // of state and holds: descriptors that the giver keeps to
+	Seq   int             `json:"seq,omitempty"`   // of order and obeyed
+	Order json.RawMessage `json:"order,omitempty"` // of order
+}
+
+// wire is one connection. Frames are read by one goroutine at a time.
+type wire struct {
+	conn *net.UnixConn
+	out  *sync.Mutex // held by who writes a frame
 }
 
-// wire is one connection. Frames are written and read by one goroutine each at a time.
-type wire struct{ conn *net.UnixConn }
+func wireOn(c *net.UnixConn) wire { return wire{c, new(sync.Mutex)} }
 
 // write sends a frame, with descriptors, within a time.
 func (w wire) write(m message, limit time.Duration, files ...int) error {
@@ -71,6 +89,8 @@
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(body)), uint32(len(body)))
 	frame = append(frame, body...)
+	w.out.Lock()
+	defer w.out.Unlock()
 	_ = w.conn.SetWriteDeadline(time.Now().Add(limit))
 	if len(files) > 0 { // descriptors go with the first bytes
 		n, _, err := w.conn.WriteMsgUnix(frame[:4], unix.UnixRights(files...), nil)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -34,6 +34,13 @@
 	Regain()
 	// Yield has the node stop accepting, answer all it owes and end: the process with this number accepts from here on.
 	Yield(pid int)
+	// Lend leaves another process that has come its part of what the platform gives; Retake is its end.
+	Lend()
+	Retake()
+	// Held is how many descriptors the node keeps to now.
+	Held() int
+	// Obey carries out an order that operators gave the other process.
+	Obey(order json.RawMessage) error
 	// Refuses is why the node cannot be taken over, empty if it can.
 	Refuses() string
 }
@@ -61,12 +68,14 @@
 	file   os.FileInfo // that the listener was bound to
 	heir   int         // the process that was told all is its own
 	closed bool
+	orders exchange
 }
 
 type peer struct {
 	wire
 	version int
 	pid     int
+	knows   bool // it was given the state
 }
 
 // Serve listens at the path, in place of a socket there that nobody listens at, and answers until Close.
@@ -194,7 +203,7 @@
 		full := len(s.peers) >= maxPeers || s.closed
 		if !full {
 			s.number++
-			s.peers[s.number] = &peer{wire: wire{c}}
+			s.peers[s.number] = &peer{wire: wireOn(c)}
 			go s.serve(s.number, s.peers[s.number])
 		}
 		s.mu.Unlock()
@@ -209,6 +218,9 @@
 	err := s.talk(number, p)
 	s.mu.Lock()
 	delete(s.peers, number)
+	if p.knows {
+		s.orders.end()
+	}
 	s.carryOut(s.giver.Lost(number))
 	s.mu.Unlock()
 	_ = p.conn.Close()
@@ -266,6 +278,9 @@
 			}
 			return nil
 		}
+		if m.Type == typeOrder || m.Type == typeObeyed {
+			s.orders.told(p.wire, m, s.node.Obey)
+		}
 		if kind, ok := takeover.Parse(m.Type); ok && kind != takeover.Hello {
 			s.told(number, kind)
 		}
@@ -296,6 +311,10 @@
 				_ = p.conn.CloseWrite() // what was sent still arrives
 				_ = p.conn.CloseRead()
 			}
+		case takeover.Lend:
+			s.node.Lend()
+		case takeover.Retake:
+			s.node.Retake()
 		case takeover.Release:
 			s.node.Release() // the path is taken by the other one, and answered here until then
 		case takeover.Regain:
@@ -326,6 +345,42 @@
 
 const maxTime = 1e15 // milliseconds; beyond it is never
 
+// heldEvery is the time in milliseconds between two looks at how many descriptors are held.
+const heldEvery = 100
+
+// tellHeld keeps a peer told of the descriptors that are held, for as long as it is there.
+func (s *Server) tellHeld(p *peer, last int) {
+	s.clock.At(s.clock.Now()+heldEvery, func() {
+		held := s.node.Held()
+		if held != last && p.write(message{Type: typeHolds, Held: held}, orderLimit) != nil {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, there := range s.peers {
+			if there == p && !s.closed {
+				s.tellHeld(p, held)
+			}
+		}
+	})
+}
+
+// Pass has the process that takes over obey an order, and tells why it did not.
+func (s *Server) Pass(order json.RawMessage) error {
+	s.mu.Lock()
+	var to *peer
+	for _, p := range s.peers {
+		if p.knows && p.version >= 2 {
+			to = p
+		}
+	}
+	s.mu.Unlock()
+	if to == nil {
+		return nil
+	}
+	return s.orders.pass(to.wire, order)
+}
+
 // send writes what the machine has to say.
 func (s *Server) send(p *peer, a takeover.Action) error {
 	m := message{Type: a.Message.String(), Version: p.version, Reason: a.Reason, Release: s.set.Release, PID: os.Getpid()}
@@ -340,6 +395,11 @@
 		s.heir = p.pid
 		return p.write(m, writeLimit)
 	}
+	p.knows, m.Held = true, s.node.Held()
+	s.orders.begin()
+	if p.version >= 2 {
+		s.tellHeld(p, m.Held)
+	}
 	return s.node.Sockets(func(names []string, descriptors []int) error {
 		m.Sockets = names
 		return p.write(m, writeLimit, descriptors...)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -128,7 +128,7 @@
 	c.mu.Lock()
 	_, same := c.open[call.ID]
 	full := len(c.open) >= c.set.Calls
-	began := full && !c.full
+	began, most := full && !c.full, c.set.Calls
 	c.full = full
 	switch {
 	case same:
@@ -154,11 +154,18 @@
 		c.set.Figures.Ended(call.Class, refusal.Kind.figure())
 	}
 	if began {
-		c.log.Warn("the cap on open calls is reached: more get a back-off answer", "calls", c.set.Calls)
+		c.log.Warn("the cap on open calls is reached: more get a back-off answer", "calls", most)
 	}
 	return refusal, taken
 }
 
+// Resize changes how many calls may be open at once. Those above stay.
+func (c *Core) Resize(calls int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.set.Calls = calls
+}
+
 // Serve serves a call that was taken and blocks until its one final answer, or Left.
 func (c *Core) Serve(call *Call) Answer {
 	a := c.guarded(call)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -56,8 +56,10 @@
 	take    *control.Take // nil = no takeover was asked for, or there was nobody to take over from
 	keeper  *keeper       // nil = nothing is kept
 	stuck   atomic.Pointer[string]
-	from    string // the process that this one took over from
-	given   string // where that one listened, if not here
+	shared  bool          // the platform holds the clients' listening socket
+	made    chan struct{} // closed when there is a node
+	from    string        // the process that this one took over from
+	given   string        // where that one listened, if not here
 
 	owner chan struct{} // closed when this process is to serve for good
 	fail  chan error    // why it is to end instead
@@ -66,6 +68,7 @@
 	server *control.Server // nil = no control socket, or not yet
 	child  int             // a process that was started to take over, 0 = none
 	last   string          // how the process before ended
+	orders []node.Order    // that operators gave this process before it was told all is its own
 }
 
 // Signals are what the process is told from outside, each on a channel of its own: one that waits there is the same news
@@ -78,7 +81,7 @@
 
 // Run runs the process until a signal or another process ends it.
 func Run(set Settings, signals Signals) error {
-	d := &daemon{set: set, log: set.Log.With("node", set.Config.Name, "part", "daemon"), clock: clock.NewSystem(), owner: make(chan struct{}),
+	d := &daemon{set: set, log: set.Log.With("node", set.Config.Name, "part", "daemon"), clock: clock.NewSystem(), owner: make(chan struct{}), made: make(chan struct{}),
 		fail: make(chan error, 1)}
 	var err error
 	d.manager, err = service.Adopt(func(err error) {
@@ -97,6 +100,14 @@
 			"address", l.Addr().String())
 		_ = l.Close()
 	}
+	if own, err := d.adopt(); err != nil {
+		return err
+	} else if own != nil {
+		if listener != nil {
+			_ = listener.Close()
+		}
+		listener = own
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	heritage, err := d.heritage(signals)
@@ -106,7 +117,14 @@
 	extra := node.Extras{Options: set.Options, Log: set.Log, Level: set.Level, Listener: listener,
 		Hold: d.take != nil || listener != nil} // clients of a manager's socket wait there until the node can serve
 	if heritage != nil {
-		if l, err := d.inherit(ctx, heritage); err != nil {
+		memory := *set.Config
+		memory.MemoryMB *= beside
+		node.SetLimits(&memory, set.Options)
+		if d.shared {
+			for _, l := range heritage.Sockets {
+				_ = l.Close() // the same one
+			}
+		} else if l, err := d.inherit(ctx, heritage); err != nil {
 			return err
 		} else if l != nil {
 			if listener != nil {
@@ -123,6 +141,11 @@
 	if d.node, err = node.New(set.Config, extra); err != nil {
 		return err
 	}
+	if heritage != nil {
+		d.node.Confine(set.Config.Sockets-heritage.Held, beside)
+	}
+	d.node.PassOrders(d.pass)
+	close(d.made)
 	return d.run(ctx, stop, signals)
 }
 
@@ -133,12 +156,22 @@
 		return nil, nil
 	}
 	gift, alone := make(chan control.Inheritance, 1), make(chan struct{}, 1)
-	limits := takeover.Limits{Answer: d.set.Options.Takeover.AnswerLimit.Ms}
+	limits := takeover.Limits{Answer: d.set.Options.Takeover.AnswerLimit.Ms, Shared: d.shared}
+	if d.shared {
+		limits.Answer = min(limits.Answer, sharedAnswer)
+	}
 	d.take = control.Begin(d.set.Path, d.set.Release, limits, d.clock, control.Hooks{
 		Prepare: func(h control.Inheritance) { gift <- h },
 		Alone:   func() { alone <- struct{}{} },
 		Accept:  d.accept,
-		GiveUp:  func(reason string) { d.end(fmt.Errorf("taking over: %s", reason)) },
+		GiveUp: func(reason string) {
+			if d.shared { // there is somebody, who cannot be spoken with
+				d.log.Warn("the process before hands nothing over: this one serves beside it", "reason", reason)
+				alone <- struct{}{}
+				return
+			}
+			d.end(fmt.Errorf("taking over: %s", reason))
+		},
 		Leave: func(reason string) {
 			d.log.Warn("the process before goes on after all: this one ends", "reason", reason)
 			d.end(errors.New("taking over: " + reason))
@@ -146,7 +179,12 @@
 		Ended: func(unanswered int) {
 			d.log.Info("the process before has ended", "unanswered", unanswered)
 		},
-		Died: func() { d.log.Warn("the process before has died: what it owed is lost") },
+		Died: func() {
+			d.log.Warn("the process before has died: what it owed is lost")
+		},
+		Gone:  d.whole,
+		Holds: d.holds,
+		Obey:  d.obey,
 	})
 	for {
 		select {
@@ -226,6 +264,13 @@
 		if err := d.node.Recall(*k); err != nil {
 			d.log.Warn("what the process before knew last is not used", "error", err)
 		}
+		d.mu.Lock()
+		orders := d.orders
+		d.orders = nil
+		d.mu.Unlock()
+		for _, o := range orders { // which its last word may not hold yet
+			_ = d.node.Obey(o)
+		}
 	}
 	d.node.StartAccepting()
 	close(d.owner)
@@ -301,7 +346,7 @@
 	set := control.Settings{Path: path, Release: d.set.Release,
 		Limits: takeover.Limits{Answer: o.AnswerLimit.Ms, Prepare: o.ReadyLimit.Ms}}
 	listen := control.Serve
-	if d.take != nil && samePath(path, d.set.Path) {
+	if d.shared || d.take != nil && samePath(path, d.set.Path) { // one that does not answer there has no use for it
 		listen = control.Inherit
 	}
 	server, err := listen(set, host{d}, d.clock, d.log)
--- a/internal/daemon/host.go
+++ b/internal/daemon/host.go
@@ -57,6 +57,20 @@
 	h.d.node.Yield()
 }
 
+// Lend leaves its part to another process of the node that is coming up.
+func (h host) Lend() {
+	h.d.node.Confine(h.d.set.Config.Sockets, beside) // it says how many descriptors it holds; the other one takes the rest
+}
+
+// Retake is its end.
+func (h host) Retake() { h.d.whole() }
+
+// Held is how many descriptors the node keeps to.
+func (h host) Held() int { return h.d.node.Held() }
+
+// Obey carries out what operators told the other process.
+func (h host) Obey(order json.RawMessage) error { return h.d.obey(order) }
+
 // Refuses tells why the node cannot be taken over.
 func (h host) Refuses() string {
 	if h.d.set.Options.North.Thrift.Listen != "" {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -142,7 +142,7 @@
 	engine   *nbio.Engine
 	listener *listener
 	accept   func(*Conn) Handler
-	slots    chan struct{}
+	slots    *slots
 	conns    sync.Map // *nbio.Conn to *Conn; the engine's sessions are not safe to read from its poller
 }
 
@@ -170,7 +170,7 @@
 // On starts an engine on a listener, which is its own from here on, even if it fails. Connections wait there until
 // StartAccepting.
 func On(inner net.Listener, most int, accept func(*Conn) Handler) (*Loop, error) {
-	l := &Loop{accept: accept, slots: make(chan struct{}, most)}
+	l := &Loop{accept: accept, slots: newSlots(most)}
 	l.listener = &listener{Listener: inner, slots: l.slots, open: make(chan struct{}), most: drainMost,
 		begun: make(chan struct{}), closed: make(chan struct{}), quiet: make(chan struct{}), stopped: make(chan struct{})}
 	addr := inner.Addr().String()
@@ -187,7 +187,7 @@
 		if c := l.conn(nb); c != nil {
 			l.conns.Delete(nb)
 			if c.came {
-				<-l.slots
+				l.slots.release()
 			}
 			c.last.Lock()
 			c.closed = true
@@ -210,6 +210,12 @@
 	return l, nil
 }
 
+// Open is how many connections that came in are open.
+func (l *Loop) Open() int { return l.slots.inUse() }
+
+// Resize changes how many connections that came in may be open at once. Those above stay.
+func (l *Loop) Resize(most int) { l.slots.resize(most) }
+
 // Addr is the address listened on.
 func (l *Loop) Addr() string { return l.listener.Addr().String() }
 
@@ -336,7 +342,7 @@
 	first, once, last sync.Once
 	begin             sync.Once
 	begun             chan struct{} // closed when the engine accepts
-	slots             chan struct{}
+	slots             *slots
 	open              chan struct{} // closed when connections may be accepted
 	draining          atomic.Bool   // it is closed once nothing waits,
 	most              time.Duration // or after so long
@@ -374,6 +380,7 @@
 	l.once.Do(func() {
 		_ = l.Listener.Close()
 		close(l.closed)
+		l.slots.close()
 	})
 }
 
@@ -391,9 +398,7 @@
 	case <-l.closed:
 		return l.end()
 	}
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.closed:
+	if !l.slots.take() {
 		return l.end()
 	}
 	for {
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -92,6 +92,14 @@
 // Limit changes the limits, at any time.
 func (s *Side) Limit(l Limits) { s.limits.Store(&l) }
 
+// Resize changes how many connections may be open at once, and from how many on that have asked an answer ends its
+// connection. Those above stay.
+func (s *Side) Resize(connections, crowded int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set.Connections, s.set.Crowded = connections, crowded
+}
+
 // Ready lets /up answer 200.
 func (s *Side) Ready() {
 	s.mu.Lock()
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -88,6 +88,23 @@
 	return p
 }
 
+// Resize changes how many connections may be open at once. Those above stay until their relays end.
+func (p *Pool) Resize(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set.Connections = most
+	for range max(0, p.open-most) {
+		p.evict()
+	}
+}
+
+// Open is how many connections are open, or coming up.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // Limit changes the limits, at any time.
 func (p *Pool) Limit(l Limits) { p.limits.Store(&l) }
 
@@ -371,9 +388,9 @@
 			return nil, errFull
 		}
 	}
-	if p.open >= p.set.Connections && !p.evict() {
+	if most := p.set.Connections; p.open >= most && !p.evict() {
 		p.mu.Unlock()
-		p.log.Warn("all connections to hosts are in use: a relay was not sent", "connections", p.set.Connections, "host", host.Name)
+		p.log.Warn("all connections to hosts are in use: a relay was not sent", "connections", most, "host", host.Name)
 		return nil, errFull
 	}
 	p.open++
--- a/internal/stop/stop.go
+++ b/internal/stop/stop.go
@@ -127,7 +127,13 @@
 func (m *Machine) Yield(now float64, t Times) {
 	if m.phase == Serving {
 		m.Stop(now, t)
-		m.yields, m.told = true, true // nobody has to be told
+		m.told = true // nobody has to be told
+	}
+	if m.phase < Ended { // a stop that is on goes on in its times, but clients find the other process
+		m.yields = true
+		if m.phase == Accepting {
+			m.accept = min(m.accept, max(now, now+t.Accept))
+		}
 	}
 }
 
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -71,6 +71,8 @@
 	Release              // let go of what only one process may hold: the directory of state, the control socket's path
 	Regain               // take that back
 	StopAccept           // stop accepting, answer all that is owed, end
+	Lend                 // leave another process that has come its part of what the platform gives
+	Retake               // it has gone: all is this one's again
 
 	// And a taker.
 
@@ -93,6 +95,8 @@
 type Limits struct {
 	Answer  float64 // for a side to answer what needs no work
 	Prepare float64 // for a taker to become ready
+	// Shared tells a taker that it has the listening sockets anyway: it serves whatever becomes of the takeover.
+	Shared bool
 }
 
 type giverState uint8
@@ -138,9 +142,7 @@
 		return g.yield(now)
 	case m == Mine && g.state == yielding:
 		g.state, g.until = given, math.Inf(1)
-		if !g.stopping { // else it stops already
-			return []Action{{Do: StopAccept}}
-		}
+		return []Action{{Do: StopAccept}}
 	}
 	return nil
 }
@@ -153,7 +155,7 @@
 		return refuse(peer, ReasonBusy)
 	}
 	g.state, g.peer, g.until = offering, peer, now+g.set.Prepare
-	list := []Action{{Do: Send, Message: State, Peer: peer}}
+	list := []Action{{Do: Lend}, {Do: Send, Message: State, Peer: peer}}
 	if g.stopping {
 		list = append(list, g.yield(now)...)
 	}
@@ -200,9 +202,9 @@
 	was := g.state
 	g.state, g.until = alone, math.Inf(1)
 	if was == yielding {
-		return []Action{{Do: Regain}}
+		return []Action{{Do: Regain}, {Do: Retake}}
 	}
-	return nil
+	return []Action{{Do: Retake}}
 }
 
 // Tick breaks off with a taker whose time is up.
@@ -283,7 +285,23 @@
 	return list
 }
 
+// end breaks off. A taker that has the sockets anyway goes on alone from wherever it is.
 func (t *Taker) end(do Do, reason string) []Action {
+	if t.set.Shared {
+		was, hangUp := t.state, Action{Do: HangUp}
+		t.until = math.Inf(1)
+		switch was {
+		case asking:
+			t.state = over
+			return []Action{{Do: StartAlone, Reason: reason}, hangUp}
+		case preparing:
+			t.heir = true
+			return []Action{hangUp}
+		case waiting:
+			return append(t.accept(false), hangUp)
+		}
+		return nil
+	}
 	t.state, t.until = over, math.Inf(1)
 	return []Action{{Do: do, Reason: reason}, {Do: HangUp}}
 }
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -260,3 +260,35 @@
 		rapid.Check(t, history)
 	}
 }
+
+// Guards against a taker that ends, or waits for ever, though it has the listening sockets anyway, whatever it hears from the
+// process before, however late.
+func TestTakerThatSharesTheSocketsServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, now := NewTaker(0, Limits{Answer: 1000, Shared: true}), 0.0
+		alone, accepted := false, false
+		does := func(list []Action) {
+			for _, a := range list {
+				require.NotContains(t, []Do{GiveUp, Leave}, a.Do)
+				alone, accepted = alone || a.Do == StartAlone, accepted || a.Do == Accept
+			}
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				does(x.Told(Message(rapid.IntRange(0, int(messages)-1).Draw(t, "message")), ""))
+			case 1:
+				now += rapid.SampledFrom([]float64{500, 1500}).Draw(t, "time")
+				does(x.Tick(now))
+			case 2:
+				does(x.Prepared(now))
+			case 3:
+				does(x.Lost(rapid.Bool().Draw(t, "alive")))
+			}
+		}
+		does(x.Tick(now + 1e6))
+		does(x.Prepared(now + 1e6))
+		does(x.Tick(now + 1e7))
+		require.True(t, alone || accepted && x.Owner())
+	})
+}
--- a/node/door.go
+++ b/node/door.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"sync"
 
 	"linenwheel.dev/linenwheel/internal/admin"
 	"linenwheel.dev/linenwheel/internal/duty"
 	"linenwheel.dev/linenwheel/internal/inventory/ban"
+	"linenwheel.dev/linenwheel/internal/options"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
 
@@ -104,6 +106,7 @@
 	}
 	n.orders.mu.Lock()
 	defer n.orders.mu.Unlock()
+	was := n.orders.book.Out(o.Rater)
 	change, err := n.orders.book.Resume, error(nil)
 	if o.Do == Suspend {
 		change = func(_ float64, rater string) ([]pilot.Host, error) { return n.orders.book.Suspend(rater) }
@@ -118,6 +121,9 @@
 	if len(changed) > 0 {
 		n.tell(pilot.Changes, changed)
 	}
+	if was == n.orders.book.Out(o.Rater) {
+		return nil // it was told before
+	}
 	if o.Do == Suspend {
 		n.log.Info("a rater is out by hand", "host", o.Rater)
 	} else {
@@ -201,3 +207,55 @@
 	}
 	return names
 }
+
+// recallOrders takes what operators had ordered another process of the node, in place of what they have here.
+func (n *Node) recallOrders(k Knowledge) {
+	if k.Drained == nil {
+		n.gate.Activate()
+	} else {
+		n.gate.DrainedSince(*k.Drained)
+	}
+	n.orders.mu.Lock()
+	defer n.orders.mu.Unlock()
+	if changed := n.orders.book.Recall(k.Bans); len(changed) > 0 {
+		n.tell(pilot.Changes, changed)
+	}
+}
+
+// Confine has the node keep to a part of its configuration's limits: so many descriptors, and a part of the memory. It may be
+// told at any time; what is above goes as it ends.
+func (n *Node) Confine(sockets int, memory float64) {
+	o, conf := n.opts.Load(), *n.conf
+	conf.Sockets = min(max(sockets, leastSockets), n.conf.Sockets)
+	room := o.Room(&conf)
+	requests := n.mostCalls(room)
+	n.pool.Resize(room.Hosts)
+	n.core.Resize(requests)
+	n.north.Resize(room.Clients, room.Crowded)
+	n.loop.Resize(room.Clients + room.Spare)
+	conf.MemoryMB *= memory
+	SetLimits(&conf, o)
+	if memory < 1 {
+		debug.FreeOSMemory() // the other process needs it now
+	}
+}
+
+// leastSockets is the least that a node can work with at all.
+const leastSockets = 64
+
+// Held is how many descriptors the node holds, with those that it keeps back.
+func (n *Node) Held() int {
+	held := n.opts.Load().Service.Reserve + n.loop.Open() + n.pool.Open()
+	if n.door != nil {
+		held += admin.Descriptors
+	}
+	return held
+}
+
+// mostCalls is how many calls may be open at once.
+func (n *Node) mostCalls(room options.Room) int {
+	if n.conf.MaxOpen > 0 {
+		return min(room.Hosts, n.conf.MaxOpen)
+	}
+	return room.Hosts
+}
--- a/node/handover.go
+++ b/node/handover.go
@@ -7,7 +7,9 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 
+	"linenwheel.dev/linenwheel/internal/inventory/ban"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
 	"linenwheel.dev/linenwheel/internal/service"
@@ -19,12 +21,23 @@
 	Index int64        `json:"index"` // that discovery told last, 0 = none
 	At    float64      `json:"at"`    // when this was so
 	Pilot pilot.Memory `json:"pilot"`
+
+	// What operators have ordered.
+	Bans    ban.Memory `json:"bans"`
+	Drained *float64   `json:"drained,omitempty"` // since when; nil = it is not
 }
 
 // Knowledge gives what the node knows now.
 func (n *Node) Knowledge() Knowledge {
 	index, _ := n.watch.Seen()
-	return Knowledge{n.conf.Name, index, n.clock.Now(), n.pilot.Remember()}
+	k := Knowledge{Node: n.conf.Name, Index: index, At: n.clock.Now(), Pilot: n.pilot.Remember()}
+	n.orders.mu.Lock()
+	k.Bans = n.orders.book.Remember()
+	n.orders.mu.Unlock()
+	if since, drained := n.gate.Drained(); drained {
+		k.Drained = &since
+	}
+	return k
 }
 
 // Recall takes what another process of the node knew, before the first request: its list where discovery has told none
@@ -34,6 +47,12 @@
 	if k.Node != n.conf.Name {
 		return fmt.Errorf("recalling what was known: it is node %q's", k.Node)
 	}
+	for i := range k.Pilot.Hosts { // as the list has them
+		if h := &k.Pilot.Hosts[i]; h.Status == pilot.Draining && slices.Contains(k.Bans.Out, h.Name) {
+			h.Status = pilot.Ready
+		}
+	}
+	n.recallOrders(k)
 	if n.lists != nil {
 		n.lists.offer(k.Pilot.List(), k.At)
 	} else if _, at := n.watch.Seen(); at == 0 && len(k.Pilot.Hosts) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,9 @@
 	Known    *Knowledge   // what another process of this node knew, nil = nothing
 }
 
+// yieldSpare is how many more connections to hosts than clients' connections a node may hold that another took over from.
+const yieldSpare = 4
+
 const longestNap = 60000 // of the timers' goroutine, milliseconds
 
 // Node is one proxy node.
@@ -192,10 +195,6 @@
 	n.pool = carrier.New(carrier.Settings{Protocol: protocols(conf, &o),
 		ConnectTimeout: conf.ConnectTimeout, Connections: room.Hosts,
 		Settle: o.South.Settle.Ms, ToOne: n.toOne(o.Fleet.RaterConnections, n.fleet), Limits: southLimits(conf, &o), Sent: n.figures.Attempt}, n.clock, n.loop, sparse.With("part", "south"))
-	requests := room.Hosts
-	if conf.MaxOpen > 0 {
-		requests = min(requests, conf.MaxOpen)
-	}
 	n.gate = gate.New(worthFor(conf), drainTimes(&o), c)
 	stages := core.Stages{First: extra.First, Last: extra.Last}
 	if o.Quota.On {
@@ -212,7 +211,7 @@
 		}
 		stages.Repeats = n.repeats.Wrap
 	}
-	calls := core.Settings{Calls: requests, Gate: n.gate, Stages: stages, Figures: n.figures}
+	calls := core.Settings{Calls: n.mostCalls(room), Gate: n.gate, Stages: stages, Figures: n.figures}
 	n.core = core.New(calls, n.pilot, n.pool, sparse.With("part", "core"))
 	n.north = httpfront.New(frontSettings(conf, &o, room), n.clock, n.core, n.gate, sparse.With("part", "north"))
 	side = n.north
@@ -443,6 +442,7 @@
 			yielded = nil
 			n.log.Info("the node answers what it owes and ends: another process accepts")
 			n.loop.StopAccepting() // at once: what waits there is the other one's
+			n.pool.Resize(min(n.opts.Load().Room(n.conf).Hosts, n.loop.Open()+yieldSpare))
 			n.gate.Yield(n.yieldTimes())
 		case <-n.gate.Ended():
 			if left := n.unanswered(); left > 0 {
