--- a/cmd/linenwheel/process_test.go
+++ b/cmd/linenwheel/process_test.go
@@ -55,6 +55,9 @@
 			s.came <- r.Header.Get("Req-Id")
 			<-s.answer
 		}
+		if long(w, r, s.answer) {
+			return
+		}
 		_, _ = io.WriteString(w, "served "+r.Header.Get("Req-Id"))
 	}))
 	t.Cleanup(func() { close(s.answer); rater.CloseClientConnections(); rater.Close() })
@@ -468,3 +471,90 @@
 	fourth.signal(syscall.SIGTERM)
 	require.Zero(t, fourth.end())
 }
+
+// long answers what asks for a long answer.
+func long(w http.ResponseWriter, r *http.Request, more <-chan struct{}) bool {
+	raw := func(text string) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		}
+	}
+	switch r.URL.Path {
+	case "/pay/echo":
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+			_, _ = w.Write(body)
+		}
+	case "/pay/chunks":
+		for range 300 {
+			_, _ = w.Write(bytes.Repeat([]byte("c"), 1000))
+		}
+	case "/pay/end":
+		raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("e", 300000))
+	case "/pay/broken":
+		raw("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("b", 200000))
+	case "/pay/brokenchunks":
+		raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4000\r\n" + strings.Repeat("b", 0x4000) + "\r\n4000\r\nbbb")
+	case "/pay/late":
+		w.Header().Set("Content-Length", "300000")
+		_, _ = w.Write([]byte("first"))
+		_ = http.NewResponseController(w).Flush()
+		<-more
+		_, _ = w.Write(bytes.Repeat([]byte("l"), 300000-5))
+	default:
+		return false
+	}
+	return true
+}
+
+// post sends a body and gives the answer while its own body is still to be read.
+func (s *site) post(path string, body io.Reader) *http.Response {
+	r := must(http.NewRequest("POST", "http://"+s.address+path, body))
+	r.Header.Set("Req-Id", fmt.Sprint("q", s.number.Add(1)))
+	r.Header.Set("Req-Deadline-Ms", "60000")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// Guards against long bodies that are refused, changed or held back, in whichever way they are framed; against one that breaks
+// off and looks whole to its client; and against a pair of connections that is of no use after one.
+func TestLongBodies(t *testing.T) {
+	s := newSite(t)
+	p := s.start("serve")
+	p.await("the node is ready")
+	whole := func(r *http.Response) string {
+		body, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		return string(body)
+	}
+	for _, size := range []int{0, 65536, 65537, 262145, 5 << 20} {
+		body := strings.Repeat("0123456789abcdef", size/16) + strings.Repeat("x", size%16)
+		require.True(t, body == whole(s.post("/pay/echo", strings.NewReader(body))), size)
+		require.True(t, body == whole(s.post("/pay/echo", io.MultiReader(strings.NewReader(body)))), "%d in chunks", size)
+	}
+	require.Equal(t, strings.Repeat("c", 300000), whole(s.post("/pay/chunks", nil)))
+	require.Equal(t, strings.Repeat("e", 300000), whole(s.post("/pay/end", nil)))
+	for _, path := range []string{"/pay/broken", "/pay/brokenchunks"} {
+		_, err := io.ReadAll(s.post(path, nil).Body)
+		require.Error(t, err, path)
+	}
+	late := s.post("/pay/late", nil)
+	_, err := io.ReadFull(late.Body, make([]byte, 5))
+	require.NoError(t, err, "the first bytes come at once")
+	s.answer <- struct{}{}
+	require.Len(t, whole(late), 300000-5)
+	require.Equal(t, 413, s.post("/pay/echo", io.LimitReader(zeros{}, 33<<20)).StatusCode)
+	s.served()
+	p.signal(syscall.SIGTERM)
+	require.Zero(t, p.end())
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
--- a/internal/core/content.go
+++ b/internal/core/content.go
@@ -9,3 +9,9 @@
 	Body() []byte
 	Size() int // bytes of memory that it holds, roughly
 }
+
+// Flowing is what a served answer's payload may be besides: one whose body is still on its way.
+type Flowing interface {
+	Flows() bool
+	Drop() // nobody wants the rest
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,18 +166,36 @@
 	c.set.Calls = calls
 }
 
-// Serve serves a call that was taken and blocks until its one final answer, or Left.
+// Serve serves a call that was taken and blocks until its one final answer, or Left. A served one whose payload flows is on its
+// way only: Flowed must tell its end.
 func (c *Core) Serve(call *Call) Answer {
 	a := c.guarded(call)
+	if f, ok := a.Payload.(Flowing); ok && a.Kind == Served && f.Flows() {
+		if call.HasLeft() {
+			f.Drop()
+			a = Answer{Kind: Left}
+		} else {
+			return a
+		}
+	}
+	c.end(call, a, a.Kind == Served)
+	return a
+}
+
+// Flowed tells how an answer ended whose body was still on its way when Serve gave it: as what its call counts, which is what it
+// came to.
+func (c *Core) Flowed(call *Call, kind Kind) { c.end(call, Answer{Kind: kind}, false) }
+
+// end counts a call out. Timed tells that the time it took is that of an answer.
+func (c *Core) end(call *Call, a Answer, timed bool) {
 	c.mu.Lock()
 	delete(c.open, call.ID) // before the answer goes out: a client may ask with the same id right after it
 	c.count(a)
 	c.mu.Unlock()
 	c.set.Figures.Ended(call.Class, a.Kind.figure())
 	if c.set.Gate != nil {
-		c.set.Gate.Answered(call.Class, call.taken, a.Kind == Served, call.Alone)
+		c.set.Gate.Answered(call.Class, call.taken, timed, call.Alone)
 	}
-	return a
 }
 
 // Finish has every open call get its final answer now: the pilot's, or a failure where a stage has it, which alone could
@@ -307,7 +325,10 @@
 		if err := recover(); err != nil {
 			c.log.Error("a carrier panicked", "error", fmt.Sprint(err), "stack", string(debug.Stack()))
 		}
-		call.ticket.Report(v.Relay, o, payload)
+		used := call.ticket.Report(v.Relay, o, payload)
+		if f, ok := payload.(Flowing); ok && !used {
+			f.Drop()
+		}
 	}()
 	o, payload = c.carrier.Relay(Host{Name: v.Host, Address: v.Address, Protocol: v.Speaks}, call, v.Until, off)
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -7,6 +7,8 @@
 	"errors"
 	"strconv"
 	"time"
+
+	"linenwheel.dev/linenwheel/internal/flow"
 )
 
 // The most that a message may hold.
@@ -36,7 +38,7 @@
 // Status is what a server answers to a request with an error.
 func Status(err error) int {
 	switch err {
-	case ErrTooLarge:
+	case ErrTooLarge, ErrOver:
 		return 413
 	case ErrTarget:
 		return 414
@@ -64,8 +66,10 @@
 	Status         int    // of a response
 	Fields         []Field
 	Body           []byte
-	Close          bool // the sender ends the connection after it
-	Old            bool // the sender speaks HTTP/1.0
+	Rest           *flow.Pipe // more of the body, which flows; nil = Body is all
+	Length         int        // of a body that flows, -1 = not known
+	Close          bool       // the sender ends the connection after it
+	Old            bool       // the sender speaks HTTP/1.0
 
 	host  []byte // of the target, where that names one
 	names bool   // Connection names more than what becomes of the connection
@@ -92,6 +96,10 @@
 type Parser struct {
 	response bool
 	most     int      // bytes in a body, 0 = MaxBody
+	flow     Flow     // bodies that are given piece by piece; zero = none
+	flowing  bool     // one is being given
+	toEnd    bool     // the body ends with the connection
+	total    int      // bytes of the body so far
 	buf      []byte   // what is left of all
 	all      []byte   // the memory behind it
 	seen     int      // bytes of buf that hold no end of the head
@@ -100,8 +108,9 @@
 	chunked  bool
 	left     int // bytes of the body, or of a chunk, still to come
 	chunk    chunkState
-	beside   int // bytes of chunk extensions and trailers so far
-	interim  int // interim answers so far
+	beside   int    // bytes of chunk extensions and trailers so far
+	interim  int    // interim answers so far
+	spare    []byte // memory for pieces
 	err      error
 }
 
@@ -123,6 +132,22 @@
 // NewResponsesOf makes a parser of responses whose bodies may have so many bytes; 0 is MaxBody.
 func NewResponsesOf(most int) *Parser { return &Parser{response: true, most: most} }
 
+// Flow says which bodies are given piece by piece: the message comes when Whole bytes of its body have come, and the rest by
+// Piece. A message whose body is known to be longer comes when Whole bytes have come too, or at once if AtOnce is set.
+type Flow struct {
+	Whole  int  // bytes of a body that are held until it is whole; 0 = bodies do not flow
+	Known  int  // the same for a body whose length is known; 0 = Whole
+	AtOnce bool // a longer one comes with its head
+}
+
+// NewFlowing makes a parser of requests, or of responses, whose bodies may have so many bytes and flow.
+func NewFlowing(response bool, most int, f Flow) *Parser {
+	if f.Known == 0 {
+		f.Known = f.Whole
+	}
+	return &Parser{response: response, most: most, flow: f}
+}
+
 // mostBody is how many bytes a body may have.
 func (p *Parser) mostBody() int {
 	if p.most == 0 {
@@ -148,7 +173,7 @@
 }
 
 // Idle tells that no byte of a further message has come.
-func (p *Parser) Idle() bool { return len(p.buf) == 0 && p.msg == nil }
+func (p *Parser) Idle() bool { return len(p.buf) == 0 && p.msg == nil && !p.flowing }
 
 // Buffered is the number of bytes that no message has taken.
 func (p *Parser) Buffered() int { return len(p.buf) }
@@ -172,20 +197,14 @@
 		if p.msg == nil && !p.head() {
 			break
 		}
-		done := false
-		if p.chunked {
-			done = p.chunks()
-		} else {
-			done = p.plain()
-		}
-		if !done {
+		if !p.body() {
+			if p.flows() {
+				return p.msg, nil
+			}
 			break
 		}
 		m := p.msg
-		p.msg, p.awaits, p.chunked, p.left, p.chunk, p.beside = nil, false, false, 0, chunkSize, 0
-		if len(p.buf) == 0 && cap(p.all) > MaxHead {
-			p.buf, p.all = nil, nil
-		}
+		p.over()
 		if p.response && m.Status < 200 {
 			if p.interim++; p.interim > interims {
 				p.err = ErrMalformed
@@ -198,6 +217,89 @@
 	return nil, p.err
 }
 
+// body reads as much of the body as has come, and tells whether that was all.
+func (p *Parser) body() bool {
+	switch {
+	case p.chunked:
+		return p.chunks()
+	case p.toEnd:
+		p.left = len(p.buf)
+		p.plain()
+		if p.total > p.mostBody() {
+			p.err = p.tooLarge()
+		}
+		return false
+	}
+	return p.plain()
+}
+
+// over forgets the message that was read last.
+func (p *Parser) over() {
+	p.msg, p.awaits, p.chunked, p.left, p.chunk, p.beside = nil, false, false, 0, chunkSize, 0
+	p.flowing, p.toEnd, p.total = false, false, 0
+	if len(p.buf) == 0 && cap(p.all) > MaxHead {
+		p.buf, p.all = nil, nil
+	}
+}
+
+// flows tells whether the message is given now, and its body flows from here on.
+func (p *Parser) flows() bool {
+	if p.flow.Whole == 0 || p.err != nil || p.response && p.msg.Status < 200 {
+		return false
+	}
+	known := !p.chunked && !p.toEnd
+	whole, length := p.flow.Whole, -1
+	if known {
+		whole, length = p.flow.Known, p.left+p.total
+	}
+	if known && length <= whole || p.total < whole && !(known && p.flow.AtOnce) {
+		return false
+	}
+	p.flowing, p.msg.Length = true, length
+	return true
+}
+
+// Flowing tells that the last message was given and its body is not: Piece gives the rest.
+func (p *Parser) Flowing() bool { return p.flowing }
+
+// Piece gives what has come of a body that flows; it is good until Feed is called. Done tells that it was the last.
+func (p *Parser) Piece() (piece []byte, done bool, err error) {
+	p.msg = &Message{Body: p.spare[:0]}
+	done = p.body()
+	piece = p.msg.Body
+	if p.spare = piece; done {
+		p.over()
+	}
+	return piece, done, p.err
+}
+
+// ToEnd tells that the body that is being read ends with the connection.
+func (p *Parser) ToEnd() bool { return p.toEnd }
+
+// End takes the end of the connection: a body that lasts until then is whole. It gives the message, if that was not given yet.
+func (p *Parser) End() (m *Message, whole bool) {
+	if !p.toEnd || p.err != nil || p.msg == nil {
+		return nil, false
+	}
+	m = p.msg
+	p.over()
+	return m, true
+}
+
+// Came is how much of a body that is held has come.
+func (p *Parser) Came() int { return p.total }
+
+// Held is how much of a body has come, or is known to come, that is held until it is whole, or until it flows.
+func (p *Parser) Held() int {
+	switch {
+	case p.msg == nil || p.flowing:
+		return 0
+	case p.chunked:
+		return p.total
+	}
+	return min(p.left+p.total, max(p.flow.Known, MaxBody))
+}
+
 func (p *Parser) take(n int) {
 	p.buf = p.buf[n:]
 	p.seen = 0
@@ -439,6 +541,8 @@
 		if n > 0 {
 			m.Body = make([]byte, 0, min(n, firstBody)) // a length is only a claim
 		}
+	case p.response && p.flow.Whole > 0 && m.Close: // else it may just be spoilt, and never end
+		p.toEnd, m.Close = true, true
 	case p.response:
 		return ErrNoLength
 	}
@@ -493,6 +597,7 @@
 		p.msg.Body = append(p.msg.Body, p.buf[:n]...)
 		p.take(n)
 		p.left -= n
+		p.total += n
 	}
 	return p.left == 0
 }
@@ -530,7 +635,7 @@
 		if p.chunk == chunkTrailer {
 			extension = line
 		}
-		if p.beside += len(extension); p.beside > MaxHead {
+		if p.beside += len(extension); p.beside > MaxHead && (!p.flowing || p.beside > MaxHead+p.total) {
 			p.err = ErrMalformed
 			return false
 		}
@@ -549,7 +654,7 @@
 		case err != nil:
 		case !isText(extension):
 			err = ErrMalformed
-		case len(p.msg.Body)+n > p.mostBody():
+		case p.total+n > p.mostBody():
 			err = p.tooLarge()
 		}
 		p.err = err
@@ -617,6 +722,16 @@
 	return true
 }
 
+// Flows tells whether the body is still on its way.
+func (m *Message) Flows() bool { return m.Rest != nil }
+
+// Drop tells that nobody wants the rest of it.
+func (m *Message) Drop() {
+	if m.Rest != nil {
+		m.Rest.Drop()
+	}
+}
+
 // hopByHop are the fields that belong to one connection, or that a writer sets itself.
 var hopByHop = [...]string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer",
 	"Upgrade", "Content-Length", "Expect", "Host"}
@@ -663,6 +778,11 @@
 // AppendRequest writes a request with the method, target, end-to-end fields and body of m. The field replace gets
 // another value.
 func AppendRequest(dst []byte, m *Message, host, replace string, value int) []byte {
+	return append(AppendRequestHead(dst, m, host, replace, value), m.Body...)
+}
+
+// AppendRequestHead is AppendRequest without the body. One that flows without a known length is to be written in chunks.
+func AppendRequestHead(dst []byte, m *Message, host, replace string, value int) []byte {
 	dst = append(dst, m.Method...)
 	dst = append(dst, ' ')
 	dst = append(dst, m.Target...)
@@ -678,13 +798,27 @@
 		dst = append(dst, ": "...)
 		dst = append(strconv.AppendInt(dst, int64(value), 10), "\r\n"...)
 	}
-	if len(m.Body) > 0 || string(m.Method) != "GET" {
+	switch {
+	case m.Rest != nil && m.Length < 0:
+		dst = append(dst, chunkedLine...)
+	case m.Rest != nil:
+		dst = appendLength(dst, m.Length)
+	case len(m.Body) > 0 || string(m.Method) != "GET":
 		dst = appendLength(dst, len(m.Body))
 	}
-	dst = append(dst, "\r\n"...)
-	return append(dst, m.Body...)
+	return append(dst, "\r\n"...)
 }
 
+const chunkedLine = "Transfer-Encoding: chunked\r\n"
+
+// AppendChunkHead writes what stands before a chunk of so many bytes; CRLF is to follow it, and LastChunk all of them.
+func AppendChunkHead(dst []byte, size int) []byte {
+	return append(strconv.AppendInt(dst, int64(size), 16), "\r\n"...)
+}
+
+// LastChunk ends a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
 func appendLength(dst []byte, n int) []byte {
 	dst = append(dst, "Content-Length: "...)
 	return append(strconv.AppendInt(dst, int64(n), 10), "\r\n"...)
@@ -709,6 +843,9 @@
 	Close  bool // the connection ends after it
 	Keep   bool // it does not, and the client speaks HTTP/1.0, in which that is to be said
 	Head   bool // it answers HEAD: what would be its body is not sent
+
+	Flows  bool // the body is not Body, but follows: in chunks, or in so many bytes
+	Length int  // -1 = in chunks; -2 = it ends with the connection
 }
 
 // AppendResponse writes a response.
@@ -730,7 +867,13 @@
 	if !dated {
 		dst = appendField(dst, "Date", r.Date)
 	}
-	if !r.Head || r.Status != 405 { // after that, GET would get something else
+	switch {
+	case r.Flows && r.Length == -1:
+		dst = append(dst, chunkedLine...)
+	case r.Flows && r.Length >= 0:
+		dst = appendLength(dst, r.Length)
+	case r.Flows:
+	case !r.Head || r.Status != 405: // after that, GET would get something else
 		dst = appendLength(dst, len(r.Body))
 	}
 	if r.Close {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -116,3 +116,62 @@
 		}
 	})
 }
+
+// Guards against a body that flows and comes out otherwise than it was sent, however it is framed and cut up, and against what
+// follows it being taken for a part of it.
+func TestBodiesThatFlow(t *testing.T) {
+	body := strings.Repeat("0123456789", 30)
+	chunked := "Transfer-Encoding: chunked\r\n\r\n"
+	for i := 0; i < len(body); i += 30 {
+		chunked += "1e;some=extension\r\n" + body[i:i+30] + "\r\n"
+	}
+	for _, c := range []struct {
+		text   string
+		length int
+	}{
+		{"Content-Length: 300\r\n\r\n" + body, 300}, {chunked + "0\r\nT: 1\r\n\r\n", -1}, {"Connection: close\r\n\r\n" + body, -1},
+	} {
+		toEnd := strings.HasPrefix(c.text, "Connection")
+		for _, piece := range []int{1, 7, 1000} {
+			p := NewFlowing(true, 300, Flow{Whole: 20, Known: 64, AtOnce: true})
+			text, got, given, done := "HTTP/1.1 200 OK\r\n"+c.text, "", false, false
+			for rest := text; rest != ""; {
+				n := min(piece, len(rest))
+				p.Feed([]byte(rest[:n]))
+				rest = rest[n:]
+				if !given {
+					m, err := p.Next()
+					require.NoError(t, err)
+					if given = m != nil; !given {
+						continue
+					}
+					got = string(m.Body)
+					if done = !p.Flowing(); done { // it came in one piece
+						continue
+					}
+					assert.Equal(t, c.length, m.Length)
+				}
+				b, all, err := p.Piece()
+				require.NoError(t, err)
+				got, done = got+string(b), all
+			}
+			if toEnd {
+				require.True(t, p.ToEnd())
+				_, done = p.End()
+			}
+			require.True(t, done, text)
+			assert.Equal(t, body, got)
+			assert.True(t, p.Idle())
+		}
+	}
+	p := NewFlowing(true, 299, Flow{Whole: 20, Known: 64, AtOnce: true})
+	_, err := read(p, "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n", 1000)
+	assert.ErrorIs(t, err, ErrOver)
+	p = NewFlowing(true, 300, Flow{Whole: 20})
+	m, err := read(p, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nshort", 1000)
+	require.NoError(t, err)
+	require.Nil(t, m)
+	m, whole := p.End()
+	require.True(t, whole)
+	assert.Equal(t, "short", string(m.Body))
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -48,6 +48,11 @@
 	ending  atomic.Int64
 	came    bool // it was accepted rather than dialled
 
+	reading         sync.Mutex    // held by who reads: the poller, or a goroutine that catches up
+	paused          atomic.Bool   // nothing more is to be read for now
+	toEnd, finished atomic.Bool   // the end is waited for; it has come
+	room            chan struct{} // something was taken of what was written, or the connection has ended
+
 	last   sync.Mutex // orders what is done to the descriptor with its end
 	closed bool       // the engine closes it; its number is another connection's then
 }
@@ -174,13 +179,15 @@
 	l.listener = &listener{Listener: inner, slots: l.slots, open: make(chan struct{}), most: drainMost,
 		begun: make(chan struct{}), closed: make(chan struct{}), quiet: make(chan struct{}), stopped: make(chan struct{})}
 	addr := inner.Addr().String()
-	conf := nbio.Config{Name: "linenwheel", Network: nbio.NETWORK_TCP, NPoller: 1, Addrs: []string{addr},
+	conf := nbio.Config{Name: "linenwheel", Network: nbio.NETWORK_TCP, NPoller: 1, EpollMod: nbio.EPOLLET, Addrs: []string{addr},
 		Listen: func(string, string) (net.Listener, error) { return l.listener, nil }}
 	l.engine = nbio.NewEngine(conf)
 	l.engine.OnOpen(l.opened)
-	l.engine.OnData(func(nb *nbio.Conn, data []byte) {
+	// The engine tells of news on a socket once, and reading is this package's, so that it can be put off.
+	buffer := make([]byte, readMost)
+	l.engine.OnRead(func(nb *nbio.Conn) {
 		if c := l.conn(nb); c != nil {
-			c.handler.Data(data)
+			c.read(buffer)
 		}
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
@@ -192,7 +199,8 @@
 			c.last.Lock()
 			c.closed = true
 			c.last.Unlock()
-			c.handler.Closed(err)
+			c.wake()
+			c.handler.Closed(c.endedBy(err))
 		}
 	})
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
@@ -201,6 +209,7 @@
 			if end := c.ending.Load(); end > 0 && done >= end {
 				go c.Close() // the engine holds its lock here
 			}
+			c.wake()
 		}
 	})
 	if err := l.engine.Start(); err != nil {
@@ -240,7 +249,7 @@
 	if l.conn(nb) != nil { // dialled
 		return
 	}
-	c := &Conn{nb: nb, came: true}
+	c := &Conn{nb: nb, came: true, room: make(chan struct{}, 1)}
 	l.conns.Store(nb, c) // what the handler writes at once is counted
 	c.handler = l.accept(c)
 	l.conns.Store(nb, c) // and the poller sees the handler
@@ -275,7 +284,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("connecting to %s: %w", addr, err)
 	}
-	c := &Conn{nb: nb}
+	c := &Conn{nb: nb, room: make(chan struct{}, 1)}
+	_ = nb.SetReadBuffer(receiveMost)
 	c.handler = handle(c)
 	l.conns.Store(nb, c)
 	if _, err := l.engine.AddConn(nb); err != nil {
--- a/internal/loop/pulse.go
+++ b/internal/loop/pulse.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("making a pulse: %w", err)
 	}
-	l.conns.Store(nb, &Conn{nb: nb, handler: p})
+	l.conns.Store(nb, &Conn{nb: nb, handler: p, room: make(chan struct{}, 1)})
 	if _, err := l.engine.AddConn(nb); err != nil {
 		return nil, fmt.Errorf("making a pulse: %w", err)
 	}
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math"
 	"strconv"
@@ -16,6 +17,7 @@
 
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/stop/gate"
@@ -34,14 +36,24 @@
 	Tenants     map[string]int // and of each tenant
 	Connections int            // the most open at once
 	Crowded     int            // from so many on that have asked, an answer ends its connection
+	Bodies      Bodies
 	Limits      Limits
 }
 
+// Bodies says what bodies a request may have.
+type Bodies struct {
+	Most   int          // bytes, 0 = that of internal/http1, held whole
+	Whole  int          // up to so many bytes one is held until it is whole; a longer one flows
+	Budget *flow.Budget // of what is held, and of what flows
+}
+
 // Limits are what can change while the front serves, times in milliseconds, sizes in bytes.
 type Limits struct {
 	Idle     float64 // after which a connection without a request is closed
 	Read     float64 // in which a request that has begun must be whole,
 	First    float64 // the first one counted from when the client connected
+	Rate     float64 // bytes a millisecond by which a body may take longer than Read,
+	Stall    float64 // and how long a long answer may stand still on its way
 	Linger   float64 // that a client which may go on sending has to read its last answer
 	Settle   float64 // that a client which has connected has before it may have to make room
 	Pipeline int     // kept of what comes behind a request that is being handled
@@ -52,6 +64,11 @@
 // headRoom is what the head of most answers takes at most, in bytes.
 const headRoom = 256
 
+const (
+	apart     = 16 << 10 // from so many bytes on a body is written apart from its head, which saves a copy
+	mostExtra = 8000     // milliseconds that a request may take longer because its body flows
+)
+
 // state is what a connection is about; those that make room for others come first.
 type state uint8
 
@@ -112,7 +129,7 @@
 func (s *Side) Accept(n *loop.Conn) loop.Handler {
 	s.gate.Connected(true)
 	now := s.clock.Now()
-	c := &conn{side: s, net: n, parser: http1.NewRequests(), state: silent, since: now, accepted: now}
+	c := &conn{side: s, net: n, parser: s.parser(), state: silent, since: now, accepted: now}
 	s.mu.Lock()
 	var victim *conn
 	if len(s.conns)-s.retired >= s.set.Connections {
@@ -130,6 +147,14 @@
 	return c
 }
 
+// parser makes a reader of a connection's requests.
+func (s *Side) parser() *http1.Parser {
+	if s.set.Bodies.Most == 0 {
+		return http1.NewRequests()
+	}
+	return http1.NewFlowing(false, s.set.Bodies.Most, http1.Flow{Whole: s.set.Bodies.Whole})
+}
+
 // victim finds, under the lock, the connection that makes room: one that has its last answer, else one that has sent
 // nothing, else one that asked before, each time the one that is so for longest. Those that came just now, and those
 // that may be about to ask again, are spared as long as there are others.
@@ -185,7 +210,7 @@
 		switch age := now - c.since; {
 		case (c.state == silent || c.state == idle) && age >= limit:
 			free = append(free, c)
-		case c.state == reading && (age >= limits.Read || !c.asked && now-c.accepted >= limits.First):
+		case c.state == reading && (age >= limits.Read+c.allowed || !c.asked && now-c.accepted >= limits.First+c.allowed):
 			slow = append(slow, c)
 		}
 	}
@@ -202,7 +227,10 @@
 	}
 }
 
-var errSlow = errors.New("the request was not whole in time")
+var (
+	errSlow = errors.New("the request was not whole in time")
+	errLeft = errors.New("the client has gone")
+)
 
 // conn is a client's connection.
 type conn struct {
@@ -212,20 +240,25 @@
 	accepted float64 // when it came
 
 	// Under the side's lock.
-	state state
-	since float64 // it is in its state since then
-	asked bool    // a whole request has come,
-	left  bool    // and it has had its last answer
+	state   state
+	since   float64 // it is in its state since then
+	asked   bool    // a whole request has come,
+	left    bool    // and it has had its last answer
+	allowed float64 // milliseconds that the body which is coming may take beyond the limits
 
 	retired bool // it was told to make room
 
 	mu     sync.Mutex
 	parser *http1.Parser
-	came   float64    // when bytes came last
-	busy   bool       // a request is being handled
-	deaf   bool       // more came behind it than is kept: its answer is the last
-	ended  bool       // nothing more is read
-	call   *core.Call // that request
+	came   float64       // when bytes came last
+	busy   bool          // a request is being handled
+	deaf   bool          // more came behind it than is kept: its answer is the last
+	ended  bool          // nothing more is read
+	call   *core.Call    // that request
+	upload *flow.Pipe    // the rest of its body, which is still coming
+	held   int           // bytes of the budget reserved for its body
+	closes bool          // the answer that was begun last ends the connection
+	gone   chan struct{} // closed when the connection has ended; made when an answer flows
 }
 
 // enter notes what the connection is about from now on, or that it still is.
@@ -237,9 +270,12 @@
 			c.since = c.came
 		}
 	}
-	if state == busy && !c.asked {
-		c.asked = true
-		c.side.askers++
+	if state == busy {
+		c.allowed = 0
+		if !c.asked {
+			c.asked = true
+			c.side.askers++
+		}
 	}
 	if state == leaving {
 		c.leave()
@@ -286,9 +322,12 @@
 	}
 	c.came = c.side.clock.Now()
 	c.parser.Feed(data)
+	if c.upload != nil && !c.rest() {
+		return
+	}
 	if c.busy && c.parser.Buffered() > c.side.limits.Load().Pipeline {
 		c.deaf = true
-		c.parser = http1.NewRequests()
+		c.parser = c.side.parser()
 		return
 	}
 	c.next()
@@ -303,7 +342,7 @@
 			return
 		}
 		if m == nil {
-			if !c.parser.Idle() {
+			if !c.parser.Idle() && c.reserve() {
 				c.enter(reading)
 				c.expected()
 			}
@@ -314,6 +353,68 @@
 	}
 }
 
+// reserve has, under the lock, a body that is held accounted for, and refuses its request where there is no room.
+func (c *conn) reserve() bool {
+	held := c.parser.Held()
+	if held > 0 {
+		allowed := float64(c.parser.Came()) / c.side.limits.Load().Rate
+		c.side.mu.Lock()
+		c.allowed = allowed
+		c.side.mu.Unlock()
+	}
+	if held <= http1.MaxBody || c.held > 0 {
+		return true
+	}
+	held = c.side.set.Bodies.Whole // it may still grow
+	if !c.side.set.Bodies.Budget.Reserve(held) {
+		c.side.log.Warn("there is no memory for a long body: its request gets a back-off answer", "bytes", held)
+		c.last(c.parser.Head(), text(503, "", core.ReasonBusy))
+		return false
+	}
+	c.held = held
+	return true
+}
+
+// free gives back, under the lock, what was reserved for a body.
+func (c *conn) free() {
+	if c.held > 0 {
+		c.side.set.Bodies.Budget.Release(c.held)
+		c.held = 0
+	}
+}
+
+// rest moves what has come of a body that flows, under the lock, and tells whether reading goes on behind it.
+func (c *conn) rest() bool {
+	piece, done, err := c.parser.Piece()
+	if len(piece) > 0 {
+		c.upload.Put(piece)
+	}
+	switch {
+	case err != nil:
+		c.upload.End(err)
+		c.upload = nil
+		if call := c.call; call != nil {
+			go call.Leave() // nobody can serve it
+		}
+		c.unreadable(err)
+		return false
+	case done:
+		c.upload.End(io.EOF)
+		c.upload = nil
+		return true
+	}
+	return false
+}
+
+// hold slows the client, or lets it go on.
+func (c *conn) hold(on bool) {
+	if on {
+		c.net.Pause()
+	} else {
+		c.net.Resume()
+	}
+}
+
 // expected answers at once, under the lock, a client that waits for leave to send its body: with that, or with what its
 // request gets for its head.
 func (c *conn) expected() {
@@ -364,11 +465,18 @@
 		c.write(m, r)
 		return
 	}
+	if c.parser.Flowing() {
+		c.upload = flow.New(c.side.set.Bodies.Budget, c.hold, c.net.Resume)
+		m.Rest = c.upload
+	}
 	if a, ok := c.side.core.Take(call); !ok {
 		c.final(m, a)
 		return
 	}
 	c.busy, c.call = true, call
+	if c.upload != nil {
+		c.rest()
+	}
 	go c.serve(m, call)
 }
 
@@ -412,7 +520,8 @@
 	if n != 1 || err != nil || wait == 0 {
 		return nil, text(400, "", http1.DeadlineField+" is missing or bad")
 	}
-	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait), Payload: m}
+	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait) + s.extra(m), Payload: m,
+		Flows: s.set.Bodies.Most > 0}
 	if owner, n := m.Get("Req-Owner"); n > 0 {
 		if i, ok := s.set.Tenants[string(owner)]; ok {
 			call.Tenant = i
@@ -424,14 +533,32 @@
 	return call, refusal
 }
 
+// extra is how much longer than its client will wait a request may take whose body is still coming: the client's time begins with
+// the last byte, which nobody knows yet. It is what the rest takes at the slowest that is waited for.
+func (s *Side) extra(m *http1.Message) float64 {
+	if m.Length == 0 {
+		return 0
+	}
+	left := s.set.Bodies.Most
+	if m.Length > 0 {
+		left = m.Length - len(m.Body)
+	}
+	return min(float64(left)/s.limits.Load().Rate, mostExtra)
+}
+
 // serve has a call served and answers it.
 func (c *conn) serve(m *http1.Message, call *core.Call) {
 	a := c.side.core.Serve(call)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.free()
 	if a.Kind == core.Left {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if answer, ok := a.Payload.(*http1.Message); ok && answer.Rest != nil {
+		c.flow(m, call, answer)
+		return
+	}
 	c.call, c.busy = nil, false
 	if !c.ended {
 		c.final(m, a)
@@ -484,14 +611,38 @@
 
 // write answers m, under the lock, and ends the connection where it is to end.
 func (c *conn) write(m *http1.Message, r http1.Reply) {
+	c.decideEnd(m)
+	r.Date, r.Close, r.Keep = c.side.dates.at(c.side.clock.Now()), c.closes, m.Old
+	r.Head = string(m.Method) == "HEAD"
+	body := r.Body
+	big := len(body) >= apart && !r.Head
+	if big {
+		r.Body, r.Flows, r.Length = nil, true, len(body)
+	}
+	_ = c.net.Write(http1.AppendResponse(make([]byte, 0, headRoom+len(r.Body)), r))
+	if big {
+		_ = c.net.Write(body)
+	}
+	c.answered()
+}
+
+// decideEnd decides, under the lock, whether the answer to m that begins now ends the connection.
+func (c *conn) decideEnd(m *http1.Message) {
 	policy := c.side.gate.Policy()
 	c.side.mu.Lock()
 	// Clients may hold only so many, and some hold on to what they do not use again.
 	crowded := c.side.askers >= c.side.set.Crowded && policy.Replaceable
 	c.side.mu.Unlock()
-	end := m.Close || c.once || c.deaf || crowded || policy.EndAnswered
-	r.Date, r.Close, r.Keep = c.side.dates.at(c.side.clock.Now()), end, m.Old
-	r.Head = string(m.Method) == "HEAD"
+	if c.upload != nil { // the rest of the request is not wanted any more
+		c.upload.Drop()
+		c.upload, c.deaf = nil, true
+	}
+	c.closes = m.Close || c.once || c.deaf || crowded || policy.EndAnswered
+}
+
+// answered does, under the lock, what follows when all of an answer was written.
+func (c *conn) answered() {
+	end := c.closes || c.deaf
 	c.ended = end
 	if end {
 		c.enter(leaving)
@@ -500,9 +651,8 @@
 	}
 	lingers := end && (c.deaf || c.parser.Buffered() > 0) // the client goes on sending
 	if lingers {
-		c.side.clock.At(c.side.clock.Now()+c.side.limits.Load().Linger, c.net.Close)
+		c.side.clock.At(c.side.clock.Now()+c.side.limits.Load().Linger, c.net.End)
 	}
-	_ = c.net.Write(http1.AppendResponse(make([]byte, 0, headRoom+len(r.Body)), r))
 	switch {
 	case lingers:
 	case end:
@@ -518,6 +668,17 @@
 	c.mu.Lock()
 	c.ended = true
 	call := c.call
+	if c.gone != nil {
+		close(c.gone)
+		c.gone = nil
+	}
+	if c.upload != nil {
+		c.upload.End(errLeft)
+		c.upload = nil
+	}
+	if !c.busy {
+		c.free()
+	}
 	c.mu.Unlock()
 	c.side.mu.Lock()
 	delete(c.side.conns, c)
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -76,7 +76,7 @@
 }
 
 // NorthHTTP are clients that speak HTTP/1.1. The protocol's own limits (a head of 16 KiB and 64 fields, a body of 64
-// KiB) are not to be set.
+// KiB unless it flows) are not to be set.
 type NorthHTTP struct {
 	// IdleAfter is how long a client's connection may carry no request before it is closed.
 	IdleAfter Duration `toml:"idle_after" default:"2050ms" min:"1ms" max:"24h" reload:"now"`
@@ -94,6 +94,16 @@
 	RetryAfter string `toml:"retry_after" default:"decimal" oneof:"decimal whole" reload:"now"`
 	// Settle is how long a client that has connected is spared before it may have to make room for another.
 	Settle Duration `toml:"settle" default:"25ms" min:"0s" max:"10s" reload:"now"`
+	// BodyMost is the most bytes in a request's body, and in the answer of a host. Stages that compare bodies (repeats) and hosts that
+	// speak Thrift need them whole: with either on, the limit is the protocol's, 64 KiB.
+	BodyMost Size `toml:"body_most" default:"32MiB" min:"64KiB" max:"1GiB"`
+	// BodyWhole is up to how many bytes a request's body is held until it is whole, so that it can go out again; a longer one goes
+	// to a host as it comes. Over 64 KiB it is counted in service.bodies_part.
+	BodyWhole Size `toml:"body_whole" default:"256KiB" min:"64KiB" max:"16MiB"`
+	// BodyRate is how many bytes a second of a body let its request take longer than the limits above.
+	BodyRate Size `toml:"body_rate" default:"32KiB" min:"1KiB" max:"1GiB" reload:"now"`
+	// Stall is how long a long answer may stand still on its way, because its host gives or its client takes nothing.
+	Stall Duration `toml:"stall" default:"15s" min:"1s" max:"1h" reload:"now"`
 	// PipelineMost is how much is kept of what comes behind a request that is being handled; with more, that request's
 	// answer is the connection's last.
 	PipelineMost Size `toml:"pipeline_most" default:"32KiB" min:"1KiB" max:"16MiB" reload:"now"`
@@ -156,6 +166,9 @@
 	Reserve int `toml:"reserve" default:"24" min:"16" max:"4096"`
 	// MemoryPart is the part of the platform's memory_mb that the garbage collector keeps the process under.
 	MemoryPart float64 `toml:"memory_part" default:"0.7" min:"0.1" max:"0.95" reload:"now"`
+	// BodiesPart is the part of the platform's memory_mb that bodies may take: half for those that are held whole, half for those
+	// that flow.
+	BodiesPart float64 `toml:"bodies_part" default:"0.25" min:"0.01" max:"0.8"`
 	// GCPercent is how much the heap may grow before it is collected, in percent of what is alive.
 	GCPercent int `toml:"gc_percent" default:"400" min:"10" max:"10000" reload:"now"`
 }
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// Report tells how a relay ended. The first that served the request has its payload answered.
-func (t *Ticket) Report(n int, o Outcome, payload any) {
+// Report tells how a relay ended. The first that served the request has its payload answered; used tells that this is the one.
+func (t *Ticket) Report(n int, o Outcome, payload any) (used bool) {
 	t.p.event(func(now float64) {
 		if n < 0 || n >= len(t.relays) || t.relays[n].ended {
 			return
@@ -321,12 +321,14 @@
 		t.out--
 		if o == Served && !t.over {
 			t.push(Verdict{Kind: Answer, Relay: n, Payload: payload})
+			used = true
 			t.end()
 		}
 		t.p.module.Outcome(span(now), decide.Outcome{Request: t.id, Backend: r.to, Attempt: n, Over: t.over,
 			Latency: span(now - r.sent), Result: results[o]})
 		t.forget()
 	})
+	return used
 }
 
 // Gone tells that the client has left.
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"math"
 	"net"
@@ -13,6 +14,8 @@
 
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
+	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
 )
@@ -42,6 +45,23 @@
 	Outcome pilot.Outcome
 	Payload any  // with Served
 	Last    bool // the host ends the connection after it
+	// Attach, if not nil, is to be given the rest of the body, which flows.
+	Attach func(*flow.Pipe)
+}
+
+// Flowing is what Answers have besides if some of them flow.
+type Flowing interface {
+	Piece() (piece []byte, done bool, err error) // gives what has come of the rest; good until Feed is called
+	ToEnd() bool                                 // the answer that is coming ends with the connection
+	// End takes the end of the connection, and tells whether an answer was whole by it; one without a payload was given before.
+	End() (Answer, bool)
+}
+
+// Body is what Request may return beside, for a body that is to be written after it.
+type Body struct {
+	First   []byte
+	Rest    *flow.Pipe // which only one relay can take; nil = First is all
+	Chunked bool
 }
 
 // Settings describe the south side, times in milliseconds.
@@ -55,6 +75,7 @@
 	// answer, does so before the next relay could take that for its own.
 	Settle float64
 	Limits Limits
+	Budget *flow.Budget // of bodies that flow; nil = none does
 	// Sent is told of each relay whose last byte has gone out; nil = nobody.
 	Sent func()
 }
@@ -118,8 +139,10 @@
 	mu     sync.Mutex
 	speaks Protocol
 	reader Answers
-	done   chan end // of the relay that it carries, nil while idle
-	asked  bool     // that relay is being written: what comes may be its answer
+	done   chan end   // of the relay that it carries, nil while idle
+	asked  bool       // that relay is being written: what comes may be its answer
+	body   *flow.Pipe // the rest of its answer, which goes on after its end
+	last   bool       // the host ends the connection after that
 	broken bool
 	freed  sync.Once
 }
@@ -171,6 +194,13 @@
 // Data takes bytes from the host.
 func (c *conn) Data(data []byte) {
 	c.mu.Lock()
+	if c.body != nil {
+		c.reader.Feed(data)
+		fit := c.pieces()
+		c.mu.Unlock()
+		c.settle(fit)
+		return
+	}
 	if c.done == nil || !c.asked { // it belongs to no relay
 		c.broken = true
 		c.finish(end{err: errBroken})
@@ -180,15 +210,87 @@
 	}
 	c.reader.Feed(data)
 	answer, whole, err := c.reader.Next()
+	if reader, ok := c.reader.(Flowing); ok && err == nil && reader.ToEnd() {
+		c.net.ReadToEnd()
+	}
 	if !whole && err == nil {
 		c.mu.Unlock()
 		return
 	}
+	if err == nil && answer.Attach != nil {
+		c.body, c.last = flow.New(c.pool.set.Budget, c.hold, c.forgo), answer.Last
+		answer.Attach(c.body)
+		c.finish(end{answer, whole, err})
+		fit := c.pieces()
+		c.mu.Unlock()
+		c.settle(fit)
+		return
+	}
 	c.broken = c.broken || err != nil || answer.Last || !c.reader.Idle()
 	c.finish(end{answer, whole, err})
 	c.mu.Unlock()
 }
 
+// What is to become of a connection after a part of a flow.
+type fate uint8
+
+const (
+	flowing fate = iota
+	free         // it can carry another relay
+	spent
+)
+
+// pieces moves what has come of a body that flows, under the connection's lock.
+func (c *conn) pieces() fate {
+	reader := c.reader.(Flowing)
+	piece, done, err := reader.Piece()
+	if len(piece) > 0 {
+		c.body.Put(piece)
+	}
+	switch {
+	case err != nil:
+		c.body.End(err)
+	case done:
+		c.body.End(io.EOF)
+	default:
+		return flowing
+	}
+	c.body = nil
+	if c.broken = c.broken || err != nil || c.last || !c.reader.Idle(); c.broken {
+		return spent
+	}
+	return free
+}
+
+// settle does, without the lock, what is to become of the connection.
+func (c *conn) settle(f fate) {
+	switch f {
+	case free:
+		c.net.Resume()
+		c.pool.put(c, true)
+	case spent:
+		c.net.Close()
+	}
+}
+
+// hold slows the host, or lets it go on.
+func (c *conn) hold(on bool) {
+	if on {
+		c.net.Pause()
+	} else {
+		c.net.Resume()
+	}
+}
+
+// forgo ends a connection whose flow nobody wants.
+func (c *conn) forgo() {
+	c.mu.Lock()
+	c.body, c.broken = nil, true
+	c.mu.Unlock()
+	c.net.Resume()
+	c.net.Close()
+}
+
 // finish ends the relay under the connection's lock.
 func (c *conn) finish(e end) {
 	if c.done != nil {
@@ -203,9 +305,21 @@
 )
 
 // Closed takes the end of the connection.
-func (c *conn) Closed(error) {
+func (c *conn) Closed(err error) {
 	c.mu.Lock()
 	c.broken = true
+	if reader, ok := c.reader.(Flowing); ok && errors.Is(err, io.EOF) && (c.body != nil || c.done != nil && c.asked) {
+		if answer, whole := reader.End(); whole && c.body != nil {
+			c.body.End(io.EOF)
+			c.body = nil
+		} else if whole {
+			c.finish(end{answer: answer, whole: true})
+		}
+	}
+	if c.body != nil {
+		c.body.End(errBroken)
+		c.body = nil
+	}
 	c.finish(end{err: errBroken})
 	c.mu.Unlock()
 	c.release()
@@ -262,7 +376,13 @@
 	stop := p.clock.At(until, func() { close(late) })
 	defer stop()
 	c.ask(about)
-	whole := func() bool { return c.net.Written()-start >= int64(len(out)) }
+	body, _ := about.(*Body)
+	size, all := int64(len(out)), true // of what is to be written, and whether that is known
+	if body != nil {
+		size += int64(len(body.First))
+		all = body.Rest == nil
+	}
+	whole := func() bool { return all && c.net.Written()-start >= size }
 	counted := false
 	count := func() {
 		if !counted && p.set.Sent != nil && whole() {
@@ -271,7 +391,15 @@
 		}
 	}
 	defer count()
+	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
+		was := len(out)
+		out = http1.AppendChunkHead(out, len(body.First))
+		size += int64(len(out) - was)
+	}
 	err = c.net.Write(out)
+	if err == nil && body != nil && len(body.First) > 0 {
+		err = c.net.Write(body.First)
+	}
 	count()
 	if err != nil {
 		broke = true
@@ -291,6 +419,19 @@
 		return pilot.Served, nil
 	}
 	var e end
+	if body != nil && body.Rest != nil {
+		more, err := p.upload(c, body, done, off, late)
+		if err != nil { // its last byte never went out
+			c.giveUp(done)
+			if errors.Is(err, errHost) {
+				return pilot.NoConnect, nil
+			}
+			return pilot.Unsent, nil
+		}
+		size += more
+		all = more > 0
+		count()
+	}
 	select {
 	case e = <-done:
 	case <-off:
@@ -317,7 +458,13 @@
 		}
 		return pilot.Reset, nil
 	}
-	p.put(c, whole())
+	if e.answer.Attach == nil {
+		p.put(c, whole())
+	} else if !whole() { // it answers before it has the request: it is not used again
+		c.mu.Lock()
+		c.broken = true
+		c.mu.Unlock()
+	}
 	return e.answer.Outcome, e.answer.Payload
 }
 
--- a/internal/south/httphost/httphost.go
+++ b/internal/south/httphost/httphost.go
@@ -6,6 +6,7 @@
 	"errors"
 
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/pilot"
 	"linenwheel.dev/linenwheel/internal/south/carrier"
@@ -19,6 +20,9 @@
 	Cross   bool
 	Classes []Class
 	Tenants []string // names, by number
+
+	Most  int  // bytes in an answer's body, 0 = that of internal/http1
+	Flows bool // answers that are long, or end with the connection, flow to clients that can take them so
 }
 
 // Class is what a request of a class looks like.
@@ -36,10 +40,14 @@
 		}
 		m = p.compose(call, t)
 	}
-	if dst == nil {
-		dst = make([]byte, 0, 512+len(m.Body))
+	if m.Rest == nil && len(m.Body) < apart {
+		if dst == nil {
+			dst = make([]byte, 0, 512+len(m.Body))
+		}
+		return http1.AppendRequest(dst, m, host.Address, http1.DeadlineField, left), nil, nil
 	}
-	return http1.AppendRequest(dst, m, host.Address, http1.DeadlineField, left), nil, nil
+	body := &carrier.Body{First: m.Body, Rest: m.Rest, Chunked: m.Rest != nil && m.Length < 0}
+	return http1.AppendRequestHead(dst, m, host.Address, http1.DeadlineField, left), body, nil
 }
 
 // compose makes a request of a call that came in Thrift.
@@ -60,7 +68,20 @@
 }
 
 // Answers is that of carrier.Protocol.
-func (Protocol) Answers() carrier.Answers { return answers{http1.NewResponses()} }
+func (p Protocol) Answers() carrier.Answers {
+	if !p.Flows {
+		return answers{http1.NewResponses()}
+	}
+	return answers{http1.NewFlowing(true, p.Most, http1.Flow{Whole: wholeUnknown, Known: http1.MaxBody, AtOnce: true})}
+}
+
+const (
+	apart = 16 << 10 // from so many bytes on a body is written apart from its head, which saves a copy
+
+	// An answer whose length is not told goes on once so much of it has come: if it is shorter, another host may still make up
+	// for its breaking off.
+	wholeUnknown = 8 << 10
+)
 
 // answers reads one connection.
 type answers struct{ *http1.Parser }
@@ -72,7 +93,24 @@
 	if m == nil || err != nil {
 		return carrier.Answer{}, false, err
 	}
-	return carrier.Answer{Outcome: outcome(m), Payload: m, Last: m.Close}, true, nil
+	return a.answer(m), true, nil
+}
+
+func (a answers) answer(m *http1.Message) carrier.Answer {
+	answer := carrier.Answer{Outcome: outcome(m), Payload: m, Last: m.Close}
+	if a.Flowing() {
+		answer.Attach = func(p *flow.Pipe) { m.Rest = p }
+	}
+	return answer
+}
+
+// End takes the end of the connection, with which an answer may be whole.
+func (a answers) End() (carrier.Answer, bool) {
+	m, ok := a.Parser.End()
+	if m == nil {
+		return carrier.Answer{}, ok
+	}
+	return a.answer(m), ok
 }
 
 // outcome reads an answer as the protocol's table has it.
--- a/node/door.go
+++ b/node/door.go
@@ -235,6 +235,7 @@
 	n.loop.Resize(room.Clients + room.Spare)
 	conf.MemoryMB *= memory
 	SetLimits(&conf, o)
+	n.budget.Resize(bodiesBudget(&conf, o))
 	if memory < 1 {
 		debug.FreeOSMemory() // the other process needs it now
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"linenwheel.dev/linenwheel/internal/config"
 	"linenwheel.dev/linenwheel/internal/core"
 	"linenwheel.dev/linenwheel/internal/figures"
+	"linenwheel.dev/linenwheel/internal/flow"
 	"linenwheel.dev/linenwheel/internal/inventory/discovery"
 	"linenwheel.dev/linenwheel/internal/log"
 	"linenwheel.dev/linenwheel/internal/loop"
@@ -133,7 +134,8 @@
 	locked  *os.File         // keeps other processes from the journal
 
 	figures *figures.Set
-	door    *admin.Door // nil = operators have none
+	budget  *flow.Budget // of bodies
+	door    *admin.Door  // nil = operators have none
 	orders  orders
 
 	since     float64            // when it was made
@@ -170,7 +172,7 @@
 	}
 	logger = log.On(logger, c).With("node", conf.Name)
 	n.log = logger.With("part", "node")
-	n.figures = figures.New(classNames(conf))
+	n.figures, n.budget = figures.New(classNames(conf)), flow.NewBudget(bodiesBudget(conf, &o))
 	sparse := log.Sparse(logger, c, &n.flood)
 	var err error
 	set, seed := conf.Settings, conf.Seed
@@ -194,7 +196,7 @@
 	}
 	n.pool = carrier.New(carrier.Settings{Protocol: protocols(conf, &o),
 		ConnectTimeout: conf.ConnectTimeout, Connections: room.Hosts,
-		Settle: o.South.Settle.Ms, ToOne: n.toOne(o.Fleet.RaterConnections, n.fleet), Limits: southLimits(conf, &o), Sent: n.figures.Attempt}, n.clock, n.loop, sparse.With("part", "south"))
+		Settle: o.South.Settle.Ms, ToOne: n.toOne(o.Fleet.RaterConnections, n.fleet), Limits: southLimits(conf, &o), Sent: n.figures.Attempt, Budget: n.budget}, n.clock, n.loop, sparse.With("part", "south"))
 	n.gate = gate.New(worthFor(conf), drainTimes(&o), c)
 	stages := core.Stages{First: extra.First, Last: extra.Last}
 	if o.Quota.On {
@@ -213,7 +215,7 @@
 	}
 	calls := core.Settings{Calls: n.mostCalls(room), Gate: n.gate, Stages: stages, Figures: n.figures}
 	n.core = core.New(calls, n.pilot, n.pool, sparse.With("part", "core"))
-	n.north = httpfront.New(frontSettings(conf, &o, room), n.clock, n.core, n.gate, sparse.With("part", "north"))
+	n.north = httpfront.New(frontSettings(conf, &o, room, n.budget), n.clock, n.core, n.gate, sparse.With("part", "north"))
 	side = n.north
 	n.gate.Hook(gate.Hooks{Announce: n.announce, Refuse: n.refuse, CloseIdle: n.sweep, Finish: n.finish})
 	close(ready)
@@ -346,7 +348,7 @@
 func northLimits(o *Options) httpfront.Limits {
 	h := &o.North.HTTP
 	return httpfront.Limits{Idle: h.IdleAfter.Ms, Read: h.ReadLimit.Ms, First: h.FirstLimit.Ms, Linger: h.Linger.Ms,
-		Settle: h.Settle.Ms, Pipeline: h.PipelineMost.Bytes, Backlog: h.BacklogMost.Bytes, Whole: h.RetryAfter == "whole"}
+		Rate: float64(h.BodyRate.Bytes) / 1000, Stall: h.Stall.Ms, Settle: h.Settle.Ms, Pipeline: h.PipelineMost.Bytes, Backlog: h.BacklogMost.Bytes, Whole: h.RetryAfter == "whole"}
 }
 
 func southLimits(conf *Config, o *Options) carrier.Limits {
@@ -361,7 +363,7 @@
 		FirstPause: d.FirstPause.Ms, LastPause: d.LastPause.Ms}
 }
 
-func frontSettings(conf *Config, o *Options, room options.Room) httpfront.Settings {
+func frontSettings(conf *Config, o *Options, room options.Room, budget *flow.Budget) httpfront.Settings {
 	set := httpfront.Settings{ByName: map[string]int{}, Tenants: map[string]int{}, Connections: room.Clients,
 		Crowded: room.Crowded, Limits: northLimits(o)}
 	for i, c := range conf.Settings.Classes {
@@ -375,9 +377,21 @@
 	for i, t := range conf.Settings.Tenants {
 		set.Tenants[t.Name] = i
 	}
+	set.Bodies.Budget = budget
+	if flows(o) {
+		set.Bodies.Most, set.Bodies.Whole = o.North.HTTP.BodyMost.Bytes, o.North.HTTP.BodyWhole.Bytes
+	}
 	return set
 }
 
+// flows tells whether bodies may flow: nothing wants them whole.
+func flows(o *Options) bool { return !o.Repeats.On && len(o.South.Thrift.Kinds) == 0 }
+
+// bodiesBudget is the memory for bodies, of a part of what the platform gives.
+func bodiesBudget(conf *Config, o *Options) int {
+	return int(conf.MemoryMB * o.Service.BodiesPart * (1 << 20))
+}
+
 // SetLimits makes the process keep to its limits. The poller waits within a system call and holds one of the
 // runtime's processors meanwhile, so there is one more than there are cores.
 func SetLimits(conf *Config, o *Options) {
--- a/node/thrift.go
+++ b/node/thrift.go
@@ -34,7 +34,7 @@
 // protocols says what is spoken with a host.
 func protocols(conf *Config, o *Options) func(core.Host) carrier.Protocol {
 	s := &o.South.Thrift
-	plain := httphost.Protocol{Cross: s.Cross}
+	plain := httphost.Protocol{Cross: s.Cross, Most: o.North.HTTP.BodyMost.Bytes, Flows: flows(o)}
 	methods := make([]string, len(conf.Settings.Classes))
 	for i, c := range conf.Settings.Classes {
 		method := "POST"
