Leave a descriptor alone once the engine has closed it: it may be another connection's

Cause: the engine closes a descriptor and tells of it later, from a queue of its own. Ruled out: the choice of who makes room, the limits for slow requests, the stop.

Change: what is done to a descriptor asks the engine first whether it is closed, and a reader that sees the end lets nobody touch it any more.

--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -52,8 +52,11 @@
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
-		if n <= 0 || err != nil { // the engine hears of an end, too
-			c.finished.Store(c.finished.Load() || n == 0 && err == nil)
+		if n <= 0 || err != nil {
+			if !errors.Is(err, syscall.EAGAIN) { // the engine hears of it, too, and closes the socket next
+				c.finished.Store(c.finished.Load() || err == nil)
+				c.over()
+			}
 			return
 		}
 		total += n
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -61,11 +61,22 @@
 func (c *Conn) descriptor(f func(fd int)) {
 	c.last.Lock()
 	defer c.last.Unlock()
-	if !c.closed {
+	if c.closed {
+		return
+	}
+	// The engine tells of an end some time after it has closed the descriptor, which may be another connection's by then.
+	if closed, _ := c.nb.IsClosed(); !closed {
 		f(c.nb.Hash()) // which is the descriptor
 	}
 }
 
+// over notes that the engine is about to close the descriptor: nothing is to be done to it any more.
+func (c *Conn) over() {
+	c.last.Lock()
+	c.closed = true
+	c.last.Unlock()
+}
+
 var errEnded = errors.New("the connection has ended")
 
 // ended tells whether the connection is broken, so that nothing can be written.
@@ -110,7 +121,7 @@
 
 // Farewell tells the other side that nothing more comes, if nothing has come that the poller has not read: a connection
 // that looks idle may not be. If it gives true, End is to follow. Between looking and telling there is next to no time,
-// whereas the engine closes a socket only when its handler's Closed has returned.
+// whereas the engine closes a socket some time after its poller hears of the end.
 func (c *Conn) Farewell() bool {
 	free, empty := true, c.Backlog() == 0
 	c.descriptor(func(fd int) {
@@ -196,9 +207,7 @@
 			if c.came {
 				l.slots.release()
 			}
-			c.last.Lock()
-			c.closed = true
-			c.last.Unlock()
+			c.over()
 			c.wake()
 			c.handler.Closed(c.endedBy(err))
 		}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -301,3 +301,45 @@
 	close(free)
 	<-stopped
 }
+
+// Guards against a connection that ends another one, which has got its descriptor's number: the engine closes a descriptor some
+// time before it says so.
+func TestOldConnectionsLeaveNewOnesAlone(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 64, func(c *Conn) Handler {
+		accepted <- c
+		return echo{c}
+	})
+	require.NoError(t, err)
+	defer l.Stop()
+	for range 300 {
+		old, err := net.Dial("tcp", l.Addr())
+		require.NoError(t, err)
+		c := <-accepted
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go func() { // as a sweep and a timer would, at the worst moment
+			defer close(stopped)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.Close()
+				}
+			}
+		}()
+		_ = old.Close()
+		for range 5 {
+			fresh, err := net.Dial("tcp", l.Addr())
+			require.NoError(t, err)
+			<-accepted
+			_, err = fresh.Write([]byte("x"))
+			require.NoError(t, err)
+			_, err = fresh.Read(make([]byte, 1))
+			require.NoError(t, err, "a new connection was ended by an old one")
+			_ = fresh.Close()
+		}
+		close(stop)
+		<-stopped
+	}
+}
