--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check clean
+.PHONY: build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -70,3 +70,7 @@
 # Fails when a request costs more allocations or system calls than bench/kept.json has. Counts alone, no times.
 bench-check:
 	go run ./bench -check bench/kept.json
+
+# Many long answers at once to slow readers, before a node with little memory: docs/measurements/day-by-day.md.
+long: build
+	go run ./lab/long
--- a/internal/daemon/beside.go
+++ b/internal/daemon/beside.go
@@ -24,6 +24,7 @@
 	sharedSocket = "linenwheel.sock" // in $TMPDIR, where processes of a node find each other
 	mostPath     = 90                // bytes of a Unix socket's path, with room for what is appended while it changes hands
 	sharedAnswer = 1500              // milliseconds that a process waits for another's word: it has to serve soon itself
+	leaveAfter   = 5 * time.Second   // for the platform's signal to a process that has handed over
 	beside       = 0.5               // part of the memory for each of two processes
 )
 
@@ -118,3 +119,16 @@
 	}
 	return errors.Join(before, after)
 }
+
+// awaitEnd has a process that another one took over from stay until the platform, which started both, tells it to end: one that
+// leaves by itself just then may be taken for something else. It owes nothing and holds next to nothing any more.
+func (d *daemon) awaitEnd(end <-chan os.Signal) {
+	server := d.control()
+	if !d.shared || d.told || server == nil || !server.Given() {
+		return
+	}
+	select {
+	case <-end:
+	case <-time.After(leaveAfter):
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,6 +58,7 @@
 	stuck   atomic.Pointer[string]
 	shared  bool          // the platform holds the clients' listening socket
 	made    chan struct{} // closed when there is a node
+	told    bool          // a signal to end has come
 	from    string        // the process that this one took over from
 	given   string        // where that one listened, if not here
 
@@ -307,6 +308,7 @@
 			d.keeper.release()
 			d.node.Yield() // at once, where nothing was accepted
 		case s := <-signals.End:
+			d.told = true
 			d.stop(s, owner == nil, stop)
 		case <-signals.Reload:
 			d.manager.Reloading("reading the configuration again")
@@ -318,7 +320,9 @@
 			if why != nil {
 				err = why
 			}
-			return d.ended(err)
+			err = d.ended(err)
+			d.awaitEnd(signals.End)
+			return err
 		}
 	}
 }
