Let no answer flow where clients may speak Thrift

Cause, read from the code: with a Thrift listener and calls that cross, an answer over 64 KiB from an HTTP host flowed to a front that only knows whole ones, which would have answered with its beginning.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -26,7 +26,6 @@
 	Repeat   bool    // the client says that it has tried before
 	Caller   string  // who was proven to call; "" = nobody was
 	Hops     int     // gateways that it has come through
-	Flows    bool    // its front can take an answer that flows
 	Alone    bool    // no other call goes on its client's connection meanwhile
 	Payload  any     // the message as it came, which only the front and the carrier can read
 
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -520,8 +520,7 @@
 	if n != 1 || err != nil || wait == 0 {
 		return nil, text(400, "", http1.DeadlineField+" is missing or bad")
 	}
-	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait) + s.extra(m), Payload: m,
-		Flows: s.set.Bodies.Most > 0}
+	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait) + s.extra(m), Payload: m}
 	if owner, n := m.Get("Req-Owner"); n > 0 {
 		if i, ok := s.set.Tenants[string(owner)]; ok {
 			call.Tenant = i
--- a/node/node.go
+++ b/node/node.go
@@ -384,8 +384,10 @@
 	return set
 }
 
-// flows tells whether bodies may flow: nothing wants them whole.
-func flows(o *Options) bool { return !o.Repeats.On && len(o.South.Thrift.Kinds) == 0 }
+// flows tells whether bodies may flow: nothing wants them whole, as repeats and Thrift on either side do.
+func flows(o *Options) bool {
+	return !o.Repeats.On && len(o.South.Thrift.Kinds) == 0 && o.North.Thrift.Listen == ""
+}
 
 // bodiesBudget is the memory for bodies, of a part of what the platform gives.
 func bodiesBudget(conf *Config, o *Options) int {
