--- a/internal/repeats/journal/inspect.go
+++ b/internal/repeats/journal/inspect.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"linenwheel.dev/linenwheel/internal/repeats"
+	"linenwheel.dev/linenwheel/internal/segments"
 )
 
 // Segment describes one file of a journal.
@@ -27,7 +28,7 @@
 }
 
 // Inspect reads a folder without changing it.
-func Inspect(f Folder) (r Report, err error) {
+func Inspect(f segments.Folder) (r Report, err error) {
 	names, err := f.List()
 	if err != nil {
 		return r, fmt.Errorf("reading the journal: %w", err)
@@ -36,7 +37,7 @@
 	know := map[repeats.Name]*entry{}
 	r.Names = map[string]int{}
 	for _, name := range names {
-		if _, ok := segmentNumber(name); !ok {
+		if _, ok := form.Number(name); !ok {
 			continue
 		}
 		text, err := f.Read(name)
@@ -76,11 +77,11 @@
 }
 
 func headerOf(text []byte) (h header, ok bool) {
-	if len(text) < len(magic) {
-		return h, false
-	}
-	content, _, err := open(text[len(magic):])
-	return h, err == nil && json.Unmarshal(content, &h) == nil
+	_, _ = form.Read(text, func(content []byte) error { // what is damaged is told by readSegment
+		ok = json.Unmarshal(content, &h) == nil
+		return ErrVersion // the records are not wanted
+	}, nil)
+	return h, ok
 }
 
 func union(a, b []string) []string {
@@ -94,7 +95,7 @@
 
 // Compact writes what is of use at a time into one new segment and removes the others. Nothing may have the folder open.
 // A damaged segment stays, so that a person can look at it.
-func Compact(f Folder, keep, now float64) (kept int, err error) {
+func Compact(f segments.Folder, keep, now float64) (kept int, err error) {
 	r, err := Inspect(f)
 	if err != nil {
 		return 0, err
--- a/internal/repeats/journal/journal.go
+++ b/internal/repeats/journal/journal.go
@@ -22,12 +22,10 @@
 	"fmt"
 	"math"
 	"slices"
-	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
-
 	"linenwheel.dev/linenwheel/internal/repeats"
+	"linenwheel.dev/linenwheel/internal/segments"
 )
 
 // Version is that of the form. One release reads its own and the one before; this is the first.
@@ -47,14 +45,10 @@
 	ErrFull    = errors.New("too many records wait for the disk")
 	ErrClosed  = errors.New("the journal is closed")
 	ErrVersion = errors.New("written in a form that this release does not read")
-	errTorn    = errors.New("cut off or damaged")
 )
 
-const (
-	magic      = "lwrepeat"
-	headLength = 12 // of a record: 4 bytes of length, 8 of checksum
-	mostRecord = 1 << 20
-)
+// form is that of the files.
+var form = segments.Form{Magic: "lwrepeat", Prefix: "repeats"}
 
 // kind is what a record tells.
 type kind uint8
@@ -79,43 +73,19 @@
 const recordLength = 1 + 1 + 1 + 2 + 8 + 16 + 16
 
 func (r *record) append(dst []byte) []byte {
-	start := len(dst)
-	dst = append(dst, make([]byte, headLength)...)
-	dst = append(dst, byte(r.kind), byte(r.how), r.class)
-	dst = binary.BigEndian.AppendUint16(dst, r.tenant)
-	dst = binary.BigEndian.AppendUint64(dst, math.Float64bits(r.at))
-	dst = append(dst, r.name[:]...)
-	dst = append(dst, r.print[:]...)
-	return seal(append(dst, r.body...), start)
-}
-
-// seal fills in the length and the checksum of what stands behind them.
-func seal(b []byte, start int) []byte {
-	content := b[start+headLength:]
-	binary.BigEndian.PutUint32(b[start:], uint32(len(content)))
-	binary.BigEndian.PutUint64(b[start+4:], xxhash.Sum64(content))
-	return b
-}
-
-// open takes what was sealed from the front of b.
-func open(b []byte) (content, rest []byte, err error) {
-	if len(b) < headLength {
-		return nil, b, errTorn
-	}
-	n := binary.BigEndian.Uint32(b)
-	if n > mostRecord || len(b)-headLength < int(n) {
-		return nil, b, errTorn
-	}
-	content = b[headLength : headLength+int(n)]
-	if xxhash.Sum64(content) != binary.BigEndian.Uint64(b[4:]) {
-		return nil, b, errTorn
-	}
-	return content, b[headLength+int(n):], nil
+	return segments.Append(dst, func(dst []byte) []byte {
+		dst = append(dst, byte(r.kind), byte(r.how), r.class)
+		dst = binary.BigEndian.AppendUint16(dst, r.tenant)
+		dst = binary.BigEndian.AppendUint64(dst, math.Float64bits(r.at))
+		dst = append(dst, r.name[:]...)
+		dst = append(dst, r.print[:]...)
+		return append(dst, r.body...)
+	})
 }
 
 func parse(b []byte) (r record, err error) {
 	if len(b) < recordLength || b[0] != byte(began) && b[0] != byte(ended) || b[1] > byte(repeats.EndInDoubt) {
-		return r, errTorn
+		return r, segments.ErrTorn
 	}
 	r = record{kind: kind(b[0]), how: repeats.End(b[1]), class: b[2], tenant: binary.BigEndian.Uint16(b[3:]),
 		at: math.Float64frombits(binary.BigEndian.Uint64(b[5:]))}
@@ -143,7 +113,7 @@
 // Journal is open for writing. All of its methods may be called from any goroutine.
 type Journal struct {
 	set    Settings
-	folder Folder
+	folder segments.Folder
 
 	mu      sync.Mutex
 	wake    *sync.Cond
@@ -152,12 +122,9 @@
 	closed  bool
 
 	// Of the goroutine that writes.
-	out      File
-	outName  string
-	outSize  int
-	outLast  float64
-	next     int
-	segments []segment
+	out  segments.Writer
+	last float64 // when the last record of the present segment was made
+	old  []segment
 }
 
 // batch is what is written and synced together.
@@ -238,9 +205,7 @@
 		b := j.batch
 		if b.count == 0 {
 			j.mu.Unlock()
-			if j.out != nil {
-				_ = j.out.Close() // all of it is synced
-			}
+			_ = j.out.Cut() // all of it is synced
 			return
 		}
 		j.batch = newBatch(room)
@@ -268,82 +233,16 @@
 }
 
 // write writes and syncs one batch, to a new segment where the present one is full or has failed.
-func (j *Journal) write(b *batch) (err error) {
-	if j.out != nil && j.outSize+len(b.bytes) > j.set.SegmentBytes {
-		err = j.out.Close()
-		j.retire()
-		if err != nil {
-			return fmt.Errorf("closing %s: %w", j.outName, err)
-		}
-	}
-	if j.out == nil {
-		if err := j.create(b.newest); err != nil {
-			return err
-		}
-	}
-	j.outLast = max(j.outLast, b.newest)
-	j.outSize += len(b.bytes)
-	if _, err = j.out.Write(b.bytes); err != nil {
-		err = fmt.Errorf("writing to %s: %w", j.outName, err)
-	} else if err = j.out.Sync(); err != nil {
-		err = fmt.Errorf("syncing %s: %w", j.outName, err)
-	}
-	if err != nil {
-		_ = j.out.Close() // the first error counts
-		j.retire()
-	}
-	return err
+func (j *Journal) write(b *batch) error {
+	j.last = max(j.last, b.newest)
+	return j.out.Write(b.bytes)
 }
 
-// retire gives up the present segment; it stays until its records are of no use.
-func (j *Journal) retire() {
-	j.segments = append(j.segments, segment{j.outName, j.outLast})
-	j.out = nil
-}
-
-// create begins a new segment and removes those whose records are of no use any more.
-func (j *Journal) create(now float64) error {
-	j.segments = slices.DeleteFunc(j.segments, func(s segment) bool {
-		return s.last+j.set.Keep < now && j.folder.Remove(s.name) == nil
+// sweep removes segments whose records are of no use any more.
+func (j *Journal) sweep() {
+	j.old = slices.DeleteFunc(j.old, func(s segment) bool {
+		return s.last+j.set.Keep < j.last && j.folder.Remove(s.name) == nil
 	})
-	j.outName, j.outSize, j.outLast = segmentName(j.next), 0, now
-	j.next++
-	f, err := j.folder.Create(j.outName)
-	if err != nil {
-		return fmt.Errorf("beginning %s: %w", j.outName, err)
-	}
-	text, err := json.Marshal(header{Version, j.set.Classes, j.set.Tenants})
-	if err == nil {
-		_, err = f.Write(seal(append(append([]byte(magic), make([]byte, headLength)...), text...), len(magic)))
-	}
-	if err == nil {
-		err = j.folder.Sync()
-	}
-	if err != nil {
-		_ = f.Close() // the first error counts
-		j.segments = append(j.segments, segment{j.outName, now})
-		return fmt.Errorf("beginning %s: %w", j.outName, err)
-	}
-	j.out, j.outSize = f, len(magic)+headLength+len(text)
-	return nil
-}
-
-func segmentName(n int) string { return fmt.Sprintf("repeats-%08d.log", n) }
-
-// segmentNumber undoes segmentName.
-func segmentNumber(name string) (n int, ok bool) {
-	digits, found := strings.CutPrefix(name, "repeats-")
-	digits, found2 := strings.CutSuffix(digits, ".log")
-	if !found || !found2 || len(digits) != 8 {
-		return 0, false
-	}
-	for _, c := range digits {
-		if c < '0' || c > '9' {
-			return 0, false
-		}
-		n = n*10 + int(c-'0')
-	}
-	return n, true
 }
 
 // Finding is something about a file that a person should know.
@@ -357,7 +256,7 @@
 
 // Read reads a folder without changing it: what is known of each name at a time, in the order of their ends, and what is
 // wrong. Of a damaged file what stands before the damage counts. A call that had begun and not ended was running.
-func Read(f Folder, set Settings, now float64) (list []repeats.Known, found []Finding, err error) {
+func Read(f segments.Folder, set Settings, now float64) (list []repeats.Known, found []Finding, err error) {
 	names, err := f.List()
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the journal: %w", err)
@@ -365,7 +264,7 @@
 	slices.Sort(names)
 	know := map[repeats.Name]*entry{}
 	for _, name := range names {
-		if _, ok := segmentNumber(name); !ok {
+		if _, ok := form.Number(name); !ok {
 			continue
 		}
 		text, err := f.Read(name)
@@ -405,30 +304,22 @@
 
 // readSegment reads one segment into know and tells each record; offset is where it went wrong.
 func readSegment(text []byte, set Settings, know map[repeats.Name]*entry, tell func(record)) (offset int, err error) {
-	if len(text) < len(magic) || string(text[:len(magic)]) != magic {
-		return 0, errTorn
-	}
-	content, rest, err := open(text[len(magic):])
-	if err != nil {
-		return len(magic), err
-	}
 	var h header
-	if json.Unmarshal(content, &h) != nil || h.Version != Version {
-		return len(magic), ErrVersion
-	}
-	classes, tenants := places(h.Classes, set.Classes), places(h.Tenants, set.Tenants)
-	for len(rest) > 0 {
-		offset = len(text) - len(rest)
-		if content, rest, err = open(rest); err != nil {
-			return offset, err
+	var classes, tenants []int
+	return form.Read(text, func(content []byte) error {
+		if json.Unmarshal(content, &h) != nil || h.Version != Version {
+			return ErrVersion
 		}
+		classes, tenants = places(h.Classes, set.Classes), places(h.Tenants, set.Tenants)
+		return nil
+	}, func(content []byte) error {
 		r, err := parse(content)
 		if err != nil {
-			return offset, err
+			return err
 		}
 		tell(r)
 		if int(r.class) >= len(classes) || classes[r.class] < 0 {
-			continue // a class that there is no more
+			return nil // a class that there is no more
 		}
 		e := know[r.name]
 		if e == nil {
@@ -444,8 +335,8 @@
 		if r.body != nil {
 			e.Body, e.Size = r.body, len(r.body)
 		}
-	}
-	return 0, nil
+		return nil
+	})
 }
 
 // places finds for each old name its place among the new ones, -1 for none.
@@ -459,22 +350,28 @@
 
 // Open reads a folder and makes a journal that goes on in it, in a segment of its own. Findings are not errors: what is
 // damaged stays as it is until its time is over.
-func Open(f Folder, set Settings, now float64) (j *Journal, list []repeats.Known, found []Finding, err error) {
+func Open(f segments.Folder, set Settings, now float64) (j *Journal, list []repeats.Known, found []Finding, err error) {
 	list, found, err = Read(f, set, now)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	j = &Journal{set: set, folder: f, next: 1, batch: newBatch(nil)}
+	head, err := json.Marshal(header{Version, set.Classes, set.Tenants})
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	j = &Journal{set: set, folder: f, batch: newBatch(nil)}
 	j.wake = sync.NewCond(&j.mu)
+	j.out = segments.Writer{Folder: f, Form: form, Header: head, Most: set.SegmentBytes, Synced: true, Number: 1, Begun: j.sweep,
+		Ended: func(_ int, name string) { j.old = append(j.old, segment{name, j.last}) }}
 	names, err := f.List()
 	if err != nil {
 		return nil, nil, nil, fmt.Errorf("reading the journal: %w", err)
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if n, ok := segmentNumber(name); ok {
-			j.next = max(j.next, n+1)
-			j.segments = append(j.segments, segment{name, now}) // its last record is not younger
+		if n, ok := form.Number(name); ok {
+			j.out.Number = max(j.out.Number, n+1)
+			j.old = append(j.old, segment{name, now}) // its last record is not younger
 		}
 	}
 	return j, list, found, nil
--- a/internal/repeats/journal/folder.go
+++ b/internal/segments/folder.go
@@ -1,4 +1,4 @@
-package journal
+package segments
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 	Close() error
 }
 
-// Folder is where a journal's segments are. Tests have one that fails where they want.
+// Folder is where segments are. Tests have one that fails where they want.
 type Folder interface {
 	List() ([]string, error)
 	Read(name string) ([]byte, error)
@@ -27,6 +27,14 @@
 // Disk is a folder on a disk.
 type Disk struct{ Path string }
 
+// Make makes the folder where it is missing, for its owner alone.
+func (d Disk) Make() error {
+	if err := os.MkdirAll(d.Path, 0o700); err != nil {
+		return fmt.Errorf("making the folder: %w", err)
+	}
+	return nil
+}
+
 // List gives the names of the files.
 func (d Disk) List() ([]string, error) {
 	entries, err := os.ReadDir(d.Path)
@@ -64,13 +72,13 @@
 }
 
 // ErrInUse tells that another process has the folder.
-var ErrInUse = errors.New("another process has the journal open")
+var ErrInUse = errors.New("another process has the folder open")
 
 // Lock keeps other processes from the folder until the file is closed or this process ends.
 func (d Disk) Lock() (*os.File, error) {
 	f, err := os.OpenFile(filepath.Join(d.Path, "lock"), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, fmt.Errorf("locking the journal: %w", err)
+		return nil, fmt.Errorf("locking the folder: %w", err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close() // nothing was written
--- /dev/null
+++ b/internal/segments/segments_test.go
@@ -0,0 +1,51 @@
+package segments
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var form = Form{Magic: "lwtest", Prefix: "test"}
+
+// Guards against a folder that other users may read, a second process in it, and a record lost or taken twice where one
+// segment follows another. What a journal does with cuts and failures is in internal/repeats/journal.
+func TestOnDisk(t *testing.T) {
+	disk := Disk{Path: filepath.Join(t.TempDir(), "new", "folder")}
+	require.NoError(t, disk.Make())
+	info, err := os.Stat(disk.Path)
+	require.NoError(t, err)
+	assert.Equal(t, os.FileMode(0o700), info.Mode().Perm())
+	lock, err := disk.Lock()
+	require.NoError(t, err)
+	_, err = disk.Lock()
+	require.ErrorIs(t, err, ErrInUse)
+	require.NoError(t, lock.Close())
+	ended := []string{}
+	w := Writer{Folder: disk, Form: form, Header: []byte("head"), Most: 60, Synced: true, Number: 7,
+		Ended: func(_ int, name string) { ended = append(ended, name) }}
+	for i := range byte(9) {
+		require.NoError(t, w.Write(Append(nil, func(b []byte) []byte { return append(b, i) })))
+	}
+	require.NoError(t, w.Cut())
+	read := []byte{}
+	for _, name := range ended {
+		text, err := disk.Read(name)
+		require.NoError(t, err)
+		_, err = form.Read(text, func(head []byte) error {
+			assert.Equal(t, "head", string(head))
+			return nil
+		}, func(content []byte) error {
+			read = append(read, content...)
+			return nil
+		})
+		require.NoError(t, err)
+		_, ok := form.Number(name)
+		assert.True(t, ok, name)
+	}
+	assert.Equal(t, []byte{0, 1, 2, 3, 4, 5, 6, 7, 8}, read)
+	assert.Greater(t, len(ended), 2)
+}
--- a/node/repeats.go
+++ b/node/repeats.go
@@ -14,6 +14,7 @@
 	"linenwheel.dev/linenwheel/internal/repeats"
 	"linenwheel.dev/linenwheel/internal/repeats/edge"
 	"linenwheel.dev/linenwheel/internal/repeats/journal"
+	"linenwheel.dev/linenwheel/internal/segments"
 )
 
 // leastSecret is how many bytes a secret must have: fewer could be guessed.
@@ -42,7 +43,10 @@
 		return nil, err
 	}
 	if o.Journal != "" {
-		disk := journal.Disk{Path: o.Journal}
+		disk := segments.Disk{Path: o.Journal}
+		if err = disk.Make(); err != nil {
+			return nil, fmt.Errorf("repeats.journal: %w", err)
+		}
 		if n.locked, err = disk.Lock(); err != nil {
 			return nil, err
 		}
--- a/node/repeats_test.go
+++ b/node/repeats_test.go
@@ -77,7 +77,7 @@
 			wait 600
 			a expect 502`)
 		_, err := New(n.conf, Extras{Options: &o})
-		require.ErrorContains(t, err, "another process has the journal open")
+		require.ErrorContains(t, err, "another process has the folder open")
 	})
 	t.Run("after", func(t *testing.T) {
 		s, _ := startNode(t, Extras{Options: &o}, 1024, []string{"h1"})
