Add the agreed log's pure parts, and thousands of histories of it in virtual time

Need: what a node holds for others ends with its machine. The ground for copies is a log that is agreed.

Change: internal/ledger is the machine that entries are applied to (sessions, so that a command asked again is applied once; members; a register as the first user; the group's own time, which no clock that jumps can move). internal/peers/group is one member of go.etcd.io/raft/v3 without disk, links and clock: what is to be written, sent and answered is taken out, and told when done. Votes are asked for after times drawn from a seed, so that a history can be played again; images are made off the way of commits; a newcomer learns, then takes the vote of whom it replaces in one change, whoever proposed it. lab/circle/virtual plays it: kills, all at once, cuts both and one way, slow and losing links, slow disks, stops, burnt machines, clocks an hour off, voters that restart at once.

A vote not kept, an early acknowledgement, an image that drops one, a stale read and a command applied twice are caught. Found on the way: a replacement said to vote while the change of voters was still under way needs the burnt machine's majority too; it is told only once that is over.

--- /dev/null
+++ b/internal/ledger/members.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+)
+
+// PartMembers is the name of the part that holds the members.
+const PartMembers = "members"
+
+// MostMembers bounds the members that are known, those that have left included.
+const MostMembers = 256
+
+// Role is what a member does.
+type Role string
+
+// The roles. A member learns before it votes; one that has left is known by its number, so that it is turned away should it
+// come back.
+const (
+	Voter   Role = "voter"
+	Learner Role = "learner"
+	Gone    Role = "gone"
+)
+
+// Member is a process that keeps copies.
+type Member struct {
+	ID       uint64 `json:"id"`                 // drawn when its directory was made; never used again
+	Name     string `json:"name"`               // of the machine, for people; used anew by a replacement
+	Address  string `json:"address"`            // where the others reach it
+	Role     Role   `json:"role"`               //
+	Replaces uint64 `json:"replaces,omitempty"` // of a learner: whose vote it gets; 0 = one more
+	Starts   uint64 `json:"starts"`             // how often it had started, as far as is agreed
+}
+
+// Members are the processes that keep copies. Who they are is changed by the entries that the consensus library has for it,
+// which carry a Member; how often they started, by commands.
+type Members struct{ list map[uint64]Member }
+
+// Found makes the ledger that a group begins with.
+func Found(voters []Member, now float64) *Ledger {
+	l := New()
+	l.now = now
+	for _, m := range voters {
+		m.Role = Voter
+		l.members.list[m.ID] = m
+	}
+	return l
+}
+
+// Learns takes a member in that learns.
+func (l *Ledger) Learns(index uint64, m Member) {
+	l.index = index
+	m.Role = Learner
+	if _, known := l.members.list[m.ID]; !known && len(l.members.list) >= MostMembers {
+		l.members.forget()
+	}
+	l.members.list[m.ID] = m
+}
+
+// forget drops the one of those that have left whose number is the least: it is turned away as a stranger from now on.
+func (m *Members) forget() {
+	for _, old := range list(m.list) {
+		if old.Role == Gone {
+			delete(m.list, old.ID)
+			return
+		}
+	}
+}
+
+// Votes has a member vote.
+func (l *Ledger) Votes(index, id uint64) {
+	l.index = index
+	if m, ok := l.members.list[id]; ok {
+		m.Role, m.Replaces = Voter, 0
+		l.members.list[id] = m
+	}
+}
+
+// Leaves takes a member out.
+func (l *Ledger) Leaves(index, id uint64) {
+	l.index = index
+	if m, ok := l.members.list[id]; ok {
+		m.Role, m.Replaces = Gone, 0
+		l.members.list[id] = m
+	}
+}
+
+// Get gives a member by number.
+func (m *Members) Get(id uint64) (Member, bool) {
+	found, ok := m.list[id]
+	return found, ok
+}
+
+// Named gives the member that bears a name now: a voter before a learner.
+func (m *Members) Named(name string) (found Member, ok bool) {
+	for _, other := range list(m.list) {
+		if other.Name == name && other.Role != Gone && (!ok || other.Role == Voter) {
+			found, ok = other, true
+		}
+	}
+	return found, ok
+}
+
+// List gives all members, by number.
+func (m *Members) List() []Member { return list(m.list) }
+
+// Started is a command of a member's leader: it was seen to have started so often.
+type Started struct {
+	ID     uint64 `json:"id"`
+	Starts uint64 `json:"starts"`
+}
+
+// Apply notes how often a member has started.
+func (m *Members) Apply(_ uint64, _ float64, _ uint64, body json.RawMessage) Reply {
+	var s Started
+	if err := json.Unmarshal(body, &s); err != nil {
+		return Reply{Code: Faulty, Text: err.Error()}
+	}
+	have, ok := m.list[s.ID]
+	if !ok {
+		return Reply{Code: Faulty, Text: fmt.Sprintf("%x is no member", s.ID)}
+	}
+	have.Starts = max(have.Starts, s.Starts)
+	m.list[s.ID] = have
+	return Reply{Code: OK}
+}
+
+// Query gives all members.
+func (m *Members) Query(json.RawMessage) Reply { return Reply{Code: OK, Body: encode(m.List())} }
+
+// Freeze gives what makes the image.
+func (m *Members) Freeze() func() (json.RawMessage, error) {
+	held := maps.Clone(m.list)
+	return func() (json.RawMessage, error) { return json.Marshal(list(held)) }
+}
+
+// Load takes an image.
+func (m *Members) Load(image json.RawMessage) error {
+	var held []Member
+	err := json.Unmarshal(image, &held)
+	for _, h := range held {
+		m.list[h.ID] = h
+	}
+	return err
+}
--- /dev/null
+++ b/lab/circle/virtual/virtual_test.go
@@ -0,0 +1,66 @@
+package virtual
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func settings(seed uint64) Settings {
+	return Settings{Seed: seed, Members: 3 + 2*int(seed%2), Clients: 4, Asks: 12, Length: 4000, Faults: 6}
+}
+
+// many plays histories side by side, and gives the sum of their counts and what failed: all of it, or the first.
+func many(to uint64, wrong Wrong, first bool) (counts map[string]int, failed []string) {
+	counts = map[string]int{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var seed atomic.Uint64
+	for range 8 {
+		wait.Go(func() {
+			for i := seed.Add(1); i <= to; i = seed.Add(1) {
+				set := settings(i)
+				set.Wrong = wrong
+				r := Play(set)
+				mu.Lock()
+				for k, n := range r.Counts {
+					counts[k] += n
+				}
+				failed = append(failed, r.Faults...)
+				stop := first && len(failed) > 0
+				mu.Unlock()
+				if stop {
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	return counts, failed
+}
+
+// Guards against members that hold different things, answers that no order explains, and a group that does not come back,
+// under every kind of fault; and against a play in which some fault met nothing.
+func TestHistories(t *testing.T) {
+	counts, failed := many(2000, Sound, false)
+	require.Empty(t, failed)
+	for _, kind := range Kinds {
+		assert.Greater(t, counts[kind], 10, kind)
+	}
+}
+
+// Guards against a judge that finds nothing: each planted fault must be caught within some hundred histories.
+func TestPlantedFaults(t *testing.T) {
+	for _, wrong := range []Wrong{ForgetsVote, AnswersEarly, DropsFromImage, ReadsStale, AppliesTwice} {
+		_, failed := many(1000, wrong, true)
+		assert.NotEmpty(t, failed, wrong)
+	}
+}
+
+// Guards against a history that cannot be played again.
+func TestSame(t *testing.T) {
+	assert.Equal(t, Play(settings(7)), Play(settings(7)))
+}
