Add keepers: processes that keep copies of an agreed log, with disk, links, clients and commands

Need: the agreed log's pure parts want a disk, links, a clock and somebody who asks.

Each folder draws its number, so that an empty disk never votes as if it remembered; founding is an order of its own.

--- /dev/null
+++ b/cmd/linenwheel-keep/main.go
@@ -0,0 +1,98 @@
+// Command linenwheel-keep is a keeper: a process that keeps copies of what the nodes of a fleet hold for each other, and serves
+// no clients. It is a program of its own, so that the consensus library weighs nothing in a node, and so that a node's restart
+// costs no vote.
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/log"
+	"linenwheel.dev/linenwheel/internal/options"
+	"linenwheel.dev/linenwheel/internal/peers/keeper"
+)
+
+// version is that of the node's program, too.
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := run(ctx, os.Args[1:], os.Getenv, os.Stderr)
+	stop()
+	os.Exit(status)
+}
+
+// run keeps copies until ctx ends, and gives the exit status: 1 for a failure, 2 for a bad command line or file.
+func run(ctx context.Context, args []string, getenv func(string) string, errs io.Writer) int {
+	flags := flag.NewFlagSet("linenwheel keep", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	path := flags.String("options", getenv("LINENWHEEL_OPTIONS"), "the options `file` with a table peers")
+	name := flags.String("name", "", "the `name` of this keeper, in place of peers.name and ROUTER_NAME")
+	if err := flags.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return 2
+	}
+	set, o, err := settings(*path, *name, getenv, flags.Args())
+	if err != nil {
+		fmt.Fprintln(errs, "linenwheel: configuration:", err)
+		return 2
+	}
+	level := new(slog.LevelVar)
+	_ = level.UnmarshalText([]byte(o.Log.Level)) // one of those that slog knows, or the options would be faulty
+	format := log.Text
+	if o.Log.Format == log.JSON.String() {
+		format = log.JSON
+	}
+	logger := log.On(log.New(errs, format, level), clock.NewSystem()).With("node", set.Name, "part", "keeper")
+	k, err := keeper.New(set, logger)
+	if err == nil {
+		err = k.Run(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "linenwheel: keep:", err)
+		return 1
+	}
+	return 0
+}
+
+// settings reads the options file.
+func settings(path, name string, getenv func(string) string, rest []string) (set keeper.Settings, o options.Options, err error) {
+	if len(rest) > 0 {
+		return set, o, fmt.Errorf("keep does not take %q", rest[0])
+	}
+	file, faults := options.Load(path)
+	if len(faults) > 0 {
+		return set, o, faults[0]
+	}
+	o = file.Options
+	p := &o.Peers
+	set = keeper.Settings{Fleet: p.Fleet, Name: cmp.Or(name, p.Name, getenv("ROUTER_NAME")), Directory: p.Directory, Synced: p.Synced,
+		Addresses: map[string]string{}, Heartbeat: p.Heartbeat.Ms, Election: p.Election.Ms, ImageEvery: p.ImageEvery.Bytes, Trail: p.Trail,
+		Release: version}
+	for _, m := range p.Members {
+		set.Addresses[m.Name] = m.Address
+	}
+	set.Directory = filepath.Join(p.Directory, set.Name)
+	set.Listen = cmp.Or(p.Listen, p.Address(set.Name))
+	switch {
+	case set.Fleet == "":
+		err = errors.New("peers.fleet is empty: name an options file with a table peers")
+	case set.Name == "":
+		err = errors.New("peers.name is empty, and neither -name nor ROUTER_NAME says who this keeper is")
+	case set.Listen == "":
+		err = fmt.Errorf("peers.member has no %q, and peers.listen is empty: where should it listen?", set.Name)
+	}
+	return set, o, err
+}
--- a/internal/logcheck/logcheck_test.go
+++ b/internal/logcheck/logcheck_test.go
@@ -14,10 +14,12 @@
 		"linenwheel.dev/linenwheel/lab")
 	require.NoError(t, err)
 	assert.Empty(t, faults)
-	agent, faults, err := Source("../..", "./cmd/linenwheel-etcd", "", "linenwheel.dev/linenwheel/lab")
-	require.NoError(t, err)
-	assert.Empty(t, faults)
-	source.Add(agent)
+	for _, program := range []string{"./cmd/linenwheel-etcd", "./cmd/linenwheel-keep"} {
+		other, faults, err := Source("../..", program, "", "linenwheel.dev/linenwheel/lab")
+		require.NoError(t, err)
+		assert.Empty(t, faults)
+		source.Add(other)
+	}
 	text, err := os.ReadFile("../../docs/ONCALL.md")
 	require.NoError(t, err)
 	page, faults := Page("docs/ONCALL.md", string(text))
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -33,6 +33,7 @@
 	Takeover  Takeover  `toml:"takeover"`
 	State     State     `toml:"state"`
 	Fleet     Fleet     `toml:"fleet"`
+	Peers     Peers     `toml:"peers"`
 }
 
 // Platform holds what the platform asks for or promises and config.json does not say. Other tables are held against
--- /dev/null
+++ b/internal/peers/keeper/keeper.go
@@ -0,0 +1,502 @@
+// Package keeper runs one member of the agreed log: its state machine, disk, links and clock. What it decides is in package
+// group; here are a goroutine that owns the state machine, one that writes to the disk, one a connection, one a sender.
+//
+// Bounds: MostClients connections of clients with mostWaiting requests each; a sender holds slowMost bytes for a slow member;
+// what waits to be agreed is bounded by uncommitted.
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/group"
+	"linenwheel.dev/linenwheel/internal/peers/link"
+	"linenwheel.dev/linenwheel/internal/peers/store"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+	"linenwheel.dev/linenwheel/internal/segments"
+)
+
+// MostClients is how many connections of clients a keeper has at once.
+const MostClients = 1024
+
+const (
+	mostWaiting = ledger.Window
+	slowMost    = 8 << 20
+	uncommitted = 16 << 20
+	inbox       = 1024
+	batch       = 512 // events before what they lead to is carried out
+	waitTicks   = 200 // after which nobody waits for an answer any more
+	handLimit   = 500 * time.Millisecond
+	partLimit   = 200 * time.Millisecond
+)
+
+// Settings describe a keeper.
+type Settings struct {
+	Fleet      string
+	Name       string
+	Listen     string
+	Directory  string
+	Synced     bool
+	Addresses  map[string]string // of keepers, by name; of others the agreed ones are used
+	Heartbeat  float64           // ms
+	Election   float64           // ms
+	ImageEvery int               // bytes
+	Trail      int               // entries
+	Release    string
+	Wrap       func(segments.Folder) segments.Folder // of the disk, for rigs; nil = none
+}
+
+// Keeper is one running member.
+type Keeper struct {
+	set    Settings
+	log    *slog.Logger
+	clock  clock.Clock
+	store  *store.Store
+	listen net.Listener
+	events chan func()
+	disk   chan job
+	ended  chan struct{}
+
+	last     atomic.Uint64 // entry that the disk holds
+	clients  atomic.Int64
+	writes   atomic.Uint64
+	images   uint64
+	refusals chan error // final ones
+
+	// Of the goroutine that owns the state machine.
+	group   *group.Group
+	senders map[uint64]*link.Sender
+	names   map[uint64]string // of keepers that have connected, by number
+	starts  map[uint64]uint64
+	waiting map[key][]*waiter
+	reads   map[uint64]*waiter
+	number  uint64
+	tick    uint64
+	leader  uint64
+	voter   bool
+	todo    []job // for the disk, which is behind
+
+	mu    sync.Mutex
+	conns map[*link.Conn]uint64 // that were accepted, with the keeper's number
+}
+
+type key struct{ session, number uint64 }
+
+// waiter is a client's request that is under way.
+type waiter struct {
+	ask    *talk.Request
+	answer func(talk.Answer)
+	since  uint64 // tick
+}
+
+// job is work for the disk.
+type job struct {
+	write group.Write
+	image *group.Image
+}
+
+// New opens the directory and listens.
+func New(set Settings, log *slog.Logger) (*Keeper, error) {
+	k := &Keeper{set: set, log: log, clock: clock.NewSystem(), events: make(chan func(), inbox), disk: make(chan job, inbox),
+		ended: make(chan struct{}), refusals: make(chan error, 1), senders: map[uint64]*link.Sender{}, names: map[uint64]string{},
+		starts: map[uint64]uint64{}, waiting: map[key][]*waiter{}, reads: map[uint64]*waiter{}, conns: map[*link.Conn]uint64{}}
+	var err error
+	if k.store, err = store.Open(set.Directory, set.Fleet, set.Name, set.Synced, set.Wrap); err != nil {
+		return nil, fmt.Errorf("peers.directory %s: %w", set.Directory, err)
+	}
+	if err = k.begin(); err == nil {
+		k.listen, err = net.Listen("tcp", set.Listen)
+	}
+	if err != nil {
+		_ = k.store.Close() // the first error counts
+		return nil, err
+	}
+	return k, nil
+}
+
+// Addr is where it listens.
+func (k *Keeper) Addr() string { return k.listen.Addr().String() }
+
+// ID is its number.
+func (k *Keeper) ID() uint64 { return k.store.ID }
+
+// begin makes the state machine from what the disk holds.
+func (k *Keeper) begin() (err error) {
+	saved := k.store.Saved()
+	k.last.Store(lastOf(saved))
+	k.group, err = group.New(group.Settings{ID: k.store.ID, Election: max(3, int(k.set.Election/k.set.Heartbeat)), Heartbeat: 1,
+		ImageEvery: k.set.ImageEvery, Trail: k.set.Trail, Uncommitted: uncommitted, Seed: k.store.Starts,
+		Logger: group.Quiet{Warn: func(text string) { k.log.Warn("the consensus library warns", "text", text) }}}, saved)
+	return err
+}
+
+func lastOf(s group.Saved) uint64 {
+	if n := len(s.Entries); n > 0 {
+		return s.Entries[n-1].GetIndex()
+	}
+	return s.Image.GetMetadata().GetIndex()
+}
+
+// Run keeps copies until ctx ends, then hands the lead on and ends; an error is why it had to end before.
+func (k *Keeper) Run(ctx context.Context) error {
+	k.log.Info("the keeper has started", "address", k.Addr(), "id", fmt.Sprintf("%x", k.store.ID), "starts", k.store.Starts,
+		"applied", k.group.Ledger().Index())
+	var work sync.WaitGroup
+	failed := make(chan error, 1)
+	work.Go(k.accept)
+	work.Go(func() {
+		if err := k.write(); err != nil {
+			failed <- err
+		}
+	})
+	ticker := time.NewTicker(time.Duration(k.set.Heartbeat * 1e6))
+	defer ticker.Stop()
+	why := k.loop(ctx, ticker.C, failed)
+	k.part()
+	close(k.ended)
+	_ = k.listen.Close()
+	k.mu.Lock()
+	for c := range k.conns {
+		_ = c.Close()
+	}
+	k.mu.Unlock()
+	for _, s := range k.senders {
+		s.Close()
+	}
+	close(k.disk)
+	for stop := false; !stop; { // whoever waits to tell something is let go
+		done := make(chan struct{})
+		go func() { work.Wait(); close(done) }()
+		for !stop {
+			select {
+			case <-k.events:
+			case <-done:
+				stop = true
+			}
+		}
+	}
+	if err := k.store.Close(); why == nil && err != nil {
+		why = err
+	}
+	return why
+}
+
+// loop owns the state machine.
+func (k *Keeper) loop(ctx context.Context, ticks <-chan time.Time, failed <-chan error) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-failed:
+			k.log.Error("the disk fails: this keeper votes no more", "error", err)
+			return fmt.Errorf("keeping: %w", err)
+		case err := <-k.refusals:
+			k.log.Error("the others turn this keeper away: it votes no more", "error", err)
+			return err
+		case <-ticks:
+			k.beat()
+		case do := <-k.events:
+			do()
+		}
+		for range batch {
+			select {
+			case do := <-k.events:
+				do()
+				continue
+			default:
+			}
+			break
+		}
+		if err := k.flush(); err != nil {
+			k.log.Error("the agreed log cannot be carried out: this keeper votes no more", "error", err)
+			return err
+		}
+	}
+}
+
+// part hands the lead on, and waits for another to have it.
+func (k *Keeper) part() {
+	if !k.group.Leads() || !k.group.Hand() {
+		return
+	}
+	late := time.After(handLimit)
+	for k.group.Leads() || k.group.Leader() == 0 {
+		if k.flush() != nil {
+			return
+		}
+		select {
+		case do := <-k.events:
+			do()
+		case <-late:
+			return
+		}
+	}
+	settle := time.After(partLimit) // in which those who asked here are told who leads
+	for {
+		select {
+		case do := <-k.events:
+			do()
+			_ = k.flush()
+		case <-settle:
+			return
+		}
+	}
+}
+
+// tell has the owner of the state machine do something; false once the keeper has ended.
+func (k *Keeper) tell(do func()) bool {
+	select {
+	case k.events <- do:
+		return true
+	case <-k.ended:
+		return false
+	}
+}
+
+// beat is a tick of the clock.
+func (k *Keeper) beat() {
+	k.tick++
+	k.group.Tick()
+	if k.group.Leads() {
+		k.group.Promote()
+		k.noteStarts()
+	}
+	for id, w := range k.reads {
+		if k.tick-w.since > waitTicks {
+			delete(k.reads, id)
+		}
+	}
+	for id, list := range k.waiting {
+		list = slices.DeleteFunc(list, func(w *waiter) bool { return k.tick-w.since > waitTicks })
+		if k.waiting[id] = list; len(list) == 0 {
+			delete(k.waiting, id)
+		}
+	}
+}
+
+// noteStarts has it agreed how often members have started, so that a copy of an older directory is known by all.
+func (k *Keeper) noteStarts() {
+	k.starts[k.store.ID] = k.store.Starts
+	for id, n := range k.starts {
+		if m, ok := k.group.Ledger().Members().Get(id); ok && m.Starts < n {
+			_ = k.group.Propose(k.clock.Now(), ledger.Command{Part: ledger.PartMembers,
+				Body: encode(ledger.Started{ID: id, Starts: n})}) // it is tried again
+		}
+	}
+}
+
+// flush carries out what the state machine wants.
+func (k *Keeper) flush() error {
+	work, err := k.group.Take(k.clock.Now())
+	if err != nil {
+		return err
+	}
+	k.send(work.Messages)
+	for _, a := range work.Applied {
+		k.applied(a)
+	}
+	for _, r := range work.Reads {
+		if w := k.reads[r.Number]; w != nil {
+			delete(k.reads, r.Number)
+			reply := k.group.Query(ledger.Ask{Part: w.ask.Part, Body: w.ask.Body})
+			w.answer(talk.Answer{Reply: &reply})
+		}
+	}
+	for _, w := range work.Write {
+		k.todo = append(k.todo, job{write: w})
+	}
+	if work.Image != nil {
+		k.images++
+		k.todo = append(k.todo, job{image: work.Image})
+	}
+	for full := false; len(k.todo) > 0 && !full; { // the rest when the disk has told of some: neither waits for the other
+		select {
+		case k.disk <- k.todo[0]:
+			k.todo = k.todo[1:]
+		default:
+			full = true
+		}
+	}
+	k.watch()
+	return nil
+}
+
+// watch logs who leads, and lets those go who waited for this one while it led.
+func (k *Keeper) watch() {
+	if now := k.group.Leader(); now != k.leader {
+		k.leader = now
+		term, _, _ := k.group.Position()
+		if now == 0 {
+			k.log.Warn("nobody leads", "term", term)
+		} else {
+			k.log.Info("a keeper leads", "leader", k.nameOf(now), "term", term)
+		}
+	}
+	if voter := k.group.Voter(); voter != k.voter {
+		k.voter = voter
+		k.log.Info("the keeper's vote has changed", "votes", voter)
+	}
+	if k.group.Leads() || len(k.waiting)+len(k.reads) == 0 {
+		return
+	}
+	for id, list := range k.waiting {
+		delete(k.waiting, id)
+		for _, w := range list {
+			w.answer(talk.Answer{Fault: talk.Later, Text: "this keeper does not lead any more", Leader: k.nameOf(k.leader)})
+		}
+	}
+	for id, w := range k.reads {
+		delete(k.reads, id)
+		w.answer(talk.Answer{Fault: talk.Later, Text: "this keeper does not lead any more", Leader: k.nameOf(k.leader)})
+	}
+}
+
+func (k *Keeper) applied(a group.Applied) {
+	id := key{a.Command.Session, a.Command.Number}
+	for _, w := range k.waiting[id] {
+		w.answer(talk.Answer{Reply: &a.Reply})
+	}
+	delete(k.waiting, id)
+}
+
+// nameOf is a member's name, as far as it is known.
+func (k *Keeper) nameOf(id uint64) string {
+	if m, ok := k.group.Ledger().Members().Get(id); ok {
+		return m.Name
+	}
+	return k.names[id]
+}
+
+// addressOf is where a member is reached: as this keeper's own file says, else as was agreed.
+func (k *Keeper) addressOf(id uint64) string {
+	if a := k.set.Addresses[k.nameOf(id)]; a != "" {
+		return a
+	}
+	m, _ := k.group.Ledger().Members().Get(id)
+	return m.Address
+}
+
+// send gives messages to the senders.
+func (k *Keeper) send(list []*pb.Message) {
+	for _, m := range list {
+		id := m.GetTo()
+		s := k.sender(id)
+		if s == nil {
+			k.group.Unreachable(id)
+			continue
+		}
+		text, err := proto.Marshal(m)
+		if err != nil {
+			k.log.Warn("a message cannot be written", "error", err)
+			continue
+		}
+		var sent func(bool)
+		if m.GetType() == pb.MsgSnap {
+			sent = func(ok bool) { go k.tell(func() { k.group.ImageSent(id, ok) }) }
+		}
+		s.Send(link.KindRaft, text, sent)
+	}
+}
+
+// sender gives the one to a member, nil if it cannot be reached. One whose address has changed is made anew.
+func (k *Keeper) sender(id uint64) *link.Sender {
+	if s := k.senders[id]; s != nil {
+		return s
+	}
+	address, name := k.addressOf(id), k.nameOf(id)
+	if address == "" {
+		return nil
+	}
+	within := time.Duration(max(k.set.Election, 100) * 1e6)
+	limits := link.Limits{Bytes: slowMost, Write: max(2*time.Second, within), FirstPause: 50 * time.Millisecond,
+		LastPause: time.Second}
+	s := link.NewSender(limits, func() (*link.Conn, error) { return k.dial(address, name, id, within) },
+		func() {
+			select { // how it does is told by its silence, too
+			case k.events <- func() { k.group.Unreachable(id) }:
+			default:
+			}
+		},
+		func(err error) {
+			if err != nil {
+				k.log.Warn("a keeper cannot be reached", "peer", name, "address", address, "error", err)
+			} else {
+				k.log.Info("a keeper can be reached again", "peer", name, "address", address)
+			}
+		})
+	k.senders[id] = s
+	return s
+}
+
+func (k *Keeper) dial(address, name string, id uint64, within time.Duration) (*link.Conn, error) {
+	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, ID: k.store.ID,
+		Starts: k.store.Starts, Last: k.last.Load()}, within)
+	switch {
+	case errors.Is(err, link.ErrRefused) && w.Final:
+		select {
+		case k.refusals <- err:
+		default:
+		}
+	case err == nil && w.ID != id:
+		_ = c.Close()
+		return nil, fmt.Errorf("%s is another keeper %q than the one that is wanted: number %x, not %x", address, name, w.ID, id)
+	}
+	return c, err
+}
+
+// write does the disk's work, what waits together at once.
+func (k *Keeper) write() error {
+	for first := range k.disk {
+		jobs, image := []group.Write{}, first.image
+		if image == nil {
+			jobs = append(jobs, first.write)
+		}
+		for image == nil && len(k.disk) > 0 && len(jobs) < batch {
+			next, ok := <-k.disk
+			if !ok {
+				break
+			}
+			if image = next.image; image == nil {
+				jobs = append(jobs, next.write)
+			}
+		}
+		if len(jobs) > 0 {
+			if err := k.store.Write(jobs); err != nil {
+				return err
+			}
+			k.writes.Add(1)
+			k.last.Store(lastOf(k.store.Saved()))
+			k.tell(func() {
+				for _, w := range jobs {
+					if err := k.group.Done(w); err != nil {
+						k.log.Error("what was written cannot be taken", "error", err)
+					}
+					k.send(w.Answers(k.store.ID))
+				}
+			})
+		}
+		if image != nil {
+			snapshot, err := image.Make()
+			if err == nil {
+				err = k.store.Keep(snapshot, k.set.Trail)
+			}
+			if err != nil {
+				return err
+			}
+			k.tell(func() { k.group.Kept(snapshot) })
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peers/keeper/serve.go
@@ -0,0 +1,363 @@
+package keeper
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/group"
+	"linenwheel.dev/linenwheel/internal/peers/link"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+)
+
+const answerLimit = 5 * time.Second // for a client to take an answer
+
+func encode(v any) json.RawMessage {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // of types that can be written
+	}
+	return text
+}
+
+func (k *Keeper) accept() {
+	for {
+		raw, err := k.listen.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(50 * time.Millisecond) // out of descriptors for a moment
+			continue
+		}
+		go k.serve(link.NewConn(raw))
+	}
+}
+
+// serve hears one connection to its end.
+func (k *Keeper) serve(c *link.Conn) {
+	defer c.Close()
+	k.mu.Lock()
+	full := len(k.conns) >= MostClients
+	k.conns[c] = 0
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.conns, c)
+		k.mu.Unlock()
+	}()
+	if full {
+		return
+	}
+	hello, err := c.Accept(k.set.Fleet, k.judge)
+	if err != nil {
+		if !errors.Is(err, io.EOF) {
+			k.log.Warn("a peer was turned away", "peer", hello.Name, "remote", c.Remote(), "error", err)
+		}
+		return
+	}
+	if hello.ID == 0 {
+		k.clients.Add(1)
+		defer k.clients.Add(-1)
+		err = k.hearClient(c)
+	} else {
+		k.alone(c, hello.ID)
+		err = k.hearKeeper(c, hello.ID)
+	}
+	if errors.Is(err, link.ErrFrame) {
+		k.log.Warn("a peer was turned away", "peer", hello.Name, "remote", c.Remote(), "error", err)
+	}
+}
+
+// alone ends an earlier connection of a keeper: it has none but the last.
+func (k *Keeper) alone(c *link.Conn, id uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for other, of := range k.conns {
+		if of == id && other != c {
+			_ = other.Close()
+		}
+	}
+	k.conns[c] = id
+}
+
+// judge says whether whoever connects is welcome.
+func (k *Keeper) judge(h link.Hello) link.Welcome {
+	answer := make(chan link.Welcome, 1)
+	if !k.tell(func() { answer <- k.look(h) }) {
+		return link.Welcome{Reason: "this keeper ends"}
+	}
+	select {
+	case w := <-answer:
+		return w
+	case <-k.ended:
+		return link.Welcome{Reason: "this keeper ends"}
+	}
+}
+
+func (k *Keeper) look(h link.Hello) link.Welcome {
+	w := link.Welcome{Name: k.set.Name, ID: k.store.ID}
+	if h.To != "" && h.To != k.set.Name {
+		w.Reason = fmt.Sprintf("this is %q, not %q", k.set.Name, h.To)
+		return w
+	}
+	if h.ID == 0 {
+		return w
+	}
+	m, known := k.group.Ledger().Members().Get(h.ID)
+	match, _ := k.group.Behind(h.ID)
+	_, committed, _ := k.group.Position()
+	switch {
+	case known && m.Role == ledger.Gone:
+		w.Reason, w.Final = "it was taken out or replaced: its directory is to be emptied", true
+	case !known && k.group.Ledger().Index() > 0:
+		w.Reason = "it is no member (yet)"
+	case known && m.Name != h.Name:
+		w.Reason = fmt.Sprintf("its number is that of %q", m.Name)
+	case h.Starts < max(m.Starts, k.starts[h.ID]):
+		w.Reason = fmt.Sprintf("its directory is an older copy: it says start %d, and start %d was seen", h.Starts, max(m.Starts, k.starts[h.ID]))
+		w.Final = true
+	case k.group.Leads() && min(match, committed) > h.Last:
+		w.Reason = fmt.Sprintf("its directory is an older copy: it holds entry %d, and had %d", h.Last, min(match, committed))
+		w.Final = true
+	}
+	if w.Reason == "" {
+		k.names[h.ID], k.starts[h.ID] = h.Name, h.Starts
+		if s := k.senders[h.ID]; s != nil {
+			if up, _ := s.Up(); !up { // its pause may be long, and it is there
+				s.Close()
+				delete(k.senders, h.ID)
+			}
+		}
+	}
+	return w
+}
+
+// hearKeeper passes on what a member says.
+func (k *Keeper) hearKeeper(c *link.Conn, id uint64) error {
+	for {
+		kind, text, err := c.Read()
+		if err != nil {
+			return err
+		}
+		m := &pb.Message{}
+		if kind != link.KindRaft || proto.Unmarshal(text, m) != nil || m.GetFrom() != id || m.GetTo() != k.store.ID {
+			return link.ErrFrame
+		}
+		if !k.tell(func() { k.group.Step(m) }) {
+			return nil
+		}
+	}
+}
+
+// hearClient answers the requests of a client of the log.
+func (k *Keeper) hearClient(c *link.Conn) error {
+	out, over := make(chan talk.Answer, 2*mostWaiting), make(chan struct{})
+	defer close(over)
+	go func() {
+		defer c.Close() // a client that takes nothing
+		for {
+			select {
+			case a := <-out:
+				text, err := json.Marshal(a)
+				if err != nil || c.Write(link.KindAnswer, text, answerLimit) != nil {
+					return
+				}
+			case <-over:
+				return
+			}
+		}
+	}()
+	for {
+		kind, text, err := c.Read()
+		if err != nil {
+			return err
+		}
+		ask := &talk.Request{}
+		if kind != link.KindAsk || len(text) > ledger.MostCommand || json.Unmarshal(text, ask) != nil {
+			return link.ErrFrame
+		}
+		answer := func(a talk.Answer) {
+			a.ID = ask.ID
+			select {
+			case out <- a:
+			default: // it asks for more than it takes
+				_ = c.Close()
+			}
+		}
+		if !k.tell(func() { k.answer(ask, answer) }) {
+			return nil
+		}
+	}
+}
+
+// answer does what a client asks for, on the goroutine of the state machine.
+func (k *Keeper) answer(ask *talk.Request, answer func(talk.Answer)) {
+	var err error
+	switch ask.Want {
+	case talk.Status:
+		answer(talk.Answer{State: k.state()})
+		return
+	case talk.Found:
+		if err := k.found(ask); err != nil {
+			answer(talk.Answer{Fault: talk.Refused, Text: err.Error()})
+			return
+		}
+		answer(talk.Answer{State: k.state()})
+		return
+	case talk.Do:
+		c := ledger.Command{Session: ask.Session, Number: ask.Number, Done: ask.Done, Part: ask.Part, Body: ask.Body}
+		if c.Session == 0 {
+			c.Part = "" // nobody speaks for the group itself
+		}
+		if err = k.group.Propose(k.clock.Now(), c); err == nil {
+			id := key{ask.Session, ask.Number}
+			k.waiting[id] = append(k.waiting[id], &waiter{ask, answer, k.tick})
+			return
+		}
+	case talk.Read:
+		k.number++
+		if err = k.group.Read(k.number); err == nil {
+			k.reads[k.number] = &waiter{ask, answer, k.tick}
+			return
+		}
+	case talk.Learn, talk.Remove:
+		if len(ask.Members) != 1 {
+			answer(talk.Answer{Fault: talk.Refused, Text: "want one member"})
+			return
+		}
+		if ask.Want == talk.Learn {
+			err = k.learn(ask.Members[0])
+		} else {
+			err = k.remove(ask.Members[0])
+		}
+		if err == nil {
+			answer(talk.Answer{State: k.state()})
+			return
+		}
+	default:
+		answer(talk.Answer{Fault: talk.Refused, Text: fmt.Sprintf("nobody wants %q", ask.Want)})
+		return
+	}
+	a := talk.Answer{Fault: talk.Refused, Text: err.Error(), Leader: k.nameOf(k.leader)}
+	switch {
+	case errors.Is(err, group.ErrNotLeader) && k.group.Leader() == 0:
+		a.Fault = talk.Nobody
+	case errors.Is(err, group.ErrNotLeader):
+		a.Fault = talk.Elsewhere
+	case errors.Is(err, group.ErrBacklog), errors.Is(err, group.ErrBusy):
+		a.Fault = talk.Later
+	}
+	answer(a)
+}
+
+// learn takes a member in, unless it is one.
+func (k *Keeper) learn(m ledger.Member) error {
+	list := k.group.Ledger().Members()
+	have, known := list.Get(m.ID)
+	switch {
+	case !k.group.Leads():
+		return group.ErrNotLeader
+	case known && have.Role != ledger.Gone:
+		return nil
+	case known:
+		return fmt.Errorf("number %x was taken out: empty the directory of %q", m.ID, m.Name)
+	}
+	named, taken := list.Named(m.Name)
+	switch {
+	case m.Replaces == 0 && taken:
+		return fmt.Errorf("there is a %q: replace it", m.Name)
+	case m.Replaces != 0 && (!taken || named.ID != m.Replaces):
+		return fmt.Errorf("number %x is not that of %q any more", m.Replaces, m.Name)
+	}
+	return k.group.Learn(m)
+}
+
+// remove takes a member out, unless it is the last.
+func (k *Keeper) remove(m ledger.Member) error {
+	list := k.group.Ledger().Members()
+	have, known := list.Get(m.ID)
+	voters := 0
+	for _, other := range list.List() {
+		if other.Role == ledger.Voter {
+			voters++
+		}
+	}
+	switch {
+	case !k.group.Leads():
+		return group.ErrNotLeader
+	case !known || have.Role == ledger.Gone:
+		return nil
+	case have.Role == ledger.Voter && voters == 1:
+		return errors.New("it is the last that votes")
+	}
+	return k.group.Remove(m.ID)
+}
+
+// found makes this keeper one of the first members. Asked again, it says that it is.
+func (k *Keeper) found(ask *talk.Request) error {
+	own := false
+	for _, m := range ask.Members {
+		own = own || m.ID == k.store.ID && m.Name == k.set.Name
+	}
+	term, _, applied := k.group.Position()
+	switch {
+	case applied > 0:
+		for _, m := range ask.Members {
+			if have, ok := k.group.Ledger().Members().Get(m.ID); !ok || have.Name != m.Name {
+				return errors.New("it has been founded before, with other members")
+			}
+		}
+		return nil
+	case !own:
+		return errors.New("it is not among the members that it is founded with")
+	case term > 0 || len(k.names) > 0:
+		return errors.New("others have begun to teach it: it waits to be taken in")
+	}
+	image, err := group.Found(ask.Members, ask.Now)
+	if err == nil {
+		err = k.store.Begin(image)
+	}
+	if err == nil {
+		err = k.begin()
+	}
+	if err == nil {
+		k.log.Info("the keeper was founded", "members", len(ask.Members))
+	}
+	return err
+}
+
+// state is how the keeper does.
+func (k *Keeper) state() *talk.State {
+	l := k.group.Ledger()
+	s := &talk.State{Fleet: k.set.Fleet, Name: k.set.Name, ID: k.store.ID, Release: k.set.Release, Starts: k.store.Starts,
+		Leader: k.nameOf(k.group.Leader()), Time: l.Now(), Changing: k.group.Changing(), Synced: k.set.Synced, Sessions: l.Sessions(),
+		Images: k.images, Writes: k.writes.Load(), Clients: int(k.clients.Load())}
+	s.Term, s.Committed, s.Applied = k.group.Position()
+	switch {
+	case k.group.Leads():
+		s.Role = "leader"
+	case k.group.Voter():
+		s.Role = "voter"
+	case s.Applied > 0:
+		s.Role = "learner"
+	default:
+		s.Role = "blank"
+	}
+	for _, m := range l.Members().List() {
+		v := talk.Member{Member: m}
+		if sender := k.senders[m.ID]; sender != nil {
+			v.Up, v.Bytes = sender.Up()
+		}
+		v.Match, v.Heard = k.group.Behind(m.ID)
+		s.Members = append(s.Members, v)
+	}
+	return s
+}
--- a/lab/circle/virtual/virtual.go
+++ b/lab/circle/virtual/virtual.go
@@ -138,7 +138,6 @@
 	group    *group.Group // nil while it is down
 	life     int
 	saved    group.Saved
-	trail    int
 	queue    []group.Write
 	busy     bool
 	slow     float64 // ms that a write takes more
