--- /dev/null
+++ b/cmd/linenwheel-lab/circle.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"linenwheel.dev/linenwheel/lab/circle"
+	"linenwheel.dev/linenwheel/lab/circle/virtual"
+)
+
+// circleCommand plays keepers with faults between them.
+func circleCommand(to streams) *ffcli.Command {
+	program, dir, asJSON := "", "", false
+	seed, length, keepers, faults, histories, lanes := uint64(1), time.Duration(0), 5, 12, uint64(0), 2
+	sub := func(name, usage, help string, exec func(context.Context, circle.Options, []string) error) *ffcli.Command {
+		flags := flagSet(name, to)
+		flags.StringVar(&program, "program", "", "the keeper's `program`; empty = linenwheel-keep beside this one")
+		flags.StringVar(&dir, "dir", "", "the `folder` for what keepers write; empty = one that is deleted afterwards")
+		flags.BoolVar(&asJSON, "json", false, "print JSON")
+		return &ffcli.Command{Name: name, ShortUsage: "linenwheel-lab circle " + usage, ShortHelp: help, FlagSet: flags,
+			Exec: func(ctx context.Context, args []string) error {
+				o := circle.Options{Program: program, Dir: dir}
+				if o.Program == "" {
+					self, err := os.Executable()
+					if err != nil {
+						return err
+					}
+					o.Program = filepath.Join(filepath.Dir(self), "linenwheel-keep")
+				}
+				if o.Dir == "" {
+					made, err := os.MkdirTemp("", "circle")
+					if err != nil {
+						return err
+					}
+					defer os.RemoveAll(made)
+					o.Dir = made
+				}
+				return exec(ctx, o, args)
+			}}
+	}
+	play := sub("play", "play [flags] SCHEDULE...", "play shipped schedules, or files, on real processes",
+		func(ctx context.Context, o circle.Options, args []string) error {
+			sum := sums{counts: map[string]int{}}
+			for _, name := range args {
+				s, err := schedule(name)
+				if err != nil {
+					return usage(err)
+				}
+				if err := sum.play(ctx, to, s, o, name); err != nil {
+					return err
+				}
+			}
+			return sum.tell(to, asJSON)
+		})
+	drawn := sub("random", "random [flags]", "play schedules drawn from seeds on real processes, for a time",
+		func(ctx context.Context, o circle.Options, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			sum := sums{counts: map[string]int{}}
+			end, next := time.Now().Add(length), atomic.Uint64{}
+			next.Store(seed)
+			var all sync.WaitGroup
+			errs := make(chan error, lanes)
+			for range lanes {
+				all.Go(func() {
+					for first := true; ctx.Err() == nil && (first || time.Now().Before(end)); first = false {
+						i := next.Add(1) - 1
+						n := keepers
+						if n == 0 {
+							n = 3 + 2*int(i%2)
+						}
+						if err := sum.play(ctx, to, circle.Draw(i, n, faults), o, fmt.Sprint("seed ", i)); err != nil {
+							errs <- err
+							return
+						}
+					}
+				})
+			}
+			all.Wait()
+			close(errs)
+			if err := <-errs; err != nil {
+				return err
+			}
+			return sum.tell(to, asJSON)
+		})
+	drawn.FlagSet.Uint64Var(&seed, "seed", 1, "the first `seed`")
+	drawn.FlagSet.DurationVar(&length, "for", time.Minute, "no play begins after this `time`")
+	drawn.FlagSet.IntVar(&keepers, "keepers", 0, "`number` of keepers; 0 = three and five in turn")
+	drawn.FlagSet.IntVar(&faults, "faults", 12, "`number` of faults a play")
+	drawn.FlagSet.IntVar(&lanes, "lanes", 2, "`number` of plays at once")
+	simulated := sub("virtual", "virtual [flags]", "play histories in virtual time",
+		func(ctx context.Context, _ circle.Options, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			return playVirtual(ctx, to, seed, histories, asJSON)
+		})
+	simulated.FlagSet.Uint64Var(&seed, "seed", 1, "the first `seed`")
+	simulated.FlagSet.Uint64Var(&histories, "histories", 2000, "`number` of histories")
+	measure := sub("measure", "measure [flags]", "time to agree by load, keepers and syncing; time without a leader; catching up",
+		func(ctx context.Context, o circle.Options, args []string) error {
+			if err := noArgs(args); err != nil {
+				return err
+			}
+			return measureCircle(ctx, to, o)
+		})
+	return &ffcli.Command{Name: "circle", ShortUsage: "linenwheel-lab circle play|random|virtual|measure [flags]",
+		ShortHelp: "break the links between keepers, kill, stop and burn them, and judge what comes of it",
+		FlagSet:   flagSet("circle", to), Subcommands: []*ffcli.Command{play, drawn, simulated, measure},
+		Exec: func(context.Context, []string) error {
+			return usage(fmt.Errorf("want play, random, virtual or measure; schedules: %s", strings.Join(circle.Names(), ", ")))
+		}}
+}
+
+// schedule reads a file, or a shipped schedule.
+func schedule(name string) (*circle.Schedule, error) {
+	if !strings.HasSuffix(name, ".toml") {
+		return circle.Shipped(name)
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return circle.Parse(name, text)
+}
+
+// sums are of many plays.
+type sums struct {
+	mu     sync.Mutex
+	plays  int
+	broken []string
+	asked  int
+	told   int
+	counts map[string]int
+}
+
+// mostPlay bounds a play that does not end.
+const mostPlay = 3 * time.Minute
+
+func (s *sums) play(ctx context.Context, to streams, schedule *circle.Schedule, o circle.Options, name string) error {
+	ctx, stop := context.WithTimeout(ctx, mostPlay)
+	defer stop()
+	var err error
+	if o.Dir, err = os.MkdirTemp(o.Dir, "play"); err != nil {
+		return err
+	}
+	r, err := circle.Play(ctx, schedule, o)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.plays++
+	for _, b := range r.Broken {
+		s.broken = append(s.broken, name+": "+b)
+		fmt.Fprintln(to.errs, "broken:", name+":", b)
+	}
+	s.add(r.Counts, r.Asked, r.Told)
+	if len(r.Broken) == 0 {
+		return os.RemoveAll(o.Dir)
+	}
+	return nil
+}
+
+func (s *sums) add(counts map[string]int, asked, told int) {
+	for k, n := range counts {
+		s.counts[k] += n
+	}
+	s.asked, s.told = s.asked+asked, s.told+told
+}
+
+// tell prints what was met, and what was broken.
+func (s *sums) tell(to streams, asJSON bool) error {
+	if asJSON {
+		err := json.NewEncoder(to.out).Encode(map[string]any{"plays": s.plays, "asked": s.asked, "told": s.told, "counts": s.counts,
+			"broken": s.broken})
+		if err != nil {
+			return err
+		}
+	} else {
+		for _, k := range circle.Sorted(s.counts) {
+			fmt.Fprintf(to.out, "%9d  %s\n", s.counts[k], k)
+		}
+		fmt.Fprintf(to.out, "%d plays, %d asks, %d told, %d broken\n", s.plays, s.asked, s.told, len(s.broken))
+	}
+	if len(s.broken) > 0 {
+		return errVerdict
+	}
+	return nil
+}
+
+// playVirtual plays histories on all cores.
+func playVirtual(ctx context.Context, to streams, seed, histories uint64, asJSON bool) error {
+	sum := sums{counts: map[string]int{}}
+	var next atomic.Uint64
+	var all sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		all.Go(func() {
+			for i := next.Add(1) - 1; i < histories && ctx.Err() == nil; i = next.Add(1) - 1 {
+				at := seed + i
+				r := virtual.Play(virtual.Settings{Seed: at, Members: 3 + 2*int(at%2), Clients: 4, Asks: 12, Length: 4000, Faults: 6})
+				sum.mu.Lock()
+				sum.plays++
+				sum.add(r.Counts, r.Asked, r.Told)
+				for _, b := range r.Faults {
+					sum.broken = append(sum.broken, fmt.Sprintf("seed %d: %s", at, b))
+					fmt.Fprintf(to.errs, "broken: seed %d: %s\n", at, b)
+				}
+				sum.mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	if ctx.Err() != nil {
+		return errors.New("broken off")
+	}
+	return sum.tell(to, asJSON)
+}
+
+// measureCircle prints the tables of docs/measurements/peers.md.
+func measureCircle(ctx context.Context, to streams, o circle.Options) error {
+	fmt.Fprintln(to.out, "| keepers | synced | commands/s asked | agreed/s | median ms | 99% ms | 99.9% ms | not agreed | CPU of a keeper, cores | "+
+		"RSS of a keeper, MB | bytes between keepers a command |\n|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, n := range []int{3, 5} {
+		for _, synced := range []bool{true, false} {
+			for _, rate := range []int{100, 1000, 5000} {
+				m, err := circle.Load(ctx, o, n, synced, rate, 10*time.Second)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(to.out, "| %d | %v | %d | %.0f | %.2f | %.2f | %.2f | %d | %.2f | %.1f | %.0f |\n", n, synced, rate, m.Rate, m.Median, m.P99,
+					m.P999, m.Lost, m.Cores, m.Memory, m.Bytes)
+			}
+		}
+	}
+	fmt.Fprintln(to.out, "\n| without a leader after | runs | median ms | longest ms |\n|---|---|---|---|")
+	for _, how := range circle.Losses {
+		list, err := circle.Gaps(ctx, o, how, 10)
+		if err != nil {
+			return err
+		}
+		slices.Sort(list)
+		fmt.Fprintf(to.out, "| %s | %d | %.0f | %.0f |\n", how, len(list), list[len(list)/2], list[len(list)-1])
+	}
+	r, err := circle.Late(ctx, o, time.Minute, 500)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(to.out, "\nA keeper away for %.0f s at 500 commands a second (%d entries) held all of it %.0f ms after its start, and an empty one in its place "+
+		"%.0f ms after the order to replace it. A keeper's start until it knows the leader: %.0f ms.\n", r.Away, r.Entries, r.CatchUp, r.Replaced, r.Start)
+	return nil
+}
--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -41,6 +41,7 @@
 	duplicatesCommand,
 	thriftCommand,
 	listsCommand,
+	circleCommand,
 }
 
 // The ways in which a command can end badly, beside those that have no status of their own.
--- a/internal/peers/group/group.go
+++ b/internal/peers/group/group.go
@@ -85,6 +85,8 @@
 	ErrNotLeader = errors.New("this member does not lead")
 	ErrBusy      = errors.New("a change of members is under way")
 	ErrBacklog   = errors.New("too much waits to be agreed")
+	// ErrLost ends a member: its disk lacks what it had acknowledged, so that its vote is worth nothing.
+	ErrLost = errors.New("the directory lacks entries that this member had acknowledged: it is an older copy, or was damaged")
 )
 
 // held is the log in memory. An image that does not know the present members is not sent: whoever is new would not find
@@ -208,6 +210,11 @@
 
 // Step takes a message of another member. One that cannot be taken is dropped, as links may drop it.
 func (g *Group) Step(m *pb.Message) {
+	// A leader tells in its heartbeat what is agreed of that which this member has acknowledged.
+	if last, _ := g.log.LastIndex(); m.GetType() == pb.MsgHeartbeat && m.GetCommit() > last {
+		g.failed = ErrLost
+		return
+	}
 	switch m.GetType() {
 	case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap:
 		if m.GetTerm() >= g.node.BasicStatus().HardState.GetTerm() {
--- a/internal/peers/keeper/keeper.go
+++ b/internal/peers/keeper/keeper.go
@@ -70,6 +70,7 @@
 	ended  chan struct{}
 
 	last     atomic.Uint64 // entry that the disk holds
+	known    atomic.Uint64 // entry up to which the agreed state is known here
 	clients  atomic.Int64
 	writes   atomic.Uint64
 	images   uint64
@@ -303,6 +304,8 @@
 	if err != nil {
 		return err
 	}
+	_, _, applied := k.group.Position()
+	k.known.Store(applied)
 	k.send(work.Messages)
 	for _, a := range work.Applied {
 		k.applied(a)
@@ -442,7 +445,7 @@
 
 func (k *Keeper) dial(address, name string, id uint64, within time.Duration) (*link.Conn, error) {
 	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, ID: k.store.ID,
-		Starts: k.store.Starts, Last: k.last.Load()}, within)
+		Starts: k.store.Starts, Last: k.last.Load(), Applied: k.known.Load()}, within)
 	switch {
 	case errors.Is(err, link.ErrRefused) && w.Final:
 		select {
--- a/internal/peers/keeper/serve.go
+++ b/internal/peers/keeper/serve.go
@@ -113,11 +113,11 @@
 	}
 	m, known := k.group.Ledger().Members().Get(h.ID)
 	match, _ := k.group.Behind(h.ID)
-	_, committed, _ := k.group.Position()
+	_, committed, applied := k.group.Position()
 	switch {
 	case known && m.Role == ledger.Gone:
 		w.Reason, w.Final = "it was taken out or replaced: its directory is to be emptied", true
-	case !known && k.group.Ledger().Index() > 0:
+	case !known && applied > 0 && h.Applied <= applied: // else it may have joined since: who was away must hear of it from it
 		w.Reason = "it is no member (yet)"
 	case known && m.Name != h.Name:
 		w.Reason = fmt.Sprintf("its number is that of %q", m.Name)
@@ -205,6 +205,10 @@
 	case talk.Status:
 		answer(talk.Answer{State: k.state()})
 		return
+	case talk.Picture:
+		reply := k.group.Query(ledger.Ask{Part: ledger.PartRegister, Body: encode(ledger.Get{})})
+		answer(talk.Answer{Reply: &reply})
+		return
 	case talk.Found:
 		if err := k.found(ask); err != nil {
 			answer(talk.Answer{Fault: talk.Refused, Text: err.Error()})
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -55,10 +55,11 @@
 	Max     int    `json:"max"`
 	Release string `json:"release"` // for people
 	Name    string `json:"name"`
-	To      string `json:"to,omitempty"`     // the name of whom it wants, empty = whoever is there
-	ID      uint64 `json:"id,omitempty"`     // of a keeper, 0 = a client of the log
-	Starts  uint64 `json:"starts,omitempty"` // how often it has started
-	Last    uint64 `json:"last,omitempty"`   // the last entry that its disk holds
+	To      string `json:"to,omitempty"`      // the name of whom it wants, empty = whoever is there
+	ID      uint64 `json:"id,omitempty"`      // of a keeper, 0 = a client of the log
+	Starts  uint64 `json:"starts,omitempty"`  // how often it has started
+	Last    uint64 `json:"last,omitempty"`    // the last entry that its disk holds,
+	Applied uint64 `json:"applied,omitempty"` // and up to which it knows what was agreed
 }
 
 // Welcome answers it.
--- a/internal/peers/store/store_test.go
+++ b/internal/peers/store/store_test.go
@@ -62,10 +62,16 @@
 		return s.Write([]group.Write{{Hard: hard(1, 7, 1), Entries: []*pb.Entry{entry(2, 1), entry(3, 1)}}, {Entries: []*pb.Entry{entry(4, 1)}}})
 	},
 	func(s *Store) error { return s.Write([]group.Write{{Hard: hard(2, 8, 2)}}) },
-	func(s *Store) error { return s.Write([]group.Write{{Entries: []*pb.Entry{entry(3, 2)}, Hard: hard(2, 8, 3)}}) },
-	func(s *Store) error { return s.Write([]group.Write{{Entries: []*pb.Entry{entry(4, 2), entry(5, 2), entry(6, 2)}}}) },
+	func(s *Store) error {
+		return s.Write([]group.Write{{Entries: []*pb.Entry{entry(3, 2)}, Hard: hard(2, 8, 3)}})
+	},
+	func(s *Store) error {
+		return s.Write([]group.Write{{Entries: []*pb.Entry{entry(4, 2), entry(5, 2), entry(6, 2)}}})
+	},
 	func(s *Store) error { return s.Keep(image(5, 2), 2) },
-	func(s *Store) error { return s.Write([]group.Write{{Entries: []*pb.Entry{entry(7, 2)}, Hard: hard(2, 8, 7)}}) },
+	func(s *Store) error {
+		return s.Write([]group.Write{{Entries: []*pb.Entry{entry(7, 2)}, Hard: hard(2, 8, 7)}})
+	},
 	func(s *Store) error { return s.Write([]group.Write{{Image: image(20, 3), Hard: hard(3, 9, 20)}}) },
 	func(s *Store) error { return s.Write([]group.Write{{Entries: []*pb.Entry{entry(21, 3)}}}) },
 	func(s *Store) error { return s.Keep(image(21, 3), 100) },
--- a/internal/peers/talk/talk.go
+++ b/internal/peers/talk/talk.go
@@ -10,12 +10,13 @@
 
 // What a request wants.
 const (
-	Do     = "do"     // a command agreed
-	Read   = "read"   // a question answered by what holds
-	Status = "status" // how this keeper does
-	Found  = "found"  // this empty keeper to be one of the first members
-	Learn  = "learn"  // a member taken in, to vote once it has learnt
-	Remove = "remove" // a member taken out
+	Do      = "do"      // a command agreed
+	Read    = "read"    // a question answered by what holds
+	Status  = "status"  // how this keeper does
+	Picture = "picture" // what this keeper holds of the register as it is here, however old, to compare keepers by
+	Found   = "found"   // this empty keeper to be one of the first members
+	Learn   = "learn"   // a member taken in, to vote once it has learnt
+	Remove  = "remove"  // a member taken out
 )
 
 // Request is one.
--- /dev/null
+++ b/lab/circle/circle.go
@@ -0,0 +1,381 @@
+// Package circle starts keepers as real processes with a breakable link in each ordered pair, lets clients ask them while faults
+// come, and judges what the clients were told and what is left on each keeper.
+//
+// Verdicts hang on events: a fault comes after so many asks were told, and a play is over when all is told and all keepers
+// hold the same. Only a bound on the whole ends a play that does neither.
+package circle
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+	"linenwheel.dev/linenwheel/lab/live/proc"
+)
+
+const (
+	fleet     = "circle"
+	heartbeat = "25ms"
+	election  = "150ms"
+	try       = 400 * time.Millisecond
+	lookEvery = 20 * time.Millisecond
+)
+
+// Options say how keepers are started.
+type Options struct {
+	Program string // linenwheel-keep
+	Dir     string // of their folders and logs
+	Extra   string // lines of the table peers
+	Direct  bool   // keepers reach each other without wires: to measure
+}
+
+// Circle is a group of keepers under way.
+type Circle struct {
+	o        Options
+	keepers  []*keeper
+	counts   counts
+	founders []string
+}
+
+// keeper is one machine.
+type keeper struct {
+	name    string
+	address string
+	dir     string
+	process *proc.Process // nil = it is down
+	wires   map[string]*wire
+	stopped bool
+}
+
+// counts are of faults and of the states that they met.
+type counts struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (c *counts) add(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n[kind]++
+}
+
+// New makes a circle of machines; Start starts their keepers.
+func New(names []string, o Options) (*Circle, error) {
+	c := &Circle{o: o, counts: counts{n: map[string]int{}}}
+	circle := circles.Add(1)
+	for _, name := range names {
+		address, err := freeAddress(circle)
+		if err != nil {
+			return nil, err
+		}
+		c.keepers = append(c.keepers, &keeper{name: name, address: address, dir: filepath.Join(o.Dir, name), wires: map[string]*wire{}})
+	}
+	for _, from := range c.keepers {
+		for _, to := range c.keepers {
+			if from == to || o.Direct {
+				continue
+			}
+			w, err := newWire(to.address, c.counts.add)
+			if err != nil {
+				c.Close()
+				return nil, err
+			}
+			from.wires[to.name] = w
+		}
+	}
+	return c, nil
+}
+
+// circles counts those of this process: each has a loopback address of its own, so that no other process's connection takes a
+// port while the keeper there is down.
+var circles atomic.Uint32
+
+func freeAddress(circle uint32) (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+circle%250))
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// Close ends every process that the circle started.
+func (c *Circle) Close() {
+	for _, k := range c.keepers {
+		if k.process != nil {
+			k.process.Kill()
+			k.process = nil
+		}
+		for _, w := range k.wires {
+			w.close()
+		}
+	}
+}
+
+func (c *Circle) find(name string) *keeper {
+	for _, k := range c.keepers {
+		if k.name == name {
+			return k
+		}
+	}
+	return nil
+}
+
+// file is a keeper's options: others are reached over their wires.
+func (c *Circle) file(k *keeper) string {
+	text := fmt.Sprintf("[peers]\nfleet = %q\nkeepers = [\"%s\"]\ndirectory = %q\nheartbeat = %q\nelection = %q\n%s\n", fleet,
+		strings.Join(c.founders, `", "`), k.dir, heartbeat, election, c.o.Extra)
+	for _, other := range c.keepers {
+		address := other.address
+		if w := k.wires[other.name]; w != nil {
+			address = w.listener.Addr().String()
+		}
+		text += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", other.name, address)
+	}
+	return text
+}
+
+// Start starts a keeper with what its folder holds.
+func (c *Circle) Start(name string) error {
+	k := c.find(name)
+	if k.process != nil {
+		select {
+		case <-k.process.Done(): // it ended by itself
+		default:
+			return nil
+		}
+	}
+	if err := os.MkdirAll(k.dir, 0o755); err != nil {
+		return err
+	}
+	options := filepath.Join(k.dir, "options.toml")
+	if err := os.WriteFile(options, []byte(c.file(k)), 0o644); err != nil {
+		return err
+	}
+	var err error
+	k.process, err = proc.Start(proc.Spec{Name: name, Command: "'" + c.o.Program + "'", Dir: filepath.Join(c.o.Dir, "run-"+name),
+		Log: filepath.Join(c.o.Dir, name+".log"), Env: []string{"LINENWHEEL_OPTIONS=" + options}})
+	k.stopped = false
+	return err
+}
+
+// Found starts keepers and makes them the first members.
+func (c *Circle) Found(ctx context.Context, voters []string) error {
+	c.founders = voters
+	for _, name := range voters {
+		if err := c.Start(name); err != nil {
+			return err
+		}
+	}
+	var members []ledger.Member
+	for _, name := range voters {
+		s, err := c.until(ctx, name, func(*talk.State) bool { return true })
+		if err != nil {
+			return err
+		}
+		members = append(members, ledger.Member{ID: s.ID, Name: name, Address: c.find(name).address})
+	}
+	for _, name := range voters {
+		_, err := client.Ask(ctx, c.settings("found"), client.Keeper{Name: name, Address: c.find(name).address},
+			talk.Request{Want: talk.Found, Members: members, Now: 1e12})
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	_, err := c.lead(ctx)
+	return err
+}
+
+// settings are those of a client that reaches all keepers.
+func (c *Circle) settings(name string) client.Settings {
+	set := client.Settings{Fleet: fleet, Name: name, Try: try}
+	for _, k := range c.keepers {
+		set.Keepers = append(set.Keepers, client.Keeper{Name: k.name, Address: k.address})
+	}
+	return set
+}
+
+// state asks a keeper how it does.
+func (c *Circle) state(ctx context.Context, name string) (*talk.State, error) {
+	k := c.find(name)
+	a, err := client.Ask(ctx, c.settings("rig"), client.Keeper{Name: name, Address: k.address}, talk.Request{Want: talk.Status})
+	if err != nil {
+		return nil, err
+	}
+	return a.State, nil
+}
+
+// until waits until a keeper does as wanted, or ctx ends.
+func (c *Circle) until(ctx context.Context, name string, want func(*talk.State) bool) (*talk.State, error) {
+	for {
+		s, err := c.state(ctx, name)
+		if err == nil && want(s) {
+			return s, nil
+		}
+		if err == nil {
+			err = errors.New("it does not come to what is waited for")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%s: %w", name, err)
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+// lead waits until a keeper leads that others follow, and gives it.
+func (c *Circle) lead(ctx context.Context) (*talk.State, error) {
+	for {
+		var best *talk.State
+		for _, k := range c.keepers {
+			if k.process == nil || k.stopped {
+				continue
+			}
+			if s, err := c.state(ctx, k.name); err == nil && s.Role == "leader" && (best == nil || s.Term > best.Term) {
+				best = s
+			}
+		}
+		if best != nil {
+			return best, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.New("no keeper leads")
+		case <-time.After(lookEvery):
+		}
+	}
+}
+
+// Kill ends a keeper outright.
+func (c *Circle) Kill(name string) {
+	if k := c.find(name); k.process != nil {
+		k.process.Kill()
+		k.process = nil
+	}
+}
+
+// End has a keeper end as operators do, and waits for it.
+func (c *Circle) End(name string) {
+	k := c.find(name)
+	if k.process == nil {
+		return
+	}
+	_ = k.process.Signal(syscall.SIGTERM) // one that has ended needs none
+	<-k.process.Done()
+	k.process = nil
+}
+
+// Pause stops a keeper where it stands, or has it go on.
+func (c *Circle) Pause(name string, on bool) {
+	k := c.find(name)
+	if k.process == nil || k.stopped == on {
+		return
+	}
+	s := syscall.SIGCONT
+	if on {
+		s = syscall.SIGSTOP
+	}
+	if k.process.Signal(s) == nil {
+		k.stopped = on
+	}
+}
+
+// Wipe deletes what a keeper that is down had on its disk.
+func (c *Circle) Wipe(name string) error { return os.RemoveAll(c.find(name).dir) }
+
+// Fill lets a running keeper's files grow by no more than a little.
+func (c *Circle) Fill(name string) error {
+	k := c.find(name)
+	most := int64(0)
+	files, err := filepath.Glob(filepath.Join(k.dir, name, "log-*.log"))
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			most = max(most, info.Size())
+		}
+	}
+	limit := unix.Rlimit{Cur: uint64(most) + 100, Max: uint64(most) + 100}
+	return unix.Prlimit(k.process.PID(), unix.RLIMIT_FSIZE, &limit, nil)
+}
+
+// Copy keeps what a keeper that is down has on its disk, and Restore puts it back.
+func (c *Circle) Copy(name string) error {
+	k := c.find(name)
+	if err := os.RemoveAll(k.dir + ".copy"); err != nil {
+		return err
+	}
+	return os.CopyFS(k.dir+".copy", os.DirFS(k.dir))
+}
+
+// Restore puts the copy in the folder's place.
+func (c *Circle) Restore(name string) error {
+	k := c.find(name)
+	if err := os.RemoveAll(k.dir); err != nil {
+		return err
+	}
+	return os.CopyFS(k.dir, os.DirFS(k.dir+".copy"))
+}
+
+// Trouble sets what is wrong with the wires from a keeper, to it, or both; the zero Trouble mends them.
+func (c *Circle) Trouble(name string, out, in bool, t Trouble) {
+	for _, k := range c.keepers {
+		for to, w := range k.wires {
+			if out && k.name == name || in && to == name {
+				w.set(t)
+			}
+		}
+	}
+}
+
+// Replace has an empty keeper that runs under a name take the vote of the one before, as the operators' command does, and
+// waits until it votes.
+func (c *Circle) Replace(ctx context.Context, name string) error {
+	fresh, err := c.until(ctx, name, func(*talk.State) bool { return true })
+	if err != nil {
+		return err
+	}
+	m := ledger.Member{ID: fresh.ID, Name: name, Address: c.find(name).address}
+	for {
+		lead, err := c.lead(ctx)
+		if err != nil {
+			return err
+		}
+		now := ledger.Member{}
+		for _, have := range lead.Members {
+			if have.ID == m.ID {
+				now = have.Member
+			} else if have.Name == name && have.Role == ledger.Voter {
+				m.Replaces = have.ID
+			}
+		}
+		switch now.Role {
+		case ledger.Voter:
+			if !lead.Changing {
+				c.counts.add("met: a replacement that votes")
+				return nil
+			}
+		case "":
+			_, _ = client.Ask(ctx, c.settings("rig"), client.Keeper{Name: lead.Name, Address: c.find(lead.Name).address},
+				talk.Request{Want: talk.Learn, Members: []ledger.Member{m}}) // it is tried again
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not get its vote: role %q", name, now.Role)
+		case <-time.After(lookEvery):
+		}
+	}
+}
--- /dev/null
+++ b/lab/circle/circle_test.go
@@ -0,0 +1,68 @@
+package circle
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// program is the keeper, built once; under the race detector where the test is.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "circle")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "linenwheel-keep")
+	args := []string{"build", "-o", program}
+	if raced {
+		args = append(args, "-race")
+	}
+	c := exec.Command("go", append(args, "../../cmd/linenwheel-keep")...)
+	c.Stderr = os.Stderr
+	if err := c.Run(); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// most bounds a play that does not end.
+const most = 100 * time.Second
+
+// Guards, with real processes and links that break between them, against answers that no order explains, keepers that hold
+// different things, a fleet that does not come back, a keeper that votes when it must not, and faults that met nothing.
+func TestSchedules(t *testing.T) {
+	for _, name := range Names() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, err := Shipped(name)
+			require.NoError(t, err)
+			ctx, stop := context.WithTimeout(context.Background(), most)
+			defer stop()
+			dir := t.TempDir()
+			r, err := Play(ctx, s, Options{Program: program, Dir: dir})
+			require.NoError(t, err)
+			logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+			require.NoError(t, err)
+			require.Len(t, logs, s.Keepers+s.Spare)
+			broken := !assert.Empty(t, r.Broken)
+			for _, log := range logs {
+				text, err := os.ReadFile(log)
+				require.NoError(t, err)
+				if broken || strings.Contains(string(text), "DATA RACE") || strings.Contains(string(text), "panic") {
+					t.Errorf("%s:\n%s", filepath.Base(log), text)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lab/circle/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package circle
+
+const raced = false
--- /dev/null
+++ b/lab/circle/play.go
@@ -0,0 +1,528 @@
+package circle
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/peers/link"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+	"linenwheel.dev/linenwheel/lab/circle/judge"
+)
+
+// Schedule is a play: clients that ask, and faults that come.
+type Schedule struct {
+	Name    string   `toml:"name"`
+	About   string   `toml:"about"`
+	Keepers int      `toml:"keepers"` // that are founded
+	Spare   int      `toml:"spare"`   // machines beside them, for members that join
+	Clients int      `toml:"clients"`
+	Asks    int      `toml:"asks"`  // of each client, and more until the last fault has come
+	Extra   []string `toml:"extra"` // lines of the keepers' table peers
+	Faults  []Fault  `toml:"fault"`
+	Met     []string `toml:"met"` // states that must have been met, else the play tested nothing
+	Seed    uint64   `toml:"seed"`
+}
+
+// Fault is one, at a place in the play.
+type Fault struct {
+	After  int    `toml:"after"` // it comes once so many asks were told
+	Kind   string `toml:"kind"`
+	On     string `toml:"on"`     // leader, follower, all, or a keeper's name; empty = drawn
+	For    int    `toml:"for"`    // ms until it ends
+	Beside bool   `toml:"beside"` // it comes while those before still hold, else once they have ended
+}
+
+// Kinds are those of faults.
+var Kinds = map[string]func(*play, Fault, []string) error{
+	"kill":    (*play).kill,
+	"end":     (*play).end,
+	"stop":    (*play).stop,
+	"burn":    (*play).burn,
+	"older":   (*play).older,
+	"fill":    (*play).fill,
+	"add":     (*play).addOne,
+	"remove":  (*play).removeOne,
+	"stray":   (*play).stray,
+	"cut":     trouble(true, true, Trouble{Refuse: true}),
+	"cut-out": trouble(true, false, Trouble{Refuse: true}),
+	"cut-in":  trouble(false, true, Trouble{Refuse: true}),
+	"stall":   trouble(true, true, Trouble{Stall: true}),
+	"half":    trouble(true, false, Trouble{Stall: true}),
+	"delay":   trouble(true, true, Trouble{Delay: 40}),
+	"jitter":  trouble(true, true, Trouble{Delay: 5, Jitter: 80}),
+	"slow":    trouble(true, true, Trouble{Rate: 20000}),
+	"loss":    trouble(true, true, Trouble{Loss: 0.15}),
+	"tear":    trouble(true, true, Trouble{Tear: true}),
+}
+
+// Result is what became of a play.
+type Result struct {
+	Broken []string       `json:"broken"` // what the judge found; none = sound
+	Counts map[string]int `json:"counts"`
+	Asked  int            `json:"asked"`
+	Told   int            `json:"told"`
+}
+
+// play is one under way.
+type play struct {
+	*Circle
+	s       *Schedule
+	ctx     context.Context
+	luck    *rand.Rand
+	voters  []string
+	begin   time.Time
+	told    atomic.Int64
+	wake    chan struct{}
+	over    chan struct{} // closed when the faults have ended
+	ends    sync.WaitGroup
+	endings chan func() error // of faults, carried out by the one goroutine that makes them
+	pending int
+	lost    map[string]bool // keepers that are away for the moment, or for good
+	broken  []string
+	mu      sync.Mutex
+	history []judge.Ask
+}
+
+// Play plays a schedule to its end, or until ctx ends, which is a fault.
+func Play(ctx context.Context, s *Schedule, o Options) (Result, error) {
+	var names []string
+	for i := range s.Keepers + s.Spare {
+		names = append(names, fmt.Sprintf("k%d", i))
+	}
+	o.Extra = strings.Join(append(slices.Clone(s.Extra), o.Extra), "\n")
+	c, err := New(names, o)
+	if err != nil {
+		return Result{}, err
+	}
+	defer c.Close()
+	p := &play{Circle: c, s: s, ctx: ctx, luck: rand.New(rand.NewPCG(s.Seed, 5)), voters: names[:s.Keepers], begin: time.Now(),
+		wake: make(chan struct{}, 1), over: make(chan struct{}), endings: make(chan func() error, 64), lost: map[string]bool{}}
+	if err := c.Found(ctx, p.voters); err != nil {
+		return Result{}, err
+	}
+	var clients sync.WaitGroup
+	for i := range s.Clients {
+		clients.Go(func() { p.ask(i) })
+	}
+	if err := p.faults(); err != nil {
+		p.fault("%v", err)
+	}
+	close(p.over)
+	clients.Wait()
+	p.settle()
+	p.broken = append(p.broken, judge.Judge(p.history)...)
+	r := Result{Broken: p.broken, Counts: c.counts.n, Asked: len(p.history), Told: int(p.told.Load())}
+	for _, kind := range s.Met {
+		if r.Counts[kind] == 0 {
+			r.Broken = append(r.Broken, fmt.Sprintf("%q was never met: the play tested nothing", kind))
+		}
+	}
+	return r, nil
+}
+
+func (p *play) fault(format string, v ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken = append(p.broken, fmt.Sprintf("%.3f s: ", time.Since(p.begin).Seconds())+fmt.Sprintf(format, v...))
+}
+
+func (p *play) now() float64 { return float64(time.Since(p.begin)) / 1e6 }
+
+// ask is one client: it asks until it has asked enough and the faults are over.
+func (p *play) ask(number int) {
+	log := client.New(p.settings(fmt.Sprintf("c%d", number)))
+	defer log.Close()
+	luck := rand.New(rand.NewPCG(p.s.Seed, uint64(number)))
+	seen := map[string]uint64{}
+	for i := 0; p.ctx.Err() == nil; i++ {
+		select {
+		case <-p.over:
+			if i >= p.s.Asks {
+				return
+			}
+		default:
+		}
+		a := judge.Ask{Client: number, Name: fmt.Sprintf("r%d-%d", luck.IntN(3), i/30), Called: p.now(), Told: math.Inf(1)}
+		ctx, stop := context.WithTimeout(p.ctx, 4*time.Second)
+		var r ledger.Reply
+		var err error
+		if a.Read = luck.IntN(3) == 0; a.Read {
+			r, err = log.Read(ctx, ledger.PartRegister, ledger.Get{Name: a.Name})
+		} else {
+			a.Value = fmt.Sprintf("c%d-%d", number, i)
+			set := ledger.Set{Name: a.Name, Value: a.Value}
+			if a.Based = luck.IntN(3) == 0; a.Based {
+				a.Was = seen[a.Name]
+				set.Was = &a.Was
+			}
+			r, err = log.Do(ctx, ledger.PartRegister, set)
+		}
+		stop()
+		var v ledger.Value
+		switch {
+		case errors.Is(err, client.ErrNobody):
+			p.counts.add("met: an ask that nobody took")
+			continue // it changed nothing, and told nothing
+		case err != nil:
+			p.counts.add("met: an ask of which nothing is known")
+		default:
+			if err := json.Unmarshal(r.Body, &v); err != nil {
+				p.fault("a body that cannot be read: %s", r.Body)
+			}
+			a.Told, a.Number, a.Clash = p.now(), v.Number, r.Code == ledger.Conflict
+			if seen[a.Name] = v.Number; a.Read {
+				a.Value = v.Value
+			} else if r.Code != ledger.OK && !a.Clash {
+				p.fault("%s: %s", r.Code, r.Text)
+			}
+			p.told.Add(1)
+			select {
+			case p.wake <- struct{}{}:
+			default:
+			}
+		}
+		p.mu.Lock()
+		p.history = append(p.history, a)
+		p.mu.Unlock()
+	}
+}
+
+// faults makes them, each at its place, and waits until all have ended.
+func (p *play) faults() error {
+	for i, f := range p.s.Faults {
+		for int(p.told.Load()) < f.After || p.pending > 0 && !f.Beside {
+			select {
+			case <-p.wake:
+			case end := <-p.endings:
+				if err := p.ended(end); err != nil {
+					return err
+				}
+			case <-p.ctx.Done():
+				return fmt.Errorf("fault %d (%s) waits for %d asks to be told, %d were, and for %d faults to end", i+1, f.Kind, f.After,
+					p.told.Load(), p.pending)
+			}
+		}
+		make := Kinds[f.Kind]
+		if make == nil {
+			return fmt.Errorf("fault %d: there is no kind %q", i+1, f.Kind)
+		}
+		names, err := p.victims(f.On)
+		if err != nil {
+			return fmt.Errorf("fault %d (%s): %w", i+1, f.Kind, err)
+		}
+		p.counts.add("fault: " + f.Kind)
+		if err := make(p, f, names); err != nil {
+			return fmt.Errorf("fault %d (%s on %v): %w", i+1, f.Kind, names, err)
+		}
+	}
+	for p.pending > 0 {
+		select {
+		case end := <-p.endings:
+			if err := p.ended(end); err != nil {
+				return err
+			}
+		case <-p.ctx.Done():
+			return errors.New("faults do not end")
+		}
+	}
+	return nil
+}
+
+func (p *play) ended(end func() error) error {
+	p.pending--
+	return end()
+}
+
+// later has a fault end after its time.
+func (p *play) later(f Fault, end func() error) {
+	p.pending++
+	time.AfterFunc(time.Duration(max(f.For, 1))*time.Millisecond, func() { p.endings <- end })
+}
+
+// victims are the keepers that a fault strikes.
+func (p *play) victims(on string) ([]string, error) {
+	switch on {
+	case "all":
+		return slices.Clone(p.voters), nil
+	case "", "leader", "follower":
+		lead, err := p.lead(p.ctx)
+		if err != nil {
+			return nil, err
+		}
+		if on == "leader" || on == "" && p.luck.IntN(2) == 0 {
+			p.counts.add("met: a fault of the leader")
+			return []string{lead.Name}, nil
+		}
+		rest := slices.DeleteFunc(slices.Clone(p.voters), func(n string) bool { return n == lead.Name || p.lost[n] })
+		if len(rest) == 0 {
+			return nil, errors.New("no keeper follows")
+		}
+		return []string{rest[p.luck.IntN(len(rest))]}, nil
+	}
+	if p.find(on) == nil {
+		return nil, fmt.Errorf("there is no keeper %q", on)
+	}
+	return []string{on}, nil
+}
+
+func (p *play) kill(f Fault, names []string) error {
+	for _, n := range names {
+		p.Kill(n)
+		p.lost[n] = true
+	}
+	p.later(f, func() error { return p.back(names) })
+	return nil
+}
+
+func (p *play) end(f Fault, names []string) error {
+	for _, n := range names {
+		p.End(n)
+		p.lost[n] = true
+	}
+	p.later(f, func() error { return p.back(names) })
+	return nil
+}
+
+func (p *play) back(names []string) error {
+	for _, n := range names {
+		delete(p.lost, n)
+		if err := p.Start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *play) stop(f Fault, names []string) error {
+	for _, n := range names {
+		p.Pause(n, true)
+		p.lost[n] = true
+	}
+	p.later(f, func() error {
+		for _, n := range names {
+			p.Pause(n, false)
+			delete(p.lost, n)
+		}
+		return nil
+	})
+	return nil
+}
+
+// burn ends a keeper and deletes its folder; then an empty one takes its place.
+func (p *play) burn(f Fault, names []string) error {
+	for _, n := range names {
+		p.Kill(n)
+		p.lost[n] = true
+		if err := p.Wipe(n); err != nil {
+			return err
+		}
+	}
+	p.later(f, func() error {
+		if err := p.back(names); err != nil {
+			return err
+		}
+		for _, n := range names {
+			if err := p.Replace(p.ctx, n); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return nil
+}
+
+// older ends a keeper, copies its folder, lets it live and agree to more, and then puts the copy in place: it must be turned
+// away, and an empty one takes its place.
+func (p *play) older(f Fault, names []string) error {
+	n := names[0]
+	p.End(n)
+	if err := p.Copy(n); err != nil {
+		return err
+	}
+	if err := p.back(names); err != nil {
+		return err
+	}
+	s, err := p.until(p.ctx, n, func(s *talk.State) bool { return s.Role == "leader" || s.Role == "voter" && s.Leader != "" })
+	if err != nil {
+		return err
+	}
+	if _, err := p.until(p.ctx, n, func(now *talk.State) bool { return now.Applied > s.Applied+5 && starts(now, s.ID) >= s.Starts }); err != nil {
+		return err
+	}
+	p.Kill(n)
+	if err := p.Restore(n); err != nil {
+		return err
+	}
+	if err := p.back(names); err != nil {
+		return err
+	}
+	select {
+	case <-p.find(n).process.Done():
+		p.counts.add("met: an older copy that was turned away")
+	case <-p.ctx.Done():
+		return errors.New("an older copy is not turned away")
+	}
+	return p.burn(f, names)
+}
+
+// starts is how often a member has started, as far as is agreed.
+func starts(s *talk.State, id uint64) uint64 {
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m.Starts
+		}
+	}
+	return 0
+}
+
+// fill lets a keeper's disk be full: it must end loudly, and comes back when there is room.
+func (p *play) fill(f Fault, names []string) error {
+	n := names[0]
+	if err := p.Fill(n); err != nil {
+		return err
+	}
+	select {
+	case <-p.find(n).process.Done():
+	case <-p.ctx.Done():
+		return errors.New("a keeper whose disk is full goes on")
+	}
+	log, err := os.ReadFile(filepath.Join(p.o.Dir, n+".log"))
+	if err != nil {
+		return err
+	}
+	if !strings.Contains(string(log), "the disk fails: this keeper votes no more") {
+		return errors.New("a keeper whose disk is full does not say so")
+	}
+	p.counts.add("met: a keeper that left for its disk")
+	p.lost[n] = true
+	p.later(f, func() error { return p.back(names) })
+	return nil
+}
+
+// addOne has a spare machine join.
+func (p *play) addOne(_ Fault, names []string) error {
+	n := names[0]
+	if err := p.Start(n); err != nil {
+		return err
+	}
+	if err := p.Replace(p.ctx, n); err != nil {
+		return err
+	}
+	p.voters = append(slices.Clone(p.voters), n)
+	p.counts.add("met: one more keeper that votes")
+	return nil
+}
+
+// removeOne takes a keeper out; it must end by itself once the others turn it away.
+func (p *play) removeOne(_ Fault, names []string) error {
+	n := names[0]
+	for {
+		lead, err := p.lead(p.ctx)
+		if err != nil {
+			return err
+		}
+		gone := true
+		for _, m := range lead.Members {
+			if m.Name == n && m.Role != ledger.Gone {
+				gone = false
+				_, _ = client.Ask(p.ctx, p.settings("rig"), client.Keeper{Name: lead.Name, Address: p.find(lead.Name).address},
+					talk.Request{Want: talk.Remove, Members: []ledger.Member{m.Member}}) // it is tried again
+			}
+		}
+		if gone && !lead.Changing {
+			break
+		}
+	}
+	p.End(n) // whether it has noticed or not
+	p.voters = slices.DeleteFunc(slices.Clone(p.voters), func(v string) bool { return v == n })
+	p.counts.add("met: a keeper that was taken out")
+	return nil
+}
+
+// stray is somebody who connects and is no keeper of the fleet: one of another fleet, one that claims a frame of 2 GB, one that
+// claims to be a keeper that it is not, one that says nothing to the end.
+func (p *play) stray(_ Fault, names []string) error {
+	address := p.find(names[0]).address
+	for _, hello := range []link.Hello{{Fleet: "other", Name: "x", ID: 5}, {Fleet: fleet, Name: "x", ID: 5},
+		{Fleet: fleet, Name: "c", To: "somebody"}} {
+		c, _, err := link.Dial(address, hello, try)
+		if !errors.Is(err, link.ErrRefused) {
+			if c != nil {
+				_ = c.Close()
+			}
+			return fmt.Errorf("%+v is not turned away: %w", hello, err)
+		}
+		p.counts.add("met: a stranger that was turned away")
+	}
+	return p.huge(address)
+}
+
+// trouble makes a kind of fault of wires.
+func trouble(out, in bool, t Trouble) func(*play, Fault, []string) error {
+	return func(p *play, f Fault, names []string) error {
+		for _, n := range names {
+			p.Trouble(n, out, in, t)
+		}
+		p.later(f, func() error {
+			for _, n := range names {
+				p.Trouble(n, out, in, Trouble{})
+			}
+			return nil
+		})
+		return nil
+	}
+}
+
+// settle waits until all keepers have come to the same entry, and compares what they hold there.
+func (p *play) settle() {
+	for {
+		lead, err := p.lead(p.ctx)
+		if err != nil {
+			p.fault("after the faults: %v", err)
+			return
+		}
+		var held []ledger.Reply
+		for _, n := range p.voters {
+			if _, err := p.until(p.ctx, n, func(s *talk.State) bool { return s.Applied >= lead.Applied && s.Leader != "" }); err != nil {
+				p.fault("after the faults: %v", err)
+				return
+			}
+			a, err := client.Ask(p.ctx, p.settings("rig"), client.Keeper{Name: n, Address: p.find(n).address},
+				talk.Request{Want: talk.Picture})
+			if err != nil {
+				p.fault("after the faults: %s: %v", n, err)
+				return
+			}
+			held = append(held, *a.Reply)
+		}
+		if slices.ContainsFunc(held, func(r ledger.Reply) bool { return r.Index != held[0].Index }) {
+			continue // something was agreed meanwhile
+		}
+		for i, r := range held {
+			if string(r.Body) != string(held[0].Body) {
+				p.fault("%s and %s hold different things at entry %d", p.voters[0], p.voters[i], r.Index)
+			}
+		}
+		break
+	}
+	for _, n := range p.voters {
+		if s, err := p.state(p.ctx, n); err == nil {
+			p.counts.mu.Lock()
+			p.counts.n["met: images made"] += int(s.Images)
+			p.counts.mu.Unlock()
+		}
+	}
+}
--- a/lab/circle/virtual/clients.go
+++ b/lab/circle/virtual/clients.go
@@ -6,9 +6,8 @@
 	"math"
 	"strconv"
 
-	"github.com/anishathalye/porcupine"
-
 	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/lab/circle/judge"
 )
 
 // client asks for one thing after the other, each until it is told.
@@ -25,28 +24,13 @@
 
 // ask is one thing that a client wants.
 type ask struct {
-	client  *client
-	number  uint64
-	read    bool
-	body    json.RawMessage
-	op      op
-	called  float64
-	told    float64 // +Inf = never
-	tries   int
-	maybe   bool // it went to a leader before
-	outcome ledger.Reply
-}
-
-// op is what it means to the judge.
-type op struct {
-	name  string
-	read  bool
-	value string // that was set or read
-	was   uint64 // the number it was based on, where it had one
-	based bool
-	clash bool   // it was told that another number holds
-	have  uint64 // the number that it was told
-	open  bool   // nobody knows what became of it
+	client *client
+	number uint64
+	read   bool
+	body   json.RawMessage
+	op     judge.Ask
+	tries  int
+	maybe  bool // it went to a leader before
 }
 
 func encode(v any) json.RawMessage {
@@ -60,7 +44,7 @@
 // next begins the next ask.
 func (c *client) next() {
 	w := c.w
-	a := &ask{client: c, called: w.now, told: math.Inf(1)}
+	a := &ask{client: c, op: judge.Ask{Client: c.number, Called: w.now, Told: math.Inf(1)}}
 	switch {
 	case c.session == 0:
 		w.fresh++
@@ -71,18 +55,18 @@
 	default:
 		c.left--
 		name := "r" + strconv.Itoa(w.luck.IntN(3))
-		a.op.name = name
-		if a.op.read = w.luck.IntN(3) == 0; a.op.read {
+		a.op.Name = name
+		if a.op.Read = w.luck.IntN(3) == 0; a.op.Read {
 			a.read, a.body = true, encode(ledger.Get{Name: name})
 			w.fresh++
 			a.number = w.fresh
 		} else {
 			a.number = c.done + 1
-			a.op.value = fmt.Sprintf("%s-%d", c.name, a.number)
-			set := ledger.Set{Name: name, Value: a.op.value}
+			a.op.Value = fmt.Sprintf("%s-%d", c.name, a.number)
+			set := ledger.Set{Name: name, Value: a.op.Value}
 			if w.luck.IntN(3) == 0 {
-				a.op.based, a.op.was = true, w.lastSeen(name)
-				set.Was = &a.op.was
+				a.op.Based, a.op.Was = true, w.lastSeen(name)
+				set.Was = &a.op.Was
 			}
 			a.body = encode(set)
 		}
@@ -95,8 +79,8 @@
 // lastSeen is a number that some client was told for a name, which may hold no more.
 func (w *world) lastSeen(name string) uint64 {
 	for i := len(w.history) - 1; i >= 0; i-- {
-		if a := w.history[i]; a.op.name == name && !math.IsInf(a.told, 1) {
-			return a.op.have
+		if a := w.history[i]; a.op.Name == name && !math.IsInf(a.op.Told, 1) {
+			return a.op.Number
 		}
 	}
 	return 0
@@ -178,8 +162,8 @@
 		if c.now != a {
 			return
 		}
-		a.told, a.outcome = w.now, r
-		if a.op.name == "" {
+		a.op.Told = w.now
+		if a.op.Name == "" {
 			if r.Code != ledger.OK {
 				w.fault("%s got no session: %s", c.name, r.Text)
 			}
@@ -187,7 +171,7 @@
 		} else {
 			a.judgeable(r)
 		}
-		if !a.read && c.session != 0 && a.op.name != "" {
+		if !a.read && c.session != 0 && a.op.Name != "" {
 			c.done = a.number
 		}
 		w.after(w.luck.Float64()*60, c.next)
@@ -201,18 +185,18 @@
 	if len(r.Body) > 0 && json.Unmarshal(r.Body, &v) != nil {
 		a.client.w.fault("a body that cannot be read: %s", r.Body)
 	}
-	a.op.have = v.Number
+	a.op.Number = v.Number
 	switch {
-	case a.op.read:
-		a.op.value = v.Value
+	case a.op.Read:
+		a.op.Value = v.Value
 	case r.Code == ledger.Conflict:
-		a.op.clash = true
+		a.op.Clash = true
 	case r.Code == ledger.Lost:
-		a.told, a.op.open = math.Inf(1), true
+		a.op.Told = math.Inf(1)
 	case r.Code != ledger.OK:
 		a.client.w.fault("%s: %s", r.Code, r.Text)
-	case a.op.have == 0: // told early
-		a.op.have = r.Index
+	case a.op.Number == 0: // told early
+		a.op.Number = r.Index
 	}
 }
 
@@ -221,59 +205,18 @@
 
 func (h history) told() (n int) {
 	for _, a := range h {
-		if !math.IsInf(a.told, 1) {
+		if !math.IsInf(a.op.Told, 1) {
 			n++
 		}
 	}
 	return n
 }
 
-// state of one name, as the judge has it. The numbers of entries are not known beforehand: a set that was told says which it
-// got; one whose answer never came leaves the number open.
-type state struct {
-	value  string
-	number uint64 // 0 = not known, or nothing held
-	held   bool
-}
-
-// judge holds the history against one register a name that changes at one moment within each ask.
-func (h history) judge() (faults []string) {
-	names := map[string][]porcupine.Operation{}
+// judge holds the history against what a register is.
+func (h history) judge() []string {
+	var asks []judge.Ask
 	for _, a := range h {
-		o := a.op
-		end := int64(math.MaxInt64)
-		if !math.IsInf(a.told, 1) {
-			end = int64(a.told * 1e6)
-		} else {
-			o.open = true
-		}
-		names[o.name] = append(names[o.name], porcupine.Operation{ClientId: a.client.number, Input: o, Call: int64(a.called * 1e6),
-			Output: o, Return: end})
-	}
-	model := porcupine.Model{Init: func() any { return state{} }, Step: func(s, in, _ any) (bool, any) { return step(s.(state), in.(op)) }}
-	for name, operations := range names {
-		if !porcupine.CheckOperations(model, operations) {
-			faults = append(faults, fmt.Sprintf("no order of the asks for %s explains what was told", name))
-		}
-	}
-	return faults
-}
-
-func step(s state, o op) (bool, any) {
-	switch {
-	case o.open && o.read:
-		return true, s
-	case o.open: // it may have been based on a number that does not hold, and changed nothing
-		if o.based && (s.number != 0 && s.number != o.was || !s.held && o.was != 0) {
-			return true, s
-		}
-		return true, state{value: o.value, held: true}
-	case o.read:
-		return s.value == o.value && (s.number == 0 || s.number == o.have), s
-	case o.clash:
-		return s.number == 0 && s.held || s.number == o.have && o.have != o.was, s
-	case o.based && s.number != o.was && (s.number != 0 || !s.held):
-		return false, s
+		asks = append(asks, a.op)
 	}
-	return true, state{value: o.value, number: o.have, held: true}
+	return judge.Judge(asks)
 }
