Append entries to the disk's account of them without copying it each time

Cause: the store clipped its list of entries before each append, so that every command copied all entries since the last image. At 1,000 commands a second a keeper used half a core, and 1% of commands took over 20 ms.

Change: an entry that follows the last one is appended as it is; only one that takes the place of others clips.

--- /dev/null
+++ b/internal/peers/keeper/keeper_test.go
@@ -0,0 +1,70 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+)
+
+// fleet runs founded keepers in this process; it ends with the test.
+func fleet(t testing.TB, n int) client.Settings {
+	set := client.Settings{Fleet: "f", Name: "test", Try: time.Second}
+	addresses := map[string]string{}
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		name := fmt.Sprint("k", i)
+		addresses[name] = l.Addr().String()
+		set.Keepers = append(set.Keepers, client.Keeper{Name: name, Address: addresses[name]})
+		require.NoError(t, l.Close())
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var run sync.WaitGroup
+	var members []ledger.Member
+	for _, to := range set.Keepers {
+		k, err := New(Settings{Fleet: "f", Name: to.Name, Listen: to.Address, Directory: t.TempDir(), Synced: true, Addresses: addresses,
+			Heartbeat: 25, Election: 250, ImageEvery: 4 << 20, Trail: 1000}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		require.NoError(t, err)
+		members = append(members, ledger.Member{ID: k.ID(), Name: to.Name, Address: to.Address})
+		run.Go(func() { _ = k.Run(ctx) })
+	}
+	t.Cleanup(func() { stop(); run.Wait() })
+	for _, to := range set.Keepers {
+		_, err := client.Ask(ctx, set, to, talk.Request{Want: talk.Found, Members: members, Now: 1})
+		require.NoError(t, err)
+	}
+	return set
+}
+
+// BenchmarkDo is a command agreed by three keepers in one process that sync, asked by many at once.
+func BenchmarkDo(b *testing.B) {
+	c := client.New(fleet(b, 3))
+	defer c.Close()
+	work := make(chan int)
+	var wait sync.WaitGroup
+	for range 64 {
+		wait.Go(func() {
+			for i := range work {
+				if _, err := c.Do(context.Background(), ledger.PartRegister, ledger.Set{Name: fmt.Sprint(i % 100), Value: "x"}); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+	}
+	for i := 0; b.Loop(); i++ {
+		work <- i
+	}
+	close(work)
+	wait.Wait()
+}
--- a/internal/peers/store/store.go
+++ b/internal/peers/store/store.go
@@ -312,6 +312,8 @@
 		return nil // written again behind a trim that was cut off
 	case at <= last && list[at-first].GetTerm() == e.GetTerm():
 		return nil
+	case at == last+1:
+		s.saved.Entries = append(list, e)
 	default:
 		s.saved.Entries = append(list[:at-first:at-first], e)
 	}
