--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
+.PHONY: circle build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -63,6 +63,13 @@
 scale: build
 	bin/linenwheel-lab scale -to docs/measurements
 
+# Keepers with faults between them: an hour of drawn schedules on real processes, 100,000 histories in virtual time, and the
+# tables of docs/measurements/peers.md.
+circle: build
+	bin/linenwheel-lab circle virtual -histories 100000
+	bin/linenwheel-lab circle random -for 1h
+	bin/linenwheel-lab circle measure
+
 # What a request costs the node beside two plain proxies: docs/measurements/cost.md.
 bench:
 	go run ./bench
