Have the fleet agree on a charge's name before its first byte, and on its answer before its client

Change: the agreed log has a part for calls: the nodes' own pure book of names, with who runs what. With peers.fleet, a recorded class that must not run twice takes its name there before it is sent; a repeat at any node waits for the run, gets its answer, or 409 where nobody can know. The end is agreed before the client is told, for peers.end_wait at the most. A node that stood still for longer than its claim does not send: the last look is before the first byte. A new life of a node makes what the old one had taken calls that may have run. Without a majority such calls get 503 at once, others go on. A node with another secret takes none and says so.

--- a/cmd/linenwheel-lab/duplicates.go
+++ b/cmd/linenwheel-lab/duplicates.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -37,6 +38,13 @@
 	flags.IntVar(&set.Most, "most", 50, "posts of one charge at the most")
 	flags.IntVar(&set.Kills, "kills", 0, "times that the node is killed and started again")
 	flags.Uint64Var(&set.Seed, "seed", 1, "of the charges, their posts and the raters' troubles")
+	fleet := duplicates.Fleet{}
+	flags.IntVar(&fleet.Nodes, "nodes", 1, "`number` of nodes, which hold names for each other if there are keepers")
+	flags.IntVar(&fleet.Keepers, "keepers", 0, "`number` of keepers, 0 = none")
+	flags.DurationVar(&fleet.FaultEvery, "fault-every", 0, "the `time` between two faults of nodes, keepers and links; 0 = none")
+	flags.BoolVar(&fleet.Unsynced, "unsynced", false, "keepers do not sync")
+	flags.BoolVar(&set.Plain, "plain", false, "raters answer every charge")
+	kinds := flags.String("faults", "", "the `kinds` of faults, with commas; empty = all")
 	dir := flags.String("dir", "", "for the node's files; empty = a temporary one")
 	asJSON := flags.Bool("json", false, "print the result as JSON")
 	return &ffcli.Command{
@@ -59,6 +67,17 @@
 				}
 				defer func() { _ = os.RemoveAll(set.Dir) }() // what is left there is of no use
 			}
+			if fleet.Keepers > 0 {
+				self, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				fleet.Program = filepath.Join(filepath.Dir(self), "linenwheel-keep")
+				if *kinds != "" {
+					fleet.Kinds = strings.Split(*kinds, ",")
+				}
+				set.Fleet = &fleet
+			}
 			if set.Options, err = writeRecognising(set.Dir, *mode); err != nil {
 				return err
 			}
@@ -76,6 +95,11 @@
 					"the node: peak %.1f MB, %.2f s of processor time\n", r.Posts, r.Names, r.Seconds, r.Kills, r.LateMs, r.Ran, r.Relays,
 					r.Status, len(r.Twice), len(r.Differing), len(r.Untrue), r.PeakMB, r.CPU)
 			}
+			if err == nil && set.Fleet != nil && !*asJSON {
+				_, err = fmt.Fprintf(to.out, "%d of %d names told their result (%.2f%%); answers in %.1f ms, 99%% in %.1f ms; longest without one "+
+					"while refusing %.0f ms\nfaults %v\ntrouble %v\n", r.Told, r.Names, 100*float64(r.Told)/float64(max(1, r.Names)), r.Median,
+					r.P99, r.Refused, r.Faults, r.Trouble)
+			}
 			if err == nil && r.Broken() {
 				err = errVerdict
 			}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -29,6 +29,9 @@
 	Alone    bool    // no other call goes on its client's connection meanwhile
 	Payload  any     // the message as it came, which only the front and the carrier can read
 
+	// Stands is the last look before a relay's first byte: whether the call is still this node's to run. nil = it is.
+	Stands func() bool
+
 	mu      sync.Mutex
 	left    bool
 	gone    chan struct{} // closed when the client has left or the call is cut; made when a stage asks for it
@@ -111,6 +114,9 @@
 // Permits tells whether the rules let something new go to a host, which may be departing since the relay was decided.
 func (c *Call) Permits(host string) bool { return c.ticket.Permits(host) }
 
+// Standing takes that look.
+func (c *Call) Standing() bool { return c.Stands == nil || c.Stands() }
+
 // HasLeft tells whether the client has gone.
 func (c *Call) HasLeft() bool {
 	c.mu.Lock()
@@ -122,7 +128,7 @@
 // the first client's leaving means for the copy.
 func (c *Call) Fork() *Call {
 	return &Call{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Deadline: c.Deadline, Cost: c.Cost,
-		Repeat: c.Repeat, Caller: c.Caller, Hops: c.Hops, Payload: c.Payload}
+		Repeat: c.Repeat, Caller: c.Caller, Hops: c.Hops, Payload: c.Payload, Stands: c.Stands}
 }
 
 // begin notes that the pilot has the call, and tells it at once if the client has left meanwhile.
--- /dev/null
+++ b/internal/ledger/calls_test.go
@@ -0,0 +1,127 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func name(i int) []byte { return append(make([]byte, 15), byte(i+1)) }
+
+// Guards, over random histories of runs that are taken, end, are forgotten by their nodes and come again, against a name that
+// runs twice within its windows, two answers for one name, and a member that goes on otherwise from an image.
+func TestCallsAnyHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(), New()
+		var opened uint64
+		now, number := 0.0, uint64(0)
+		do := func(body any) Reply {
+			number++
+			c := Command{At: now, Session: opened, Number: number, Done: number - 1, Part: PartCalls, Body: encode(body)}
+			r := apply(t, a, c)
+			assert.Equal(t, r, apply(t, b, c))
+			return r
+		}
+		opened = apply(t, a, Command{Body: encode(Opening{Name: "n"})}).Index
+		apply(t, b, Command{Body: encode(Opening{Name: "n"})})
+		type run struct {
+			token uint64
+			since float64
+		}
+		ran, answer := map[int]run{}, map[int]string{}
+		forget := func(i int) {
+			delete(ran, i)
+			delete(answer, i)
+		}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.Float64Range(0, 300).Draw(t, "ms")
+			i := rapid.IntRange(0, 3).Draw(t, "name")
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0, 1:
+				token := uint64(step + 1)
+				r := do(TakeCommand(Take{Name: name(i), Print: name(9), Answered: 1000, Doubt: 1000, Run: 500, Node: fmt.Sprint(step % 2),
+					Life: 1, Token: token}))
+				require.Equal(t, OK, r.Code, r.Text)
+				var o Outcome
+				require.NoError(t, json.Unmarshal(r.Body, &o))
+				had, known := ran[i]
+				if known && now-had.since > 998 { // the least that a run is known, to whole ms
+					forget(i)
+					known = false
+				}
+				switch o.Taken {
+				case TakenRun:
+					assert.False(t, known, "it ran %f ms ago", now-had.since)
+					forget(i)
+					ran[i] = run{token, now}
+				case TakenReplay:
+					if first, ok := answer[i]; ok {
+						assert.Equal(t, first, string(o.Body))
+					}
+				}
+			case 2:
+				if r, ok := ran[i]; ok && answer[i] == "" {
+					how := rapid.SampledFrom([]string{HowServed, HowNotRun, HowDoubt}).Draw(t, "how")
+					body := fmt.Sprint("answer ", step)
+					if do(EndedCommand(Ended{Name: name(i), Token: r.token, How: how, Body: []byte(body)})).Code == OK {
+						switch how {
+						case HowNotRun:
+							forget(i)
+						case HowServed:
+							answer[i] = body
+						}
+					}
+				}
+			case 3:
+				do(FreshCommand(Fresh{Node: fmt.Sprint(step % 2), Life: uint64(step + 2)}))
+			default: // one member goes on from an image
+				text, fresh := picture(t, b), New()
+				require.NoError(t, fresh.Restore([]byte(text)))
+				require.Equal(t, text, picture(t, fresh))
+				b = fresh
+			}
+		}
+		assert.Equal(t, picture(t, a), picture(t, b))
+	})
+}
+
+// Guards against a second secret in one fleet, a run that another one ends, one that a later life of its node does not end, a
+// body that does not fit, and another content under a name.
+func TestCalls(t *testing.T) {
+	l := New()
+	s := apply(t, l, Command{Body: encode(Opening{Name: "n"})}).Index
+	n := uint64(0)
+	do := func(at float64, body any) Reply {
+		n++
+		return apply(t, l, Command{At: at, Session: s, Number: n, Done: n - 1, Part: PartCalls, Body: encode(body)})
+	}
+	take := Take{Name: name(1), Print: name(1), Answered: 1000, Doubt: 1000, Run: 500, Node: "a", Life: 1, Token: 7}
+	outcome := func(r Reply) (o Outcome) {
+		require.Equal(t, OK, r.Code, r.Text)
+		require.NoError(t, json.Unmarshal(r.Body, &o))
+		return o
+	}
+	assert.Equal(t, OK, do(1, FreshCommand(Fresh{Node: "a", Life: 1, Secret: []byte("x")})).Code)
+	assert.Equal(t, Conflict, do(1, FreshCommand(Fresh{Node: "b", Life: 1, Secret: []byte("y")})).Code)
+	assert.Equal(t, TakenRun, outcome(do(2, TakeCommand(take))).Taken)
+	assert.Equal(t, TakenRun, outcome(do(2, TakeCommand(take))).Taken, "the same run asked again")
+	other := take
+	other.Token, other.Node = 8, "b"
+	assert.Equal(t, Outcome{Taken: TakenElse, Node: "a"}, outcome(do(3, TakeCommand(other))))
+	assert.Equal(t, Conflict, do(3, EndedCommand(Ended{Name: name(1), Token: 8, How: HowNotRun})).Code)
+	assert.Equal(t, OK, do(4, FreshCommand(Fresh{Node: "a", Life: 2, Secret: []byte("x")})).Code)
+	assert.Equal(t, TakenDoubt, outcome(do(5, TakeCommand(other))).Taken, "its node has begun anew")
+	assert.Equal(t, TakenDoubt, outcome(l.Query(Ask{PartCalls, encode(Look{Name: name(1), Print: name(1)})})).Taken)
+	other.Print = name(2)
+	assert.Equal(t, TakenMismatch, outcome(do(6, TakeCommand(other))).Taken)
+	other.Name, other.Print = name(3), name(3)
+	assert.Equal(t, TakenRun, outcome(do(7, TakeCommand(other))).Taken)
+	assert.Equal(t, OK, do(8, EndedCommand(Ended{Name: name(3), Token: 8, How: HowServed, Body: make([]byte, MostBody+1)})).Code)
+	assert.Equal(t, TakenSpent, outcome(do(9, TakeCommand(other))).Taken)
+	assert.Equal(t, Faulty, do(9, TakeCommand(Take{Name: []byte("short")})).Code)
+	assert.Equal(t, TakenUnknown, outcome(l.Query(Ask{PartCalls, encode(Look{Name: name(4), Print: name(4)})})).Taken)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,7 +107,7 @@
 // New makes an empty ledger.
 func New() *Ledger {
 	l := &Ledger{sessions: map[uint64]*session{}, members: &Members{list: map[uint64]Member{}}}
-	l.parts = map[string]Part{PartMembers: l.members, PartRegister: newRegister()}
+	l.parts = map[string]Part{PartMembers: l.members, PartRegister: newRegister(), PartCalls: newCalls()}
 	return l
 }
 
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -182,8 +182,9 @@
 	}
 }
 
-// Check reports times that the platform's rules do not allow.
+// Check reports times that the platform's rules do not allow, and tables that do not go together.
 func (o *Options) Check(report Report) {
+	o.checkRepeats(report)
 	type setting struct {
 		name  string
 		value Duration
--- a/internal/options/peers.go
+++ b/internal/options/peers.go
@@ -31,6 +31,11 @@
 	Election Duration `toml:"election" default:"500ms" min:"50ms" max:"2m"`
 	// Try is how long one keeper may take to answer before another is asked.
 	Try Duration `toml:"try" default:"1s" min:"50ms" max:"2m"`
+	// Claim is how long after a call's name was agreed it may still be sent to a rater: a node that stood still for longer does not.
+	Claim Duration `toml:"claim" default:"5s" min:"100ms" max:"10m"`
+	// EndWait is how long an answer waits at the most until the fleet has agreed on it; its client is told then all the same, and
+	// the call stays one that may have run.
+	EndWait Duration `toml:"end_wait" default:"1s" min:"0s" max:"1m"`
 	// Patience is how long the sub-command peers asks for something.
 	Patience Duration `toml:"patience" default:"10s" min:"100ms" max:"1h"`
 	// ImageEvery is how many bytes of entries come between two images of the state.
--- a/internal/options/repeats.go
+++ b/internal/options/repeats.go
@@ -51,7 +51,8 @@
 	Answered Duration `toml:"answered" default:"30s" min:"0s" max:"168h"`
 	// Doubt is how long it is known that a call may have run.
 	Doubt Duration `toml:"doubt" default:"1m" min:"0s" max:"168h"`
-	// Recorded has a call wait until the disk has it before it is sent, and refused where the disk fails.
+	// Recorded has a call wait until the disk has it before it is sent, and refused where the disk fails. With peers.fleet, a class
+	// that must not run twice also waits until the fleet has agreed, and is refused while no majority of keepers can be reached.
 	Recorded bool `toml:"recorded" default:"false"`
 }
 
@@ -73,6 +74,18 @@
 	}
 }
 
+// checkRepeats reports a recorded class that nothing records, and names that would differ from node to node.
+func (o *Options) checkRepeats(report Report) {
+	for i, c := range o.Repeats.Classes {
+		if c.Recorded && o.Repeats.Journal == "" && o.Peers.Fleet == "" {
+			report("wants a journal, or peers.fleet", fmt.Sprintf("repeats.class.%d.recorded", i), "repeats.journal", "peers.fleet")
+		}
+	}
+	if o.Repeats.On && o.Peers.Fleet != "" && o.Repeats.SecretFile == "" {
+		report("is missing: with peers.fleet all nodes must hash names under one secret", "repeats.secret_file", "peers.fleet")
+	}
+}
+
 // Check reports what would make a journal worthless.
 func (r *Repeats) Check(report Report) {
 	if r.Journal != "" && r.SecretFile == "" {
@@ -85,9 +98,6 @@
 			report(fmt.Sprintf("%q stands there twice", c.Name), fmt.Sprintf("class.%d.name", i))
 		}
 		names[c.Name] = true
-		if c.Recorded && r.Journal == "" {
-			report("wants a journal", fmt.Sprintf("class.%d.recorded", i), "journal")
-		}
 	}
 }
 
--- a/internal/repeats/edge/edge.go
+++ b/internal/repeats/edge/edge.go
@@ -22,6 +22,28 @@
 	By       Naming
 	Required bool // a call without a name is the client's fault; else it goes on unrecognised
 	Recorded bool // a call waits until the disk has it before it runs, and is turned away where the disk fails
+	Agreed   bool // a call waits until the fleet has agreed on it
+}
+
+// Taken is what became of a name that was to be agreed.
+type Taken struct {
+	// Verdict is Run, Replay with the Body, Spent, Doubt, Mismatch, Full with a Reason of its own if there is one, or Join: it
+	// runs elsewhere, and has not ended in time.
+	Verdict repeats.Verdict
+	Reason  string
+	Wait    float64 // with Full, ms
+	Body    []byte  // as Settings.Encode wrote it
+	Token   uint64  // with Run: of this run
+	// Stands tells, with Run, whether the name is still this node's: the last look before a relay's first byte.
+	Stands func() bool
+}
+
+// Fleet holds names for all nodes. Its methods block.
+type Fleet interface {
+	// Take has a name agreed before it runs, until the deadline on the node's clock, or until left is closed.
+	Take(c repeats.Call, deadline float64, left <-chan struct{}) Taken
+	// Ended has the end of a run agreed before anyone is told.
+	Ended(c repeats.Call, t Taken, how repeats.End, body []byte)
 }
 
 // Settings describe the stage.
@@ -31,6 +53,7 @@
 	Secret  []byte // keys the hash of names; the same before and after a restart where there is a journal
 	Content func(payload any) core.Content
 	Journal *journal.Journal // nil = none
+	Fleet   Fleet            // nil = names are this node's alone
 	Known   []repeats.Known  // what it held at the start; bodies are what Decode reads
 	Wall    func() float64   // wall clock for the journal, ms since the Unix epoch
 	// Encode and Decode turn a served answer's payload into bytes for the journal and back; nil is not kept.
@@ -46,6 +69,7 @@
 	ReasonSpent      = "an earlier request of this name has run and its answer is no longer kept"
 	ReasonFull       = "no room to recognise repeats"
 	ReasonUnrecorded = "the request could not be recorded"
+	ReasonNoMajority = "no majority of the fleet can be asked whether it has run"
 	ReasonWaited     = "an earlier request of this name was not answered in time"
 )
 
@@ -169,7 +193,15 @@
 func (s *Stage) run(r *run, ref repeats.Ref, next core.Handler, c repeats.Call) {
 	how, body, size := repeats.EndInDoubt, any(nil), 0
 	r.answer = core.Fail(core.Unavailable, core.ReasonPanic) // unless it comes to another end
+	var agreed *Taken
 	defer func() {
+		if agreed != nil {
+			text := []byte(nil)
+			if body != nil {
+				text = s.set.Encode(body)
+			}
+			s.set.Fleet.Ended(c, *agreed, how, text)
+		}
 		if j := s.set.Journal; j != nil {
 			text := []byte(nil)
 			if body != nil {
@@ -192,6 +224,17 @@
 			return
 		}
 	}
+	if s.set.Fleet != nil && s.set.Classes[c.Class].Agreed {
+		t := s.set.Fleet.Take(c, r.call.Deadline, r.call.Left())
+		if t.Verdict != repeats.Run {
+			how, body, r.answer = s.elsewhere(t)
+			if body != nil {
+				size = s.set.Content(body).Size()
+			}
+			return
+		}
+		agreed, r.call.Stands = &t, t.Stands
+	}
 	a := next(r.call)
 	switch {
 	case a.Kind == core.Served:
@@ -203,6 +246,31 @@
 	r.answer = a
 }
 
+// elsewhere is what a call gets that is not this node's to run. Nothing ran here: but for an answer, the fleet is asked again.
+func (s *Stage) elsewhere(t Taken) (how repeats.End, body any, a core.Answer) {
+	switch t.Verdict {
+	case repeats.Replay:
+		if payload := s.set.Decode(t.Body); payload != nil {
+			return repeats.EndServed, payload, core.Answer{Kind: core.Served, Payload: payload}
+		}
+		a = core.Fail(core.Known, ReasonSpent)
+	case repeats.Spent:
+		a = core.Fail(core.Known, ReasonSpent)
+	case repeats.Doubt:
+		a = core.Fail(core.Known, ReasonDoubt)
+	case repeats.Mismatch:
+		a = core.Fail(core.Mismatch, ReasonMismatch)
+	case repeats.Join:
+		a = core.Fail(core.Unavailable, ReasonWaited)
+	default:
+		a = core.Refuse(core.Busy, ReasonFull, t.Wait)
+		if t.Reason != "" {
+			a.Reason = t.Reason
+		}
+	}
+	return repeats.EndNotRun, nil, a
+}
+
 // record notes that a call is about to run, and waits for the disk where its class does.
 func (s *Stage) record(c repeats.Call) error {
 	if s.set.Journal == nil {
--- /dev/null
+++ b/internal/repeats/fleet/fleet.go
@@ -0,0 +1,248 @@
+// Package fleet holds names for all nodes of a fleet: what a node takes is agreed by the keepers before its first byte goes
+// out, and what it was answered before its client is told. It is the adaptor between the stage of repeats and the agreed log;
+// what is decided is in package ledger.
+//
+// While no majority of keepers can be reached, names are refused at once: a look goes on in the background and finds when one
+// can be reached again.
+package fleet
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/repeats"
+	"linenwheel.dev/linenwheel/internal/repeats/edge"
+)
+
+// Settings describe the adaptor. Times are milliseconds.
+type Settings struct {
+	Node    string
+	Secret  []byte          // under which names are hashed: the same on all nodes
+	Classes []repeats.Class // by number, with their windows
+	Tenants []string        // by number
+	Claim   float64         // after which nothing that a name was taken for is sent any more
+	Longest float64         // that a run may take
+	Take    float64         // at the most for a name to be agreed
+	End     float64         // and for its end, before the client is told all the same
+}
+
+const (
+	lookEvery  = 500.0 // ms between looks whether a majority can be reached
+	lostEvery  = 100.0 // while none could be
+	firstPoll  = 5.0   // ms between questions how a run elsewhere ended; doubles up to
+	lastPoll   = 80.0
+	comeBack   = 1000.0 // ms that a client is told to come back after
+	afterwards = 10 * time.Second
+	mostAfter  = 256 // ends that are still told afterwards, at once
+)
+
+// Names is the adaptor.
+type Names struct {
+	set    Settings
+	log    *slog.Logger
+	clock  clock.Clock
+	client *client.Client
+	life   uint64
+	up     atomic.Bool
+	seen   atomic.Uint64 // counts what the keepers answered
+	after  chan struct{}
+	work   sync.WaitGroup
+}
+
+// New makes the adaptor; Run has it begin.
+func New(set Settings, c *client.Client, t clock.Clock, log *slog.Logger) *Names {
+	return &Names{set: set, log: log, clock: t, client: c, life: rand.Uint64()>>1 | 1, after: make(chan struct{}, mostAfter)}
+}
+
+// Run tells the fleet that this process has begun, and then looks whether a majority of keepers can be reached, until ctx
+// ends. Until the first has worked, no name is taken.
+func (n *Names) Run(ctx context.Context) {
+	defer n.work.Wait()
+	sum := hmac.New(sha256.New, n.set.Secret)
+	_, _ = sum.Write([]byte("linenwheel names of a fleet")) // it does not fail
+	fresh := ledger.FreshCommand(ledger.Fresh{Node: n.set.Node, Life: n.life, Secret: sum.Sum(nil)})
+	told, warned := false, false
+	for ctx.Err() == nil {
+		seen := n.seen.Load()
+		one, stop := context.WithTimeout(ctx, n.span(n.set.Take))
+		var err error
+		if !told {
+			var r ledger.Reply
+			if r, err = n.client.Do(one, ledger.PartCalls, fresh); err == nil && r.Code == ledger.Conflict {
+				if !warned {
+					n.log.Error("this node hashes names under another secret than its fleet: it takes none", "error", r.Text)
+				}
+				warned, err = true, errors.New(r.Text)
+			}
+			told = err == nil
+		} else {
+			_, err = n.client.Read(one, ledger.PartCalls, ledger.Look{Name: make([]byte, 16)})
+		}
+		stop()
+		switch {
+		case err == nil && !n.up.Swap(true):
+			n.log.Info("names are agreed with the fleet", "life", n.life)
+		case err != nil && n.seen.Load() == seen:
+			n.lost(err)
+		}
+		pause := lookEvery
+		if !n.up.Load() {
+			pause = lostEvery
+		}
+		wait := make(chan struct{})
+		cancel := n.clock.At(n.clock.Now()+pause*(0.75+rand.Float64()/2), func() { close(wait) })
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			cancel()
+		}
+	}
+}
+
+func (n *Names) span(ms float64) time.Duration { return time.Duration(ms * 1e6) }
+
+// lost notes that no majority can be reached.
+func (n *Names) lost(err error) {
+	if n.up.Swap(false) {
+		n.log.Warn("no majority of keepers can be reached: calls that must not run twice are refused", "error", err)
+	}
+}
+
+// Up tells whether names can be taken.
+func (n *Names) Up() bool { return n.up.Load() }
+
+// Take has a name taken, or waits for the run elsewhere that has it, until the deadline or until left is closed.
+func (n *Names) Take(c repeats.Call, deadline float64, left <-chan struct{}) edge.Taken {
+	if !n.up.Load() {
+		return edge.Taken{Verdict: repeats.Full, Reason: edge.ReasonNoMajority, Wait: comeBack}
+	}
+	class, tenant := n.set.Classes[c.Class], ""
+	if c.Tenant >= 0 && c.Tenant < len(n.set.Tenants) {
+		tenant = n.set.Tenants[c.Tenant]
+	}
+	t := edge.Taken{Token: rand.Uint64()>>1 | 1}
+	take := ledger.TakeCommand(ledger.Take{Name: c.Name[:], Print: c.Print[:], Tenant: tenant, Answered: class.Answered,
+		Doubt: class.Doubt, Run: n.set.Claim + n.set.Longest, Node: n.set.Node, Life: n.life, Token: t.Token})
+	for poll := firstPoll; ; poll = min(2*poll, lastPoll) {
+		asked := n.clock.Now()
+		if asked >= deadline {
+			return edge.Taken{Verdict: repeats.Join}
+		}
+		ctx, stop := context.WithTimeout(context.Background(), n.span(min(n.set.Take, deadline-asked)))
+		r, err := n.client.Do(ctx, ledger.PartCalls, take)
+		stop()
+		if err != nil {
+			n.lost(err)
+			if errors.Is(err, client.ErrUnknown) { // nothing was sent, and nothing will be
+				n.work.Go(func() { n.Ended(c, t, repeats.EndNotRun, nil) })
+			}
+			return edge.Taken{Verdict: repeats.Full, Reason: edge.ReasonNoMajority, Wait: comeBack}
+		}
+		n.seen.Add(1)
+		var o ledger.Outcome
+		if r.Code != ledger.OK || json.Unmarshal(r.Body, &o) != nil {
+			n.log.Error("a name could not be taken", "error", r.Text)
+			return edge.Taken{Verdict: repeats.Full, Wait: comeBack}
+		}
+		if o.Taken == ledger.TakenElse {
+			if o = n.await(c, deadline, left, poll); o.Taken == ledger.TakenUnknown {
+				continue // it did not run: this one may be the next
+			}
+		}
+		switch o.Taken {
+		case ledger.TakenRun:
+			t.Stands = func() bool { return n.clock.Now() < asked+n.set.Claim }
+			return t
+		case ledger.TakenReplay:
+			return edge.Taken{Verdict: repeats.Replay, Body: o.Body}
+		case ledger.TakenSpent:
+			return edge.Taken{Verdict: repeats.Spent}
+		case ledger.TakenMismatch:
+			return edge.Taken{Verdict: repeats.Mismatch}
+		case ledger.TakenDoubt:
+			return edge.Taken{Verdict: repeats.Doubt}
+		case ledger.TakenElse:
+			return edge.Taken{Verdict: repeats.Join}
+		}
+		return edge.Taken{Verdict: repeats.Full, Wait: o.Wait}
+	}
+}
+
+// await asks how a run elsewhere ended until it has. TakenElse = it had not when the time was up.
+func (n *Names) await(c repeats.Call, deadline float64, left <-chan struct{}, poll float64) ledger.Outcome {
+	running := ledger.Outcome{Taken: ledger.TakenElse}
+	for ; ; poll = min(2*poll, lastPoll) {
+		now := n.clock.Now()
+		wait := make(chan struct{})
+		cancel := n.clock.At(min(now+poll, deadline), func() { close(wait) })
+		select {
+		case <-wait:
+		case <-left:
+			cancel()
+			return running
+		}
+		if now = n.clock.Now(); now >= deadline {
+			return running
+		}
+		ctx, stop := context.WithTimeout(context.Background(), n.span(min(n.set.Take, deadline-now)))
+		r, err := n.client.Read(ctx, ledger.PartCalls, ledger.Look{Name: c.Name[:], Print: c.Print[:]})
+		stop()
+		var o ledger.Outcome
+		if err == nil && r.Code == ledger.OK && json.Unmarshal(r.Body, &o) == nil && o.Taken != ledger.TakenElse {
+			return o
+		}
+	}
+}
+
+// Ended has it agreed how a run ended, and returns once it is, or after Settings.End: it then goes on for a while.
+func (n *Names) Ended(c repeats.Call, t edge.Taken, how repeats.End, body []byte) {
+	e := ledger.Ended{Name: c.Name[:], Token: t.Token, How: ledger.HowDoubt}
+	switch how {
+	case repeats.EndServed:
+		e.How, e.Body = ledger.HowServed, body
+	case repeats.EndNotRun:
+		e.How = ledger.HowNotRun
+	}
+	if len(body) > ledger.MostBody {
+		e.Body = nil // known without
+	}
+	select {
+	case n.after <- struct{}{}:
+	default:
+		return // too many: the name stays one that may have run
+	}
+	agreed := make(chan struct{})
+	n.work.Go(func() {
+		defer func() { <-n.after; close(agreed) }()
+		ctx, stop := context.WithTimeout(context.Background(), afterwards)
+		defer stop()
+		for ctx.Err() == nil {
+			one, end := context.WithTimeout(ctx, n.span(n.set.Take))
+			_, err := n.client.Do(one, ledger.PartCalls, ledger.EndedCommand(e))
+			end()
+			if err == nil { // told twice, the second is a conflict that changes nothing
+				n.seen.Add(1)
+				return
+			}
+		}
+		n.log.Warn("the end of a call was not agreed: it counts as one that may have run")
+	})
+	late := make(chan struct{})
+	cancel := n.clock.At(n.clock.Now()+n.set.End, func() { close(late) })
+	defer cancel()
+	select {
+	case <-agreed:
+	case <-late:
+	}
+}
--- a/internal/repeats/repeats.go
+++ b/internal/repeats/repeats.go
@@ -202,6 +202,25 @@
 	if !known {
 		return b.admit(c)
 	}
+	if d := b.Peek(c); d.Verdict != Run {
+		return d
+	}
+	// It may have run, and a repeat does no harm.
+	e := &b.entries[slot]
+	b.pin(slot, -1)
+	b.unlink(slot)
+	e.state = running
+	e.turn++
+	b.pin(slot, 1)
+	return Decision{Verdict: Run, Ref: Ref{slot, e.turn}}
+}
+
+// Peek tells what Ask would say, and changes nothing. A name that is not known may Run.
+func (b *Book) Peek(c Call) Decision {
+	slot, known := b.index[c.Name]
+	if !known {
+		return Decision{Verdict: Run}
+	}
 	e := &b.entries[slot]
 	once := b.set.Classes[e.class].Once
 	switch {
@@ -216,15 +235,21 @@
 	case once:
 		return Decision{Verdict: Doubt}
 	}
-	// It may have run, and a repeat does no harm.
-	b.pin(slot, -1)
-	b.unlink(slot)
-	e.state = running
-	e.turn++
-	b.pin(slot, 1)
-	return Decision{Verdict: Run, Ref: Ref{slot, e.turn}}
+	return Decision{Verdict: Run}
 }
 
+// ClassOf is the class of a name that is known.
+func (b *Book) ClassOf(n Name) (class int, known bool) {
+	slot, known := b.index[n]
+	if !known {
+		return 0, false
+	}
+	return int(b.entries[slot].class), true
+}
+
+// Now is the latest time that was passed in; -Inf before any was.
+func (b *Book) Now() float64 { return b.now }
+
 // admit makes an entry for a new name.
 func (b *Book) admit(c Call) Decision {
 	once := b.set.Classes[c.Class].Once
@@ -320,6 +345,49 @@
 	return true
 }
 
+// AddClass makes a further class, for a book whose classes are not all known when it is made, and gives its number. There may be
+// 256.
+func (b *Book) AddClass(c Class) (n int, ok bool) {
+	if len(b.set.Classes) >= 256 {
+		return 0, false
+	}
+	b.set.Classes = append(b.set.Classes[:len(b.set.Classes):len(b.set.Classes)], c)
+	b.ends = append(b.ends, queue{-1, -1}, queue{-1, -1})
+	return len(b.set.Classes) - 1, true
+}
+
+// Image gives every entry as Restore takes it, in an order in which a book that takes them all lets go of bodies as this one
+// does. What runs stands at the end.
+func (b *Book) Image() (list []Known) {
+	known := func(e *entry) Known {
+		k := Known{Call: Call{e.name, e.print, int(e.class), int(e.tenant)}, Running: e.state == running,
+			Served: e.state == answered || e.state == spent, Body: e.body, Size: int(e.size)}
+		switch class := &b.set.Classes[e.class]; {
+		case e.state == doubt:
+			k.Age = b.now - (e.expires - class.Doubt)
+		case k.Served:
+			k.Age = b.now - (e.expires - class.Answered)
+		}
+		return k
+	}
+	for slot := b.bodies.first; slot >= 0; slot = b.entries[slot].nextB {
+		list = append(list, known(&b.entries[slot]))
+	}
+	for _, q := range b.ends {
+		for slot := q.first; slot >= 0; slot = b.entries[slot].next {
+			if e := &b.entries[slot]; e.state != answered {
+				list = append(list, known(e))
+			}
+		}
+	}
+	for slot := range b.entries {
+		if e := &b.entries[slot]; e.state == running {
+			list = append(list, known(e))
+		}
+	}
+	return list
+}
+
 // Next is when the next entry ends by itself; +Inf for never.
 func (b *Book) Next() float64 {
 	next := math.Inf(1)
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -363,6 +363,11 @@
 		p.put(c, true)
 		return pilot.Unsent, nil
 	}
+	if !call.Standing() { // the node stood still for longer than its claim: another may have it
+		c.disarm()
+		p.put(c, true)
+		return pilot.Unsent, nil
+	}
 	out, about, err := c.speaks.Request(nil, host, call, left)
 	if err != nil {
 		c.disarm()
--- a/lab/circle/circle.go
+++ b/lab/circle/circle.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
@@ -384,3 +385,31 @@
 		}
 	}
 }
+
+// Settings are those of a client of the log that reaches all keepers, under a name.
+func (c *Circle) Settings(name string) client.Settings { return c.settings(name) }
+
+// Counts are the faults made and the states met so far.
+func (c *Circle) Counts() map[string]int {
+	c.counts.mu.Lock()
+	defer c.counts.mu.Unlock()
+	return maps.Clone(c.counts.n)
+}
+
+// Leader gives the name of the keeper that leads, once one does.
+func (c *Circle) Leader(ctx context.Context) (string, error) {
+	s, err := c.lead(ctx)
+	if err != nil {
+		return "", err
+	}
+	return s.Name, nil
+}
+
+// Caught waits until a keeper has come up to what is agreed now.
+func (c *Circle) Caught(ctx context.Context, name string) error {
+	lead, err := c.lead(ctx)
+	if err == nil {
+		_, err = c.until(ctx, name, func(s *talk.State) bool { return s.Leader != "" && s.Applied >= lead.Applied })
+	}
+	return err
+}
--- a/lab/duplicates/duplicates.go
+++ b/lab/duplicates/duplicates.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"linenwheel.dev/linenwheel/lab/circle"
 	"linenwheel.dev/linenwheel/lab/live/proc"
 )
 
@@ -33,6 +34,8 @@
 	Kills   int     // times that the node is killed outright and started again
 	Raters  int
 	Seed    uint64
+	Plain   bool   // raters answer every charge
+	Fleet   *Fleet // nil = one node that holds names for itself
 }
 
 // Result is what became of a run.
@@ -50,6 +53,13 @@
 	PeakMB    float64        `json:"node_peak_mb"`
 	CPU       float64        `json:"node_cpu_s"`
 	Seconds   float64        `json:"seconds"`
+	Told      int            `json:"names_told"` // names of which somebody was told the result
+	Faults    map[string]int `json:"faults,omitempty"`
+	Met       map[string]int `json:"met,omitempty"`
+	Trouble   []string       `json:"trouble,omitempty"` // faults that could not be made or did not end
+	Median    float64        `json:"answer_ms_50"`      // of answers 200
+	P99       float64        `json:"answer_ms_99"`
+	Refused   float64        `json:"longest_refused_ms"` // from the first of refusals in a row to the next answer
 }
 
 // Broken tells whether a promise was broken.
@@ -69,8 +79,10 @@
 	fate fate
 
 	mu      sync.Mutex
+	posts   int
 	runs    int
-	first   time.Time // when it first ran
+	first   time.Time       // when it first ran
+	by      map[string]bool // the tries that ran it
 	turned  bool
 	answers map[string]int // bodies that clients were served
 }
@@ -80,9 +92,11 @@
 	began   time.Time
 	charges map[string]*charge
 
-	mu     sync.Mutex
-	result Result
-	late   []float64
+	mu       sync.Mutex
+	result   Result
+	late     []float64
+	times    []float64 // of answers
+	refusing time.Time // since when refusals come in a row
 }
 
 // post is one try of a client.
@@ -94,7 +108,7 @@
 
 // Run plays a run.
 func Run(ctx context.Context, set Settings) (*Result, error) {
-	w := &world{set: set, charges: map[string]*charge{}, result: Result{Status: map[string]int{}, Kills: set.Kills}}
+	w := &world{set: set, charges: map[string]*charge{}, result: Result{Status: map[string]int{}, Kills: set.Kills, Faults: map[string]int{}}}
 	rng := rand.New(rand.NewPCG(set.Seed, 0xd0b1e))
 	posts := w.draw(rng)
 	var hosts []string
@@ -111,14 +125,37 @@
 		return nil, err
 	}
 	defer stop()
-	node, err := w.start(agent)
-	if err != nil {
-		return nil, err
+	f, keepers := set.Fleet, (*circle.Circle)(nil)
+	if f == nil {
+		f = &Fleet{Nodes: 1}
+	} else {
+		if keepers, err = w.gather(ctx, f); err != nil {
+			return nil, err
+		}
+		defer keepers.Close()
+	}
+	var nodes []*child
+	for i := range f.Nodes {
+		node, err := w.start(i, agent)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { node.get().Kill() }()
+		nodes = append(nodes, node)
+	}
+	node := nodes[0]
+	if keepers != nil {
+		if err := w.agreed(ctx, nodes); err != nil {
+			return nil, err
+		}
 	}
-	defer func() { node.get().Kill() }()
 	w.began = time.Now()
 	var wait sync.WaitGroup
 	wait.Go(func() { w.kill(ctx, node, posts[len(posts)-1].at) })
+	faults, stopFaults := context.WithCancel(ctx)
+	if f.FaultEvery > 0 {
+		wait.Go(func() { w.trouble(faults, f, keepers, nodes) })
+	}
 	clients := make([]*http.Client, 16) // several gateways, each with connections of its own
 	for i := range clients {
 		clients[i] = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
@@ -132,9 +169,13 @@
 			break
 		}
 		w.late = append(w.late, float64(time.Since(w.began.Add(p.at)))/1e6)
-		wait.Go(func() { w.post(clients[i%len(clients)], node.address, p) })
+		wait.Go(func() { w.post(clients[i%len(clients)], nodes, rng.IntN(1<<30), p) })
 	}
+	stopFaults()
 	wait.Wait()
+	if keepers != nil {
+		w.result.Met = keepers.Counts()
+	}
 	w.result.Seconds = time.Since(w.began).Seconds()
 	if usage, err := node.get().Usage(); err == nil {
 		node.note(usage)
@@ -158,9 +199,9 @@
 	var posts []post
 	for i := range w.set.Posts {
 		for len(now) < atOnce {
-			c := &charge{name: fmt.Sprintf("c%d", len(w.charges)), answers: map[string]int{}}
+			c := &charge{name: fmt.Sprintf("c%d", len(w.charges)), answers: map[string]int{}, by: map[string]bool{}}
 			switch u := rng.Float64(); {
-			case u < 0.70:
+			case u < 0.70 || w.set.Plain:
 				c.fate.wait = time.Duration(5+rng.IntN(45)) * time.Millisecond
 			case u < 0.80:
 				c.fate.wait = 700 * time.Millisecond // after it was wanted
@@ -203,6 +244,7 @@
 		return
 	}
 	c.runs++
+	c.by[r.Header.Get("Req-Id")] = true
 	run := c.runs
 	if run == 1 {
 		c.first = time.Now()
@@ -221,8 +263,10 @@
 
 // post makes one try and notes what came of it. A client whose node is gone tries again by itself, as gateways do; that is
 // a new try under a new id.
-func (w *world) post(client *http.Client, to string, p post) {
+func (w *world) post(client *http.Client, nodes []*child, luck int, p post) {
 	for try := range 4 {
+		to := nodes[(luck+try)%len(nodes)].address
+		began := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+to+"/post-charge/1", bytes.NewReader([]byte(p.charge.name)))
 		if err != nil {
@@ -244,19 +288,23 @@
 		}
 		late := errors.Is(err, context.DeadlineExceeded)
 		cancel()
-		w.note(p.charge, status, string(text))
-		if err == nil || late {
-			return
+		w.note(p.charge, p.id+"-"+strconv.Itoa(try), status, string(text), began)
+		if (err == nil && !(status == "503" && w.set.Fleet != nil)) || late {
+			return // one that was refused comes back
 		}
 		time.Sleep(time.Duration(100<<try) * time.Millisecond)
 	}
 }
 
 // note takes what a client got.
-func (w *world) note(c *charge, status, body string) {
+func (w *world) note(c *charge, id, status, body string, began time.Time) {
 	now := time.Now()
 	c.mu.Lock()
+	c.posts++
 	ran := c.runs > 0 && c.first.Before(now)
+	if w.set.Fleet != nil { // without a majority nobody knows of other tries: a refusal says that this one did not run
+		ran = c.by[id]
+	}
 	if status == "200" {
 		c.answers[body]++
 	}
@@ -264,6 +312,18 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.result.Status[status]++
+	switch status {
+	case "200":
+		w.times = append(w.times, float64(now.Sub(began))/1e6)
+		if !w.refusing.IsZero() {
+			w.result.Refused = max(w.result.Refused, float64(now.Sub(w.refusing))/1e6)
+			w.refusing = time.Time{}
+		}
+	case "503":
+		if w.refusing.IsZero() {
+			w.refusing = now
+		}
+	}
 	if ran && (status == "503" || status == "429") {
 		w.result.Untrue = append(w.result.Untrue, c.name)
 	}
@@ -272,8 +332,12 @@
 // judge sums up.
 func (w *world) judge() *Result {
 	r := &w.result
-	r.Posts, r.Names = len(w.late), len(w.charges)
+	r.Posts = len(w.late)
 	for _, c := range w.charges {
+		if c.posts == 0 { // its turn never came
+			continue
+		}
+		r.Names++
 		r.Relays += c.runs
 		if c.runs > 0 {
 			r.Ran++
@@ -281,11 +345,14 @@
 		if c.runs > 1 {
 			r.Twice = append(r.Twice, c.name)
 		}
+		if len(c.answers) > 0 {
+			r.Told++
+		}
 		if len(c.answers) > 1 {
 			r.Differing = append(r.Differing, c.name)
 		}
 	}
-	r.LateMs = quantile(w.late, 0.99)
+	r.LateMs, r.Median, r.P99 = quantile(w.late, 0.99), quantile(w.times, 0.5), quantile(w.times, 0.99)
 	return r
 }
 
@@ -313,8 +380,9 @@
 }
 
 // start starts the node and waits until it is ready.
-func (w *world) start(agent string) (*child, error) {
-	dir, err := filepath.Abs(w.set.Dir)
+func (w *world) start(number int, agent string) (*child, error) {
+	name := fmt.Sprint("n", number)
+	dir, err := filepath.Abs(filepath.Join(w.set.Dir, name))
 	if err != nil {
 		return nil, err
 	}
@@ -324,12 +392,12 @@
 	}
 	address := l.Addr().String()
 	_ = l.Close() // the node listens there next
-	c := &child{address: address, spec: proc.Spec{Name: "n0", Command: w.set.Node, Listen: address, Discovery: agent, Dir: dir,
+	c := &child{address: address, spec: proc.Spec{Name: name, Command: w.set.Node, Listen: address, Discovery: agent, Dir: dir,
 		Log: filepath.Join(dir, "node.log")}}
 	if w.set.Options != "" {
 		c.spec.Env = []string{"LINENWHEEL_OPTIONS=" + w.set.Options}
 	}
-	text, err := json.Marshal(configuration(address, agent))
+	text, err := json.Marshal(configuration(name, address, agent))
 	if err != nil {
 		return nil, err
 	}
@@ -381,3 +449,22 @@
 		}
 	}
 }
+
+// agreed waits until every node has its names agreed with the fleet.
+func (w *world) agreed(ctx context.Context, nodes []*child) error {
+	ctx, stop := context.WithTimeout(ctx, 20*time.Second)
+	defer stop()
+	for _, n := range nodes {
+		for {
+			log, err := os.ReadFile(n.spec.Log)
+			if err == nil && bytes.Contains(log, []byte("names are agreed with the fleet")) {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("%s does not agree with its fleet: %s", n.spec.Name, log)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
--- a/lab/duplicates/parts.go
+++ b/lab/duplicates/parts.go
@@ -45,8 +45,8 @@
 }
 
 // configuration is what the platform gives the node.
-func configuration(listen, discovery string) map[string]any {
-	return map[string]any{"name": "n0", "listen": listen, "discovery": discovery, "seed": "1",
+func configuration(name, listen, discovery string) map[string]any {
+	return map[string]any{"name": name, "listen": listen, "discovery": discovery, "seed": "1",
 		"limits": map[string]any{"cores": 2, "memory_mb": 192, "sockets": 4096},
 		"settings": map[string]any{"group_size": 1, "my_number": 0, "locality": "hall-a", "zones": []string{"hall-a"},
 			"machine_types": []string{"mid-3"}, "weights": "nominal",
--- a/node/node.go
+++ b/node/node.go
@@ -27,9 +27,11 @@
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/north/httpfront"
 	"linenwheel.dev/linenwheel/internal/options"
+	"linenwheel.dev/linenwheel/internal/peers/client"
 	"linenwheel.dev/linenwheel/internal/pilot"
 	quotaedge "linenwheel.dev/linenwheel/internal/quota/edge"
 	"linenwheel.dev/linenwheel/internal/repeats/edge"
+	"linenwheel.dev/linenwheel/internal/repeats/fleet"
 	"linenwheel.dev/linenwheel/internal/repeats/journal"
 	"linenwheel.dev/linenwheel/internal/south/carrier"
 	"linenwheel.dev/linenwheel/internal/stop"
@@ -133,6 +135,10 @@
 	journal *journal.Journal // of them, nil = none
 	locked  *os.File         // keeps other processes from the journal
 
+	peersOptions *options.Peers // nil = the node shares nothing
+	fleetLog     *client.Client // of the agreed log, nil = none is asked
+	names        *fleet.Names   // of calls, held by the fleet; nil = by this node alone
+
 	figures *figures.Set
 	budget  *flow.Budget // of bodies
 	door    *admin.Door  // nil = operators have none
@@ -206,6 +212,9 @@
 		}
 		stages.Quota = n.quota.Wrap
 	}
+	if o.Peers.Fleet != "" {
+		n.peersOptions = &o.Peers
+	}
 	if o.Repeats.On {
 		if n.repeats, err = n.recognise(&o.Repeats, sparse.With("part", "repeats")); err != nil {
 			n.loop.Stop()
@@ -420,6 +429,9 @@
 		cancel()
 		n.shut()
 		work.Wait()
+		if n.fleetLog != nil {
+			n.fleetLog.Close()
+		}
 		n.loop.Stop()
 		if n.thrift != nil && n.thrift.loop != nil {
 			n.thrift.loop.Stop()
@@ -433,6 +445,9 @@
 	if n.journal != nil {
 		writing.Go(n.journal.Run)
 	}
+	if n.names != nil {
+		work.Go(func() { n.names.Run(back) })
+	}
 	work.Go(func() { n.tick(back) })
 	n.every(back, func(o *Options) float64 { return o.South.RetireEvery.Ms }, n.pool.Retire)
 	n.every(back, func(o *Options) float64 { return o.North.HTTP.SweepEvery.Ms }, n.sweep)
