Let a late first word of an earlier connection not send a keeper away for good

A keeper whose connection to the leader was made anew while the first word of the one before was still on a delayed wire was judged by that old word: it named fewer entries than the keeper had acknowledged since, so it was taken for an older copy and told to end ("it holds entry 7061, and had 7064").

Change: a first word carries how often its keeper has connected since its start; one that comes after a later one is turned away for now and judged no further. A test has every kind of first word judged, with whether it is final.

--- a/internal/peers/keeper/keeper.go
+++ b/internal/peers/keeper/keeper.go
@@ -71,6 +71,7 @@
 
 	last     atomic.Uint64 // entry that the disk holds
 	known    atomic.Uint64 // entry up to which the agreed state is known here
+	dials    atomic.Uint64
 	clients  atomic.Int64
 	writes   atomic.Uint64
 	images   uint64
@@ -81,6 +82,7 @@
 	senders map[uint64]*link.Sender
 	names   map[uint64]string // of keepers that have connected, by number
 	starts  map[uint64]uint64
+	dialled map[uint64]uint64 // of keepers since their last start, the latest that was heard
 	waiting map[key][]*waiter
 	reads   map[uint64]*waiter
 	number  uint64
@@ -112,7 +114,7 @@
 func New(set Settings, log *slog.Logger) (*Keeper, error) {
 	k := &Keeper{set: set, log: log, clock: clock.NewSystem(), events: make(chan func(), inbox), disk: make(chan job, inbox),
 		ended: make(chan struct{}), refusals: make(chan error, 1), senders: map[uint64]*link.Sender{}, names: map[uint64]string{},
-		starts: map[uint64]uint64{}, waiting: map[key][]*waiter{}, reads: map[uint64]*waiter{}, conns: map[*link.Conn]uint64{}}
+		starts: map[uint64]uint64{}, dialled: map[uint64]uint64{}, waiting: map[key][]*waiter{}, reads: map[uint64]*waiter{}, conns: map[*link.Conn]uint64{}}
 	var err error
 	if k.store, err = store.Open(set.Directory, set.Fleet, set.Name, set.Synced, set.Wrap); err != nil {
 		return nil, fmt.Errorf("peers.directory %s: %w", set.Directory, err)
@@ -445,7 +447,7 @@
 
 func (k *Keeper) dial(address, name string, id uint64, within time.Duration) (*link.Conn, error) {
 	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, ID: k.store.ID,
-		Starts: k.store.Starts, Last: k.last.Load(), Applied: k.known.Load()}, within)
+		Starts: k.store.Starts, Dial: k.dials.Add(1), Last: k.last.Load(), Applied: k.known.Load()}, within)
 	switch {
 	case errors.Is(err, link.ErrRefused) && w.Final:
 		select {
--- a/internal/peers/keeper/keeper_test.go
+++ b/internal/peers/keeper/keeper_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -22,7 +23,7 @@
 	set := client.Settings{Fleet: "f", Name: "test", Try: time.Second}
 	addresses := map[string]string{}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.9:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
 		require.NoError(t, err)
 		name := fmt.Sprint("k", i)
 		addresses[name] = l.Addr().String()
--- /dev/null
+++ b/internal/peers/keeper/serve_test.go
@@ -0,0 +1,70 @@
+package keeper
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/peers/link"
+	"linenwheel.dev/linenwheel/internal/peers/talk"
+)
+
+// Guards against a keeper that is told for good to stay away because an earlier connection of its own came late, and against an
+// older copy, a stranger, a wrong name or another fleet that is let in.
+func TestWhoIsWelcome(t *testing.T) {
+	set := fleet(t, 3)
+	c := client.New(set)
+	defer c.Close()
+	for range 20 {
+		_, err := c.Do(t.Context(), ledger.PartRegister, ledger.Set{Name: "a", Value: "b"})
+		require.NoError(t, err)
+	}
+	var lead, other *talk.State
+	for _, k := range set.Keepers {
+		a, err := client.Ask(t.Context(), set, k, talk.Request{Want: talk.Status})
+		require.NoError(t, err)
+		if a.State.Role == "leader" {
+			lead = a.State
+		} else {
+			other = a.State
+		}
+	}
+	require.NotNil(t, lead)
+	address := ""
+	for _, k := range set.Keepers {
+		if k.Name == lead.Name {
+			address = k.Address
+		}
+	}
+	as := func(change func(*link.Hello)) (link.Welcome, error) {
+		h := link.Hello{Fleet: "f", Name: other.Name, ID: other.ID, Starts: other.Starts, Dial: 1 << 40, Last: 1 << 40, Applied: 1 << 40}
+		change(&h)
+		conn, w, err := link.Dial(address, h, set.Try)
+		if err == nil {
+			require.NoError(t, conn.Close())
+		}
+		return w, err
+	}
+	for _, x := range []struct {
+		what   string
+		change func(*link.Hello)
+		ok     bool
+		final  bool
+	}{
+		{"itself", func(*link.Hello) {}, true, false},
+		{"an earlier connection that comes late", func(h *link.Hello) { h.Dial, h.Last = 1, 0 }, false, false},
+		{"an older copy by its entries", func(h *link.Hello) { h.Dial++; h.Last = 3 }, false, true},
+		{"an older copy by its starts", func(h *link.Hello) { h.Starts = 0 }, false, true},
+		{"another fleet", func(h *link.Hello) { h.Fleet = "g" }, false, true},
+		{"a stranger", func(h *link.Hello) { h.ID, h.Applied = 77, 0 }, false, false},
+		{"a member under another name", func(h *link.Hello) { h.Name = "x" }, false, false},
+		{"one that wants another", func(h *link.Hello) { h.To = "x" }, false, false},
+	} {
+		w, err := as(x.change)
+		assert.Equal(t, x.ok, err == nil, "%s: %v", x.what, err)
+		assert.Equal(t, x.final, w.Final, x.what)
+	}
+}
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -58,6 +58,7 @@
 	To      string `json:"to,omitempty"`      // the name of whom it wants, empty = whoever is there
 	ID      uint64 `json:"id,omitempty"`      // of a keeper, 0 = a client of the log
 	Starts  uint64 `json:"starts,omitempty"`  // how often it has started
+	Dial    uint64 `json:"dial,omitempty"`    // how often it has connected since its start: one that comes late counts for nothing
 	Last    uint64 `json:"last,omitempty"`    // the last entry that its disk holds,
 	Applied uint64 `json:"applied,omitempty"` // and up to which it knows what was agreed
 }
--- a/lab/circle/play.go
+++ b/lab/circle/play.go
@@ -86,8 +86,7 @@
 	begin   time.Time
 	told    atomic.Int64
 	wake    chan struct{}
-	over    chan struct{} // closed when the faults have ended
-	ends    sync.WaitGroup
+	over    chan struct{}     // closed when the faults have ended
 	endings chan func() error // of faults, carried out by the one goroutine that makes them
 	pending int
 	lost    map[string]bool // keepers that are away for the moment, or for good
