--- /dev/null
+++ b/cmd/linenwheel/peers_test.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/peers/keeper"
+)
+
+// Guards against commands that answer with what was asked and not with what was agreed, and against an empty keeper under an old
+// name that gets a vote without being asked for: founding, setting, a lost machine, replacing, adding, removing.
+func TestPeers(t *testing.T) {
+	addresses, text := map[string]string{}, "[peers]\nfleet = \"f\"\nkeepers = [\"a\", \"b\", \"c\"]\npatience = \"20s\"\n"
+	for _, name := range []string{"a", "b", "c", "d"} {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.8:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+		require.NoError(t, err)
+		addresses[name] = l.Addr().String()
+		require.NoError(t, l.Close())
+		text += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", name, addresses[name])
+	}
+	file := filepath.Join(t.TempDir(), "o.toml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	var all sync.WaitGroup
+	stops := map[string]func(){}
+	start := func(name string) {
+		k, err := keeper.New(keeper.Settings{Fleet: "f", Name: name, Listen: addresses[name], Directory: t.TempDir(), Addresses: addresses,
+			Heartbeat: 20, Election: 200, ImageEvery: 1 << 20, Trail: 100}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		require.NoError(t, err)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		all.Go(func() { _ = k.Run(ctx); close(done) })
+		stops[name] = func() { stop(); <-done }
+	}
+	defer func() {
+		for _, stop := range stops {
+			stop()
+		}
+		all.Wait()
+	}()
+	call := func(status int, want string, args ...string) {
+		t.Helper()
+		var out, errs bytes.Buffer
+		got := run(append([]string{"peers", args[0], "-options", file}, args[1:]...), func(string) string { return "" }, &out, &errs)
+		assert.Equal(t, status, got, "%v: %s%s", args, out.String(), errs.String())
+		assert.Contains(t, out.String()+errs.String(), want, "%v", args)
+	}
+	call(1, "nothing was founded", "found")
+	for _, name := range []string{"a", "b", "c"} {
+		start(name)
+	}
+	call(1, "no keeper leads", "status")
+	call(0, "3 keepers are founded", "found")
+	call(0, "3 keepers are founded", "found")
+	call(0, "voter", "status")
+	call(0, "agreed as number", "set", "city", "Brno")
+	call(1, "nothing was changed", "set", "-was", "1", "city", "Praha")
+	call(0, "Brno", "get", "city")
+	call(1, "still has its directory", "replace", "b")
+	stops["b"]()
+	start("b")
+	call(0, "blank", "status")
+	call(0, "b votes, as number", "replace", "b")
+	call(0, "c votes, as number", "add", "c") // as it does already
+	start("d")
+	call(0, "d votes, as number", "add", "d")
+	call(0, "is taken out", "remove", "d")
+	call(1, "no member is called", "remove", "d")
+	call(0, "Brno", "get")
+	call(2, "", "set", "one")
+}
