Hold operators' orders with the fleet before the yes, and obey them again on an empty machine

Need: a rater out by hand and a drained node ended with the machine that had said yes.

Change: the agreed log has a part for orders, kept by the node's name. With peers.fleet an order is carried out, agreed, then answered; without a majority the answer is 503 and says that it is in force in this process alone. A node that starts hears what holds under its name before it is ready, peers.orders_wait at the most.

Measured: a node killed right after the yes, its folder deleted, started on an empty one: drained and without the rater before it says that it is ready; with two of three keepers dead an order gets 503 (TestOrdersOutliveTheMachine, real processes).

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -107,7 +107,7 @@
 // New makes an empty ledger.
 func New() *Ledger {
 	l := &Ledger{sessions: map[uint64]*session{}, members: &Members{list: map[uint64]Member{}}}
-	l.parts = map[string]Part{PartMembers: l.members, PartRegister: newRegister(), PartCalls: newCalls()}
+	l.parts = map[string]Part{PartMembers: l.members, PartRegister: newRegister(), PartCalls: newCalls(), PartOrders: newOrders()}
 	return l
 }
 
--- a/internal/options/peers.go
+++ b/internal/options/peers.go
@@ -36,6 +36,9 @@
 	// EndWait is how long an answer waits at the most until the fleet has agreed on it; its client is told then all the same, and
 	// the call stays one that may have run.
 	EndWait Duration `toml:"end_wait" default:"1s" min:"0s" max:"1m"`
+	// OrdersWait is how long a node that starts waits at the most to hear what operators had ordered it, before it says that it is
+	// ready; after that it goes on without, and obeys once it has heard.
+	OrdersWait Duration `toml:"orders_wait" default:"10s" min:"0s" max:"10m"`
 	// Patience is how long the sub-command peers asks for something.
 	Patience Duration `toml:"patience" default:"10s" min:"100ms" max:"1h"`
 	// ImageEvery is how many bytes of entries come between two images of the state.
--- a/lab/duplicates/duplicates.go
+++ b/lab/duplicates/duplicates.go
@@ -96,6 +96,7 @@
 	result   Result
 	late     []float64
 	times    []float64 // of answers
+	control  string    // where the operators' door of the node is, empty = none
 	refusing time.Time // since when refusals come in a row
 }
 
@@ -395,7 +396,10 @@
 	c := &child{address: address, spec: proc.Spec{Name: name, Command: w.set.Node, Listen: address, Discovery: agent, Dir: dir,
 		Log: filepath.Join(dir, "node.log")}}
 	if w.set.Options != "" {
-		c.spec.Env = []string{"LINENWHEEL_OPTIONS=" + w.set.Options}
+		c.spec.Env = append(c.spec.Env, "LINENWHEEL_OPTIONS="+w.set.Options)
+	}
+	if w.control != "" {
+		c.spec.Env = append(c.spec.Env, "ROUTER_CONTROL="+w.control)
 	}
 	text, err := json.Marshal(configuration(name, address, agent))
 	if err != nil {
@@ -424,6 +428,10 @@
 		if answer.StatusCode == 200 {
 			return nil
 		}
+		log, err := os.ReadFile(c.spec.Log)
+		if err == nil && bytes.Contains(log, []byte("drained=true")) && bytes.Contains(log, []byte("the node is ready")) {
+			return nil // and sends its clients away
+		}
 	}
 	log, _ := os.ReadFile(c.spec.Log)
 	return fmt.Errorf("the node is not ready after 10 s: %s", log)
--- a/lab/duplicates/fleet_test.go
+++ b/lab/duplicates/fleet_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +66,68 @@
 	assert.Positive(t, r.Refused, "nothing was answered after a refusal")
 }
 
+// Guards against an order that was answered yes and ends with its machine: a node killed right after the yes, with all that it had,
+// comes up on an empty machine drained and without the rater that is out; and against a yes without a majority.
+func TestOrdersOutliveTheMachine(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.7:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+	require.NoError(t, err)
+	w := &world{set: Settings{Node: filepath.Join(programs, "linenwheel"), Dir: t.TempDir()}, control: l.Addr().String()}
+	require.NoError(t, l.Close())
+	keepers, err := w.gather(ctx, &Fleet{Keepers: 3, Program: filepath.Join(programs, "linenwheel-keep")})
+	require.NoError(t, err)
+	defer keepers.Close()
+	agent, end, err := serve(func(rw http.ResponseWriter, r *http.Request) {
+		discovery(rw, r, []string{"127.0.0.1:1", "127.0.0.1:2"})
+	})
+	require.NoError(t, err)
+	defer end()
+	node, err := w.start(0, agent)
+	require.NoError(t, err)
+	defer func() { node.get().Kill() }()
+	order := func(path string) (status int, text string) {
+		answer, err := http.Post("http://"+w.control+path, "text/plain", nil)
+		require.NoError(t, err)
+		defer answer.Body.Close()
+		b, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		return answer.StatusCode, string(b)
+	}
+	up := func() int {
+		answer, err := http.Get("http://" + node.address + "/up")
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		return answer.StatusCode
+	}
+	status, text := order("/v1/raters/r1/suspend")
+	require.Equal(t, 200, status, text)
+	status, text = order("/v1/node/drain")
+	require.Equal(t, 200, status, text)
+	node.get().Kill()
+	require.NoError(t, os.RemoveAll(node.spec.Dir))
+	fresh, err := w.start(0, agent) // says that it is ready before a front is let in, and is drained all the same
+	require.NoError(t, err)
+	node.get().Kill()
+	node = fresh
+	assert.Equal(t, 503, up())
+	log, err := os.ReadFile(node.spec.Log)
+	require.NoError(t, err)
+	assert.Contains(t, string(log), "what operators had ordered this node is in force")
+	assert.Less(t, strings.Index(string(log), "ordered this node is in force"), strings.Index(string(log), "the node is ready"))
+	assert.Contains(t, string(log), "drained=true raters_out=1")
+	status, text = order("/v1/node/activate")
+	require.Equal(t, 200, status, text)
+	assert.Equal(t, 200, up())
+	keepers.Kill("k0")
+	keepers.Kill("k1")
+	status, text = order("/v1/node/drain")
+	assert.Equal(t, 503, status)
+	assert.Contains(t, text, "in force in this process, but not held by the fleet")
+	assert.Equal(t, 503, up())
+}
+
 // Guards against a judge that finds nothing: nodes that each hold names for themselves run charges twice.
 func TestJudgeSeesTwice(t *testing.T) {
 	t.Parallel()
--- a/node/door.go
+++ b/node/door.go
@@ -132,8 +132,13 @@
 	return nil
 }
 
-// order carries an order out here and in the node's other process, if there is one.
+// order carries an order out here and in the node's other process, if there is one, and has it agreed with the fleet, if there is
+// one: then it is in force again on a machine that takes this one's place.
 func (n *Node) order(o Order) error {
+	if n.peers != nil {
+		n.peers.mu.Lock()
+		defer n.peers.mu.Unlock()
+	}
 	if err := n.Obey(o); err != nil {
 		return err
 	}
@@ -141,12 +146,18 @@
 	n.orders.mu.Lock()
 	pass := n.orders.pass
 	n.orders.mu.Unlock()
-	if pass == nil {
+	if pass != nil {
+		if err := pass(o); err != nil {
+			n.log.Warn("the node's other process does not obey an order", "order", o.Do, "error", err)
+			return fmt.Errorf("in force in this process, but not in the node's other one: %w", err)
+		}
+	}
+	if n.peers == nil {
 		return nil
 	}
-	if err := pass(o); err != nil {
-		n.log.Warn("the node's other process does not obey an order", "order", o.Do, "error", err)
-		return fmt.Errorf("in force in this process, but not in the node's other one: %w", err)
+	if err := n.peers.hold(n.conf.Name, o); err != nil {
+		n.log.Warn("an order is not agreed with the fleet", "order", o.Do, "error", err)
+		return fmt.Errorf("in force in this process, but not held by the fleet: it ends with this machine: %w", err)
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,6 @@
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/north/httpfront"
 	"linenwheel.dev/linenwheel/internal/options"
-	"linenwheel.dev/linenwheel/internal/peers/client"
 	"linenwheel.dev/linenwheel/internal/pilot"
 	quotaedge "linenwheel.dev/linenwheel/internal/quota/edge"
 	"linenwheel.dev/linenwheel/internal/repeats/edge"
@@ -135,9 +134,8 @@
 	journal *journal.Journal // of them, nil = none
 	locked  *os.File         // keeps other processes from the journal
 
-	peersOptions *options.Peers // nil = the node shares nothing
-	fleetLog     *client.Client // of the agreed log, nil = none is asked
-	names        *fleet.Names   // of calls, held by the fleet; nil = by this node alone
+	peers *peers       // what the fleet holds for this node and its clients; nil = the node shares nothing
+	names *fleet.Names // of calls, held by the fleet; nil = by this node alone
 
 	figures *figures.Set
 	budget  *flow.Budget // of bodies
@@ -212,8 +210,10 @@
 		}
 		stages.Quota = n.quota.Wrap
 	}
+	sources := len(o.Inventory.Sources())
 	if o.Peers.Fleet != "" {
-		n.peersOptions = &o.Peers
+		n.peers = join(conf, &o.Peers)
+		sources++ // of what the node must have heard before it is ready
 	}
 	if o.Repeats.On {
 		if n.repeats, err = n.recognise(&o.Repeats, sparse.With("part", "repeats")); err != nil {
@@ -234,7 +234,10 @@
 	}
 	n.watch = &discovery.Watcher{Address: conf.Discovery, Limits: watchLimits(&o), Loop: n.loop, Clock: n.clock,
 		Log: sparse.With("part", "inventory"), Sink: plain{n.inventory}, Most: o.Inventory.Discovery.ListMost.Bytes,
-		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: n.firstAsked(len(o.Inventory.Sources()))}
+		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: n.firstAsked(sources)}
+	if n.peers != nil {
+		n.peers.heard = n.watch.First
+	}
 	if len(conf.Known.Hosts) > 0 {
 		n.watch.Known = conf.Known.Index
 	}
@@ -429,8 +432,8 @@
 		cancel()
 		n.shut()
 		work.Wait()
-		if n.fleetLog != nil {
-			n.fleetLog.Close()
+		if n.peers != nil {
+			n.peers.log.Close()
 		}
 		n.loop.Stop()
 		if n.thrift != nil && n.thrift.loop != nil {
@@ -448,6 +451,9 @@
 	if n.names != nil {
 		work.Go(func() { n.names.Run(back) })
 	}
+	if n.peers != nil {
+		work.Go(func() { n.hearOrders(back) })
+	}
 	work.Go(func() { n.tick(back) })
 	n.every(back, func(o *Options) float64 { return o.South.RetireEvery.Ms }, n.pool.Retire)
 	n.every(back, func(o *Options) float64 { return o.North.HTTP.SweepEvery.Ms }, n.sweep)
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/inventory/ban"
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/options"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/repeats/edge"
+	"linenwheel.dev/linenwheel/internal/repeats/fleet"
+)
+
+// orderLimit is how long operators wait for an order to be agreed.
+const orderLimit = 2 * time.Second
+
+// peers is the node's way to the agreed log.
+type peers struct {
+	set   *options.Peers
+	log   *client.Client
+	heard func() // tells that the node has heard what operators had ordered it, or waits no longer
+
+	mu sync.Mutex // held while an order is carried out and agreed, or what was agreed is asked for and obeyed
+}
+
+// join makes the way to the agreed log; it connects when something is asked.
+func join(conf *Config, p *options.Peers) *peers {
+	ask := client.Settings{Fleet: p.Fleet, Name: conf.Name, Try: time.Duration(p.Try.Ms * 1e6)}
+	for _, m := range p.Members {
+		ask.Keepers = append(ask.Keepers, client.Keeper{Name: m.Name, Address: m.Address})
+	}
+	return &peers{set: p, log: client.New(ask)}
+}
+
+// names has names of calls agreed with the fleet.
+func (p *peers) names(n *Node, set *edge.Settings, log *slog.Logger) *fleet.Names {
+	names := fleet.Settings{Node: n.conf.Name, Secret: set.Secret, Classes: set.Book.Classes, Claim: p.set.Claim.Ms,
+		Longest: n.conf.MaxDeadline, Take: 2 * p.set.Try.Ms, End: p.set.EndWait.Ms}
+	for _, t := range n.conf.Settings.Tenants {
+		names.Tenants = append(names.Tenants, t.Name)
+	}
+	return fleet.New(names, p.log, n.clock, log)
+}
+
+// hold has an order agreed under the node's name.
+func (p *peers) hold(node string, o Order) error {
+	ctx, stop := context.WithTimeout(context.Background(), orderLimit)
+	defer stop()
+	r, err := p.log.Do(ctx, ledger.PartOrders, ledger.Order{Node: node, Do: o.Do, Rater: o.Rater})
+	if err == nil && r.Code != ledger.OK {
+		err = errors.New(r.Text)
+	}
+	return err
+}
+
+// hearOrders asks what operators had ordered this node, wherever it ran, and obeys. The node is not ready before, for a while.
+func (n *Node) hearOrders(ctx context.Context) {
+	late := make(chan struct{})
+	stop := n.clock.At(n.clock.Now()+n.peers.set.OrdersWait.Ms, func() { close(late) })
+	defer stop()
+	heard := make(chan struct{})
+	go func() {
+		defer close(heard)
+		for ctx.Err() == nil {
+			if n.askOrders(ctx) {
+				return
+			}
+		}
+	}()
+	select {
+	case <-heard:
+	case <-late:
+		n.log.Warn("the fleet was not heard in time: what operators had ordered this node is not in force yet")
+		n.peers.heard()
+		<-heard
+		return
+	case <-ctx.Done():
+		<-heard
+	}
+	n.peers.heard()
+}
+
+// askOrders asks once, and tells whether it was told.
+func (n *Node) askOrders(ctx context.Context) bool {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	ctx, stop := context.WithTimeout(ctx, orderLimit)
+	defer stop()
+	r, err := n.peers.log.Read(ctx, ledger.PartOrders, ledger.OrdersOf{Node: n.conf.Name})
+	var held ledger.Ordered
+	if err != nil || json.Unmarshal(r.Body, &held) != nil {
+		return false
+	}
+	n.obeyHeld(held)
+	return true
+}
+
+// obeyHeld lets what is held for this node be in force.
+func (n *Node) obeyHeld(held ledger.Ordered) {
+	k := Knowledge{Bans: ban.Memory{Out: held.Out}}
+	if held.Drained {
+		since, drained := n.gate.Drained()
+		if !drained {
+			since = n.clock.Now()
+		}
+		k.Drained = &since
+	}
+	n.recallOrders(k)
+	if held.Drained || len(held.Out) > 0 {
+		n.log.Info("what operators had ordered this node is in force", "drained", held.Drained, "raters_out", len(held.Out))
+	}
+}
--- a/node/repeats.go
+++ b/node/repeats.go
@@ -7,15 +7,12 @@
 	"os"
 	"slices"
 	"strings"
-	"time"
 
 	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/options"
-	"linenwheel.dev/linenwheel/internal/peers/client"
 	"linenwheel.dev/linenwheel/internal/repeats"
 	"linenwheel.dev/linenwheel/internal/repeats/edge"
-	"linenwheel.dev/linenwheel/internal/repeats/fleet"
 	"linenwheel.dev/linenwheel/internal/repeats/journal"
 	"linenwheel.dev/linenwheel/internal/segments"
 )
@@ -69,28 +66,13 @@
 			log.Warn("a file of the journal is damaged", "file", f.File, "byte", f.Offset, "error", f.Err)
 		}
 	}
-	if p := n.peersOptions; p != nil {
-		n.agree(p, &set, log)
+	if n.peers != nil {
+		n.names = n.peers.names(n, &set, log)
+		set.Fleet = n.names
 	}
 	return edge.New(set, n.clock, log)
 }
 
-// agree has names agreed with the fleet.
-func (n *Node) agree(p *options.Peers, set *edge.Settings, log *slog.Logger) {
-	ask := client.Settings{Fleet: p.Fleet, Name: n.conf.Name, Try: time.Duration(p.Try.Ms * 1e6)}
-	for _, m := range p.Members {
-		ask.Keepers = append(ask.Keepers, client.Keeper{Name: m.Name, Address: m.Address})
-	}
-	n.fleetLog = client.New(ask)
-	names := fleet.Settings{Node: n.conf.Name, Secret: set.Secret, Classes: set.Book.Classes, Claim: p.Claim.Ms,
-		Longest: n.conf.MaxDeadline, Take: 2 * p.Try.Ms, End: p.EndWait.Ms}
-	for _, t := range n.conf.Settings.Tenants {
-		names.Tenants = append(names.Tenants, t.Name)
-	}
-	n.names = fleet.New(names, n.fleetLog, n.clock, log)
-	set.Fleet = n.names
-}
-
 // naming puts a class's options into the stage's terms. A class of the platform that carries a key has it with the call.
 func naming(c *options.RepeatsClass, effect decide.Effect) edge.Naming {
 	switch {
