Ask a keeper for its number before it hears who connects, and give up the way to one that was replaced

It still dialled the number of a burnt keeper, at whose address the replacement answered; that dial's first word named what was held when it began, while acknowledgements went on over the open connection to the replacement, and it also ended that connection each time.

Change: the first word names the number that is wanted; whoever bears another turns it away and looks no further. The way to a member that has left is closed. Also here: the node's gate for the fleet's policy, off by default ([policy]), and options laid over a machine's own.

--- a/internal/options/load.go
+++ b/internal/options/load.go
@@ -209,11 +209,18 @@
 // read takes the whole text. The library stops at the first value that it cannot take, so that one is reported,
 // blanked out, and the rest is tried again.
 func (d *document) read() {
+	if d.parse() {
+		d.check()
+	}
+}
+
+// parse is read without a look at what goes together; false = the text is not TOML.
+func (d *document) parse() bool {
 	d.places = map[string]config.Place{}
 	text := slices.Clone(d.text)
 	lines, ok := d.index(text)
 	if !ok {
-		return
+		return false
 	}
 	for len(d.faults) < mostFaults {
 		err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(d.root)
@@ -233,7 +240,7 @@
 		}
 		break
 	}
-	d.check()
+	return true
 }
 
 // offset is where in the text the library found something wrong.
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -34,6 +34,7 @@
 	State     State     `toml:"state"`
 	Fleet     Fleet     `toml:"fleet"`
 	Peers     Peers     `toml:"peers"`
+	Policy    Policy    `toml:"policy"`
 }
 
 // Platform holds what the platform asks for or promises and config.json does not say. Other tables are held against
@@ -185,6 +186,7 @@
 // Check reports times that the platform's rules do not allow, and tables that do not go together.
 func (o *Options) Check(report Report) {
 	o.checkRepeats(report)
+	o.checkPolicy(report)
 	type setting struct {
 		name  string
 		value Duration
--- a/internal/peers/keeper/keeper.go
+++ b/internal/peers/keeper/keeper.go
@@ -349,6 +349,12 @@
 			k.log.Info("a keeper leads", "leader", k.nameOf(now), "term", term)
 		}
 	}
+	for id, s := range k.senders { // to one that was replaced another answers under its address
+		if m, ok := k.group.Ledger().Members().Get(id); ok && m.Role == ledger.Gone {
+			s.Close()
+			delete(k.senders, id)
+		}
+	}
 	if voter := k.group.Voter(); voter != k.voter {
 		k.voter = voter
 		k.log.Info("the keeper's vote has changed", "votes", voter)
@@ -446,7 +452,7 @@
 }
 
 func (k *Keeper) dial(address, name string, id uint64, within time.Duration) (*link.Conn, error) {
-	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, ID: k.store.ID,
+	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, Want: id, ID: k.store.ID,
 		Starts: k.store.Starts, Dial: k.dials.Add(1), Last: k.last.Load(), Applied: k.known.Load()}, within)
 	switch {
 	case errors.Is(err, link.ErrRefused) && w.Final:
--- a/internal/peers/keeper/serve.go
+++ b/internal/peers/keeper/serve.go
@@ -108,6 +108,10 @@
 		w.Reason = fmt.Sprintf("this is %q, not %q", k.set.Name, h.To)
 		return w
 	}
+	if h.Want != 0 && h.Want != k.store.ID { // what it says is for another, and ends no connection of its own to this one
+		w.Reason = fmt.Sprintf("this is number %x, not %x", k.store.ID, h.Want)
+		return w
+	}
 	if h.ID == 0 {
 		return w
 	}
--- a/internal/peers/keeper/serve_test.go
+++ b/internal/peers/keeper/serve_test.go
@@ -61,6 +61,7 @@
 		{"another fleet", func(h *link.Hello) { h.Fleet = "g" }, false, true},
 		{"a stranger", func(h *link.Hello) { h.ID, h.Applied = 77, 0 }, false, false},
 		{"a member under another name", func(h *link.Hello) { h.Name = "x" }, false, false},
+		{"one that wants another number under this address", func(h *link.Hello) { h.Want, h.Last = 5, 0 }, false, false},
 		{"one that wants another", func(h *link.Hello) { h.To = "x" }, false, false},
 	} {
 		w, err := as(x.change)
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -56,6 +56,7 @@
 	Release string `json:"release"` // for people
 	Name    string `json:"name"`
 	To      string `json:"to,omitempty"`      // the name of whom it wants, empty = whoever is there
+	Want    uint64 `json:"want,omitempty"`    // and the number of it, 0 = any
 	ID      uint64 `json:"id,omitempty"`      // of a keeper, 0 = a client of the log
 	Starts  uint64 `json:"starts,omitempty"`  // how often it has started
 	Dial    uint64 `json:"dial,omitempty"`    // how often it has connected since its start: one that comes late counts for nothing
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,8 @@
 	"linenwheel.dev/linenwheel/internal/north/httpfront"
 	"linenwheel.dev/linenwheel/internal/options"
 	"linenwheel.dev/linenwheel/internal/pilot"
+	"linenwheel.dev/linenwheel/internal/policy"
+	policygate "linenwheel.dev/linenwheel/internal/policy/gate"
 	quotaedge "linenwheel.dev/linenwheel/internal/quota/edge"
 	"linenwheel.dev/linenwheel/internal/repeats/edge"
 	"linenwheel.dev/linenwheel/internal/repeats/fleet"
@@ -134,8 +136,11 @@
 	journal *journal.Journal // of them, nil = none
 	locked  *os.File         // keeps other processes from the journal
 
-	peers *peers       // what the fleet holds for this node and its clients; nil = the node shares nothing
-	names *fleet.Names // of calls, held by the fleet; nil = by this node alone
+	peers *peers           // what the fleet holds for this node and its clients; nil = the node shares nothing
+	names *fleet.Names     // of calls, held by the fleet; nil = by this node alone
+	guide *policygate.Gate // of calls, by the fleet's policy; nil = by this node's file alone
+	own   Options          // of this machine, without the fleet's policy; under reload
+	doc   policy.Document  // the fleet's policy, Number 0 = none; under reload
 
 	figures *figures.Set
 	budget  *flow.Budget // of bodies
@@ -215,6 +220,12 @@
 		n.peers = join(conf, &o.Peers)
 		sources++ // of what the node must have heard before it is ready
 	}
+	n.own = o
+	if o.Policy.On {
+		sources++
+		n.guide = n.guided(&o.Policy, func() { n.watch.First() }, sparse.With("part", "policy"))
+		stages.First = append([]Stage{n.guide.Wrap}, stages.First...)
+	}
 	if o.Repeats.On {
 		if n.repeats, err = n.recognise(&o.Repeats, sparse.With("part", "repeats")); err != nil {
 			n.loop.Stop()
@@ -302,27 +313,30 @@
 func (n *Node) Reload(getenv func(string) string) {
 	n.reload.Lock()
 	defer n.reload.Unlock()
-	conf, next, taken, waiting, err := n.read(getenv)
+	conf, next, own, taken, waiting, err := n.read(getenv)
 	if err != nil {
 		n.log.Error("the new configuration is bad and the old one stays", "error", err)
 		return
 	}
 	SetLimits(conf, &next)
+	n.own = own
 	n.apply(next)
 	n.watch.Move(conf.Discovery)
 	n.log.Info("the configuration was read again", "discovery", conf.Discovery, "taken", taken, "waiting", waiting)
+	if n.doc.Number > 0 {
+		n.log.Info("the fleet's policy goes before the file, which says what is the machine's own", "number", n.doc.Number)
+	}
 }
 
 // read reads what Reload takes, and names what of it is taken and what waits.
-func (n *Node) read(getenv func(string) string) (conf *Config, next Options, taken, waiting []string, err error) {
+func (n *Node) read(getenv func(string) string) (conf *Config, next, own Options, taken, waiting []string, err error) {
 	if conf, err = config.Reload(getenv); err != nil {
-		return conf, next, nil, nil, err
+		return conf, next, own, nil, nil, err
 	}
-	have := n.opts.Load()
-	fresh := *have
+	fresh := n.own
 	if path := getenv("LINENWHEEL_OPTIONS"); path != "" {
 		if fresh, err = LoadOptions(path, conf); err != nil {
-			return conf, next, nil, nil, err
+			return conf, next, own, nil, nil, err
 		}
 	}
 	for _, field := range []struct {
@@ -336,13 +350,16 @@
 			waiting = append(waiting, field.name)
 		}
 	}
-	next, taken, later := options.Take(have, &fresh)
+	own, taken, later := options.Take(&n.own, &fresh)
 	now := *n.conf
 	now.MemoryMB = conf.MemoryMB
+	if next, err = n.under(&own, n.doc); err != nil {
+		return conf, next, own, nil, nil, err
+	}
 	if faults := options.Check(next, &now); len(faults) > 0 {
-		return conf, next, nil, nil, fmt.Errorf("until the next start, which takes %v: %w", later, faults[0])
+		return conf, next, own, nil, nil, fmt.Errorf("until the next start, which takes %v: %w", later, faults[0])
 	}
-	return conf, next, taken, append(waiting, later...), nil
+	return conf, next, own, taken, append(waiting, later...), nil
 }
 
 // worthFor is, by class, how long an answer may take and still be worth something, milliseconds.
@@ -454,6 +471,9 @@
 	if n.peers != nil {
 		work.Go(func() { n.hearOrders(back) })
 	}
+	if n.guide != nil {
+		work.Go(func() { n.guide.Run(back) })
+	}
 	work.Go(func() { n.tick(back) })
 	n.every(back, func(o *Options) float64 { return o.South.RetireEvery.Ms }, n.pool.Retire)
 	n.every(back, func(o *Options) float64 { return o.North.HTTP.SweepEvery.Ms }, n.sweep)
--- /dev/null
+++ b/node/policy.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/options"
+	"linenwheel.dev/linenwheel/internal/policy"
+	"linenwheel.dev/linenwheel/internal/policy/gate"
+)
+
+// policyName stands for the file in faults of a policy's text.
+const policyName = "policy"
+
+// guided makes the gate of a node that judges by the fleet's policy.
+func (n *Node) guided(o *options.Policy, heard func(), log *slog.Logger) *gate.Gate {
+	return gate.New(gate.Settings{Name: n.conf.Name, Lease: o.Lease.Ms, Hold: o.Hold.Ms, GoesOn: o.Without == "go-on", Heard: heard},
+		policyLog{n.peers}, policyNode{n}, n.clock, log)
+}
+
+// policyLog asks the agreed log.
+type policyLog struct{ *peers }
+
+func (p policyLog) Report(ctx context.Context, r policy.Report) (o policy.Order, err error) {
+	reply, err := p.log.Do(ctx, ledger.PartPolicy, ledger.PolicyCommand{Report: &r})
+	return o, decoded(reply, err, &o)
+}
+
+func (p policyLog) Document(ctx context.Context, number uint64, id string) (d policy.Document, err error) {
+	q := ledger.PolicyQuestion{Proposed: id}
+	if id == "" {
+		q.Document = &number
+	}
+	reply, err := p.log.Read(ctx, ledger.PartPolicy, q)
+	return d, decoded(reply, err, &d)
+}
+
+func decoded(r ledger.Reply, err error, v any) error {
+	switch {
+	case err != nil:
+		return err
+	case r.Code != ledger.OK:
+		return errors.New(r.Text)
+	}
+	return json.Unmarshal(r.Body, v)
+}
+
+// policyNode is the node as the gate sees it.
+type policyNode struct{ n *Node }
+
+// Check lays a document over the machine's own options, as SIGHUP lays a file.
+func (p policyNode) Check(d policy.Document) error {
+	p.n.reload.Lock()
+	defer p.n.reload.Unlock()
+	_, err := p.n.under(&p.n.own, d)
+	return err
+}
+
+// Take has it in force.
+func (p policyNode) Take(d policy.Document) error {
+	n := p.n
+	n.reload.Lock()
+	defer n.reload.Unlock()
+	next, err := n.under(&n.own, d)
+	if err != nil {
+		return err
+	}
+	n.doc = d
+	n.apply(next)
+	return nil
+}
+
+// under gives what options come to under a policy; number 0 is none.
+func (n *Node) under(own *Options, d policy.Document) (Options, error) {
+	if d.Text == "" {
+		return *own, nil
+	}
+	next, faults := options.Overlay(*own, fmt.Sprintf("%s %s", policyName, d.Hash), []byte(d.Text), n.conf)
+	if len(faults) > 0 {
+		return next, faults[0]
+	}
+	return next, nil
+}
