Have nodes judge by one policy that takes hold everywhere or nowhere, shown on real processes

Need: each node read its own files at its own SIGHUP: a fleet judged by two policies in between.

Change: with [policy] on, a node judges calls by the number that the fleet agreed on, for as long as its lease on it lasts, and is ready once it has heard which one holds; a change holds calls for some milliseconds.

Nodes that read their files one after the other are caught.

--- a/internal/options/load.go
+++ b/internal/options/load.go
@@ -210,10 +210,21 @@
 // blanked out, and the rest is tried again.
 func (d *document) read() {
 	if d.parse() {
+		d.settle()
 		d.check()
 	}
 }
 
+// settle gives what a list's tables do not name its default: the library makes them empty.
+func (d *document) settle() {
+	_, fields := walk(d.root)
+	for _, f := range fields {
+		if _, named := d.places[f.Path]; f.Item && !f.List && !named {
+			f.set(f.value, f.standard)
+		}
+	}
+}
+
 // parse is read without a look at what goes together; false = the text is not TOML.
 func (d *document) parse() bool {
 	d.places = map[string]config.Place{}
@@ -408,14 +419,10 @@
 	return true
 }
 
-// check holds the fields against their bounds and the tables against themselves. What a list's tables do not name gets its
-// default first: the library makes them empty.
+// check holds the fields against their bounds and the tables against themselves.
 func (d *document) check() {
 	tables, fields := walk(d.root)
 	for _, f := range fields {
-		if _, named := d.places[f.Path]; f.Item && !f.List && !named && d.places != nil {
-			f.set(f.value, f.standard)
-		}
 		if err := f.check(); err != nil {
 			d.fault(f.Path, d.places[f.Path], err)
 		}
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -216,3 +216,35 @@
 	a.Log.Level = "warn"
 	assert.Equal(t, a, next)
 }
+
+// Guards against a policy that changes what belongs to one machine or waits for a restart, that changes the machine's own options
+// beside itself, or whose faults do not say where; and against lists of the machine's own that lose what they hold.
+func TestOverlay(t *testing.T) {
+	own, lines := load(t, "[peers]\nfleet = \"f\"\nkeepers = [\"a\"]\n[[peers.member]]\nname = \"a\"\naddress = \"h:1\"\n[quota]\non = true\nrequests = 5\n")
+	require.Empty(t, lines)
+	before := own.Options
+	c := &config.Config{Sockets: 256, MemoryMB: 64, ConnIdle: 1000}
+	next, faults := Overlay(own.Options, "policy", []byte("[quota]\nrequests = 9\n[[quota.node]]\nname = \"x\"\n"), c)
+	require.Empty(t, faults)
+	assert.Equal(t, 9.0, next.Quota.Requests)
+	assert.True(t, next.Quota.Nodes[0].Lends, "a default of a list's table")
+	assert.Equal(t, before.Peers, next.Peers)
+	assert.Equal(t, 5.0, own.Options.Quota.Requests)
+	for text, want := range map[string]string{
+		"[quota]\non = false\n":                          "policy:2:1: quota.on: is no policy",
+		"[north.http]\nbacklog_most = \"1MiB\"\n":        "policy:2:1: north.http.backlog_most: is no policy",
+		"[log]\nlevel = \"debug\"\n":                     "policy:2:1: log.level: is no policy",
+		"[quota]\n\nrequests = -1\n":                     "policy:3:1: quota.requests: ",
+		"[quota]\nnew = 1\n":                             "policy:2:1: quota.new: ",
+		"[[quota.node]]\nname = \"x\"\nparent = \"y\"\n": "quota",
+		"no toml": "policy:1",
+	} {
+		_, faults := Overlay(own.Options, "policy", []byte(text), c)
+		if assert.NotEmpty(t, faults, text) {
+			assert.Contains(t, faults[0].Error(), want)
+		}
+	}
+	same, faults := Overlay(own.Options, "policy", nil, c)
+	assert.Empty(t, faults)
+	assert.Equal(t, before, same)
+}
--- a/internal/options/policy.go
+++ b/internal/options/policy.go
@@ -41,7 +41,9 @@
 func Overlay(own Options, name string, text []byte, c *config.Config) (Options, []*config.FieldError) {
 	said := Default()
 	d := &document{path: name, text: text, root: &said}
-	d.parse()
+	if d.parse() {
+		d.settle()
+	}
 	next := own
 	_, to := walk(&next)
 	_, from := walk(&said)
--- /dev/null
+++ b/lab/policies/policies.go
@@ -0,0 +1,502 @@
+// Package policies plays changes of a fleet's policy on real processes: nodes that judge by the agreed policy, keepers, clients
+// of two tenants, and faults. Each document admits one tenant and refuses the other, the odd numbers morava, the even ones
+// vltava, so that each answer shows from outside which kind of number it was judged by.
+package policies
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+	"linenwheel.dev/linenwheel/internal/peers/client"
+	"linenwheel.dev/linenwheel/internal/policy"
+	"linenwheel.dev/linenwheel/lab/circle"
+	"linenwheel.dev/linenwheel/lab/live/proc"
+)
+
+// Settings describe a play.
+type Settings struct {
+	Node    string // the node's program,
+	Keeper  string // and the keeper's
+	Dir     string
+	Nodes   int
+	Keepers int
+	Clients int           // of each node, which ask one call after the other
+	Changes int           // that must come to an end
+	Pause   time.Duration // between two changes
+	Faults  bool          // one with each change, at a step of it that chance draws
+	Lease   time.Duration
+	GoesOn  bool
+	Alone   bool // nodes read a file each at a SIGHUP of their own, as without a fleet: the judge must find it
+	Seed    uint64
+}
+
+// Result is what became of it.
+type Result struct {
+	Calls    int            `json:"calls"`
+	Broken   []string       `json:"broken"`  // pairs of calls that no number explains, and changes that did not end
+	Answers  map[string]int `json:"answers"` // admitted, refused, held away, failed
+	Agreed   int            `json:"agreed"`
+	Refused  int            `json:"refused"`
+	Faults   map[string]int `json:"faults"`
+	ChangeMs []float64      `json:"change_ms"` // from the proposal to its end, sorted
+	P50      float64        `json:"p50_ms"`    // of calls
+	P99      float64        `json:"p99_ms"`
+	Longest  float64        `json:"longest_ms"`
+}
+
+var tenants = [2]string{"vltava", "morava"} // admitted by even, odd numbers
+
+// document admits one tenant alone.
+func document(number uint64) string {
+	out := tenants[(number+1)%2]
+	return fmt.Sprintf("[quota]\nrequests = 100000\n[[quota.node]]\nname = %q\nrequests = 90000\n[[quota.node]]\nname = %q\nceiling_requests = 0.000001\n"+
+		"borrows = false\nburst = \"1ms\"\n", tenants[number%2], out)
+}
+
+// call is one that was judged: odd tells by which kind of number.
+type call struct {
+	began, ended float64 // ms
+	odd          bool
+	node         int
+}
+
+type play struct {
+	set     Settings
+	keepers *circle.Circle
+	nodes   []*node
+	begin   time.Time
+	number  atomic.Uint64
+
+	mu     sync.Mutex
+	calls  []call
+	times  []float64
+	result Result
+}
+
+type node struct {
+	spec    proc.Spec
+	address string
+	mu      sync.Mutex
+	now     *proc.Process
+	options string
+}
+
+func (p *play) ms() float64 { return float64(time.Since(p.begin)) / 1e6 }
+
+func (p *play) fault(format string, v ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.result.Broken) < 10 {
+		p.result.Broken = append(p.result.Broken, fmt.Sprintf("%.0f ms: ", p.ms())+fmt.Sprintf(format, v...))
+	}
+}
+
+// Play plays until the changes have ended, or ctx does, which is a fault.
+func Play(ctx context.Context, set Settings) (Result, error) {
+	p := &play{set: set, begin: time.Now(), result: Result{Answers: map[string]int{}, Faults: map[string]int{}}}
+	names := []string{}
+	for i := range set.Keepers {
+		names = append(names, fmt.Sprint("k", i))
+	}
+	var err error
+	if p.keepers, err = circle.New(names, circle.Options{Program: set.Keeper, Dir: set.Dir}); err != nil {
+		return p.result, err
+	}
+	defer p.keepers.Close()
+	if err := p.keepers.Found(ctx, names); err != nil {
+		return p.result, err
+	}
+	rater, stop, err := serve(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "charged") })
+	if err != nil {
+		return p.result, err
+	}
+	defer stop()
+	agent, stop, err := serve(func(w http.ResponseWriter, r *http.Request) { discovery(w, r, rater) })
+	if err != nil {
+		return p.result, err
+	}
+	defer stop()
+	log := client.New(p.keepers.Settings("policies"))
+	defer log.Close()
+	p.number.Store(1)
+	if !set.Alone { // before the first node asks
+		if err := p.change(ctx, log, 1); err != nil {
+			return p.result, err
+		}
+	}
+	defer func() {
+		for _, n := range p.nodes {
+			n.mu.Lock()
+			if n.now != nil {
+				n.now.Kill()
+			}
+			n.mu.Unlock()
+		}
+	}()
+	for i := range set.Nodes {
+		n, err := p.prepare(i, agent)
+		if err != nil {
+			return p.result, err
+		}
+		p.nodes = append(p.nodes, n)
+		if err := n.start(ctx); err != nil {
+			return p.result, err
+		}
+	}
+	over := make(chan struct{})
+	var work sync.WaitGroup
+	for i := range p.nodes {
+		for j := range set.Clients {
+			work.Go(func() { p.ask(i, j, over) })
+		}
+	}
+	luck := rand.New(rand.NewPCG(set.Seed, 8))
+	for i := 0; p.result.Agreed+p.result.Refused < set.Changes+1 && ctx.Err() == nil; i++ {
+		time.Sleep(set.Pause)
+		var faults sync.WaitGroup
+		if set.Faults {
+			faults.Go(func() {
+				time.Sleep(time.Duration(luck.IntN(int(set.Lease / 2)))) // at any step of the change
+				p.strike(ctx, luck)
+			})
+		}
+		if set.Alone {
+			p.alone(luck)
+		} else if err := p.change(ctx, log, p.number.Load()+1); err != nil {
+			p.fault("%v", err)
+			break
+		}
+		faults.Wait()
+	}
+	if set.Alone {
+		time.Sleep(set.Pause)
+	}
+	close(over)
+	work.Wait()
+	p.judge()
+	return p.result, nil
+}
+
+// alone has each node read the next document for itself, one after the other.
+func (p *play) alone(luck *rand.Rand) {
+	next := p.number.Add(1)
+	for _, i := range luck.Perm(len(p.nodes)) {
+		n := p.nodes[i]
+		if os.WriteFile(n.options, []byte("[quota]\non = true\nlearn = false\n"+document(next)[len("[quota]\n"):]), 0o600) == nil {
+			_ = n.now.Signal(syscall.SIGHUP)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.result.Agreed++
+}
+
+// change proposes the next document, and asks what became of it until that is known.
+func (p *play) change(ctx context.Context, log *client.Client, number uint64) error {
+	began := time.Now()
+	id := fmt.Sprintf("p%d-%d", number, len(p.result.ChangeMs)+p.result.Refused)
+	proposal := policy.Proposal{ID: id, Text: document(number), Base: number - 1, By: "the lab"}
+	for {
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s does not come to an end", id)
+		}
+		one, stop := context.WithTimeout(ctx, 2*time.Second)
+		r, err := log.Do(one, ledger.PartPolicy, ledger.PolicyCommand{Propose: &proposal}) // again, it tells what became of it
+		stop()
+		var o policy.Outcome
+		if err != nil || json.Unmarshal(r.Body, &o) != nil {
+			continue
+		}
+		p.mu.Lock()
+		switch o.Stage {
+		case policy.Agreed:
+			p.result.Agreed++
+			p.number.Store(o.Number)
+			p.result.ChangeMs = append(p.result.ChangeMs, float64(time.Since(began))/1e6)
+			p.mu.Unlock()
+			if o.Number != number {
+				return fmt.Errorf("%s became number %d, not %d", id, o.Number, number)
+			}
+			return nil
+		case policy.Refused:
+			p.result.Refused++
+			p.mu.Unlock()
+			return nil
+		}
+		p.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// strike makes one fault and waits until it is over.
+func (p *play) strike(ctx context.Context, luck *rand.Rand) {
+	kinds := []string{"node killed", "node stopped", "node stopped for long", "keeper killed", "leader killed", "keeper cut", "leader deaf"}
+	kind := kinds[luck.IntN(len(kinds))]
+	p.mu.Lock()
+	p.result.Faults[kind]++
+	p.mu.Unlock()
+	n, keeper := p.nodes[luck.IntN(len(p.nodes))], fmt.Sprint("k", luck.IntN(p.set.Keepers))
+	short := time.Duration(50+luck.IntN(300)) * time.Millisecond
+	if kind == "leader killed" || kind == "leader deaf" {
+		if name, err := p.keepers.Leader(ctx); err == nil {
+			keeper = name
+		}
+	}
+	var err error
+	switch kind {
+	case "node killed":
+		n.mu.Lock()
+		n.now.Kill()
+		err = n.start(ctx)
+		n.mu.Unlock()
+	case "node stopped", "node stopped for long":
+		if kind == "node stopped for long" { // it wakes into a world that has gone on
+			short += 2 * p.set.Lease
+		}
+		n.mu.Lock()
+		if err = n.now.Signal(syscall.SIGSTOP); err == nil {
+			time.Sleep(short)
+			err = n.now.Signal(syscall.SIGCONT)
+		}
+		n.mu.Unlock()
+	case "keeper killed", "leader killed":
+		p.keepers.Kill(keeper)
+		time.Sleep(short)
+		if err = p.keepers.Start(keeper); err == nil {
+			err = p.keepers.Caught(ctx, keeper)
+		}
+	default:
+		p.keepers.Trouble(keeper, kind == "keeper cut", true, circle.Trouble{Refuse: true})
+		time.Sleep(short)
+		p.keepers.Trouble(keeper, true, true, circle.Trouble{})
+		err = p.keepers.Caught(ctx, keeper)
+	}
+	if err != nil && ctx.Err() == nil {
+		p.fault("%s: %v", kind, err)
+	}
+}
+
+// ask is one client of a node.
+func (p *play) ask(at, number int, over <-chan struct{}) {
+	n := p.nodes[at]
+	web := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 5 * time.Second}
+	defer web.CloseIdleConnections()
+	for i := 0; ; i++ {
+		select {
+		case <-over:
+			return
+		default:
+		}
+		odd := (i+number)%2 == 1
+		tenant := tenants[0]
+		if odd {
+			tenant = tenants[1]
+		}
+		req, err := http.NewRequest("POST", "http://"+n.address+"/post-charge/1", http.NoBody)
+		if err != nil {
+			panic(err) // the address is the lab's own
+		}
+		req.GetBody = nil
+		for name, value := range map[string]string{"Req-Id": fmt.Sprintf("%d-%d-%d", at, number, i), "Req-Owner": tenant, "Req-Deadline-Ms": "3000"} {
+			req.Header.Set(name, value)
+		}
+		began := p.ms()
+		answer, err := web.Do(req)
+		if err != nil {
+			p.note("failed", call{}, 0)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		_, _ = io.Copy(io.Discard, answer.Body) // the status counts
+		_ = answer.Body.Close()
+		c := call{began, p.ms(), odd, at}
+		switch {
+		case answer.StatusCode == 200:
+			p.note("admitted", c, c.ended-began)
+		case answer.StatusCode == 429:
+			c.odd = !odd // the other one is admitted
+			p.note("refused", c, c.ended-began)
+		default:
+			p.note(fmt.Sprintf("status %d", answer.StatusCode), call{}, 0)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func (p *play) note(kind string, c call, took float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.result.Answers[kind]++
+	if took > 0 {
+		p.calls, p.times = append(p.calls, c), append(p.times, took)
+	}
+}
+
+// judge holds the calls against the words: there must be moments, one for each change, such that every call was judged by the
+// number that held at some moment while it was under way. With documents that alternate this is: sorted by time, the calls must
+// admit a cut into at most one run of each number. The least number that each call can have had is found from the ends of those
+// before it: a call that began after one ended that was judged by number n was judged by n or a later one.
+func (p *play) judge() {
+	r := &p.result
+	r.Calls = len(p.calls)
+	slices.SortFunc(p.calls, func(a, b call) int { return int(min(1, max(-1, (a.began-b.began)*1e9))) })
+	type ended struct {
+		at     float64
+		number int
+	}
+	var done []ended // by end, with the least number of all that ended until then
+	least := func(began float64) int {
+		i, _ := slices.BinarySearchFunc(done, began, func(e ended, t float64) int {
+			if e.at < t {
+				return -1
+			}
+			return 1
+		})
+		if i == 0 {
+			return 0
+		}
+		return done[i-1].number
+	}
+	most := 0
+	for _, c := range p.calls {
+		n := least(c.began)
+		if n%2 == 1 != c.odd {
+			n++ // it was judged by a later one
+		}
+		if n > most {
+			most = n
+		}
+		i, _ := slices.BinarySearchFunc(done, c.ended, func(e ended, t float64) int {
+			if e.at < t {
+				return -1
+			}
+			return 1
+		})
+		done = slices.Insert(done, i, ended{c.ended, n})
+		if i > 0 {
+			done[i].number = max(done[i].number, done[i-1].number)
+		}
+		for j := i + 1; j < len(done) && done[j].number < done[i].number; j++ {
+			done[j].number = done[i].number
+		}
+	}
+	if held := int(p.number.Load()); most > held {
+		r.Broken = append(r.Broken, fmt.Sprintf("the calls need %d numbers one after the other, and there were %d: some were judged by one that was "+
+			"over", most, held))
+	}
+	slices.Sort(p.times)
+	slices.Sort(r.ChangeMs)
+	if n := len(p.times); n > 0 {
+		r.P50, r.P99, r.Longest = p.times[n/2], p.times[n*99/100], p.times[n-1]
+	}
+}
+
+// prepare writes a node's files.
+func (p *play) prepare(i int, agent string) (*node, error) {
+	name := fmt.Sprint("n", i)
+	dir := filepath.Join(p.set.Dir, "node-"+name)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 192+os.Getpid()>>8&31, os.Getpid()&255, 1+p.set.Seed%250)) // where no other takes the port
+	if err != nil {
+		return nil, err
+	}
+	n := &node{address: l.Addr().String(), options: filepath.Join(dir, "options.toml")}
+	_ = l.Close() // the node listens there next
+	ask := p.keepers.Settings(name)
+	text := "[quota]\non = true\nlearn = false\n" + document(1)[len("[quota]\n"):]
+	if !p.set.Alone {
+		without := "refuse"
+		if p.set.GoesOn {
+			without = "go-on"
+		}
+		text = fmt.Sprintf("[quota]\non = true\nlearn = false\n[policy]\non = true\nlease = %q\nhold = \"2s\"\nwithout = %q\n[peers]\nfleet = %q\nkeepers = [\"k0\"]\n"+
+			"try = \"300ms\"\n", p.set.Lease, without, ask.Fleet)
+		for _, k := range ask.Keepers {
+			text += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", k.Name, k.Address)
+		}
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(n.options, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	conf, err := json.Marshal(map[string]any{"name": name, "listen": n.address, "discovery": agent, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512},
+		"settings": map[string]any{"group_size": p.set.Nodes, "my_number": i, "locality": "hall-a", "zones": []string{"hall-a"},
+			"machine_types": []string{"mid-3"}, "weights": "nominal",
+			"classes": []any{map[string]any{"name": "post-charge", "effect": "non_idempotent", "group": "all", "on_time_s": 1, "hard_limit_s": 3,
+				"worth": 3}},
+			"projects": []any{map[string]any{"name": tenants[0], "quota_rps": 1000, "share": 0.5}, map[string]any{"name": tenants[1],
+				"quota_rps": 1000, "share": 0.5}},
+			"limits": map[string]any{"max_attempts": 3, "cancel": true, "connect_timeout_s": 0.25, "conn_idle_s": 30, "max_open": 200},
+			"safety": map[string]any{"drain_grace_s": 0.5}}})
+	if err != nil {
+		return nil, err
+	}
+	n.spec = proc.Spec{Name: name, Command: "'" + p.set.Node + "'", Listen: n.address, Discovery: agent, Dir: dir,
+		Log: filepath.Join(p.set.Dir, name+".log"), Env: []string{"LINENWHEEL_OPTIONS=" + n.options}}
+	return n, n.spec.WriteConfig(conf)
+}
+
+// start starts the node and waits until it says that it is ready.
+func (n *node) start(ctx context.Context) (err error) {
+	if n.now, err = proc.Start(n.spec); err != nil {
+		return err
+	}
+	for {
+		answer, err := http.Get("http://" + n.address + "/up")
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == 200 {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			log, _ := os.ReadFile(n.spec.Log)
+			return fmt.Errorf("%s is not ready: %s", n.spec.Name, log)
+		case <-n.now.Done():
+			log, _ := os.ReadFile(n.spec.Log)
+			return errors.Join(fmt.Errorf("%s %v", n.spec.Name, n.now.Exit()), errors.New(string(log)))
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func serve(handle http.HandlerFunc) (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	s := &http.Server{Handler: handle, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(l) }() // until Close
+	return l.Addr().String(), func() { _ = s.Close() }, nil
+}
+
+func discovery(w http.ResponseWriter, r *http.Request, rater string) {
+	list := []map[string]any{}
+	if r.URL.Query().Get("index") == "" {
+		list = append(list, map[string]any{"name": "r0", "address": rater, "zone": "hall-a", "type": "mid-3", "status": "Ready", "weight": 1})
+	} else {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(time.Second):
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"index": 1, "snapshot": len(list) > 0, "endpoints": list}) // or it has left
+}
--- /dev/null
+++ b/lab/policies/policies_test.go
@@ -0,0 +1,69 @@
+package policies
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// programs holds the node and the keeper, built once.
+var programs string
+
+func TestMain(m *testing.M) {
+	var err error
+	if programs, err = os.MkdirTemp("", "policies"); err != nil {
+		panic(err)
+	}
+	c := exec.Command("go", "build", "-o", programs, "../../cmd/linenwheel", "../../cmd/linenwheel-keep")
+	c.Stderr = os.Stderr
+	if err := c.Run(); err != nil {
+		panic(err)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(programs)
+	os.Exit(status)
+}
+
+func run(t *testing.T, set Settings) Result {
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer stop()
+	set.Node, set.Keeper, set.Dir, set.Keepers, set.Clients = filepath.Join(programs, "linenwheel"), filepath.Join(programs, "linenwheel-keep"),
+		t.TempDir(), 3, 2
+	set.Lease = 600 * time.Millisecond
+	r, err := Play(ctx, set)
+	require.NoError(t, err)
+	t.Logf("%d calls, %d agreed, %d refused, answers %v, faults %v, changes %.0f ms, calls 50%% %.1f ms, 99%% %.1f ms, longest %.0f ms", r.Calls, r.Agreed,
+		r.Refused, r.Answers, r.Faults, r.ChangeMs, r.P50, r.P99, r.Longest)
+	return r
+}
+
+// Guards against a call that is judged by a number that is over, on three nodes: without faults, and with nodes and keepers killed,
+// stopped and cut off at any step of each change; and against a change that never comes to an end.
+func TestEverywhere(t *testing.T) {
+	t.Run("calm", func(t *testing.T) {
+		t.Parallel()
+		r := run(t, Settings{Nodes: 3, Changes: 12, Pause: 100 * time.Millisecond, Seed: 1})
+		assert.Empty(t, r.Broken)
+		assert.Equal(t, 13, r.Agreed)
+		assert.Empty(t, r.Answers["status 503"], "calls were turned away because of a change")
+	})
+	t.Run("faults", func(t *testing.T) {
+		t.Parallel()
+		r := run(t, Settings{Nodes: 3, Changes: 12, Pause: 50 * time.Millisecond, Faults: true, Seed: 2})
+		assert.Empty(t, r.Broken)
+		assert.NotEmpty(t, r.Faults)
+		assert.Positive(t, r.Agreed)
+	})
+}
+
+// Guards against a judge that finds nothing: nodes that each read their own file at a signal of their own are caught.
+func TestJudgeSeesTwoPolicies(t *testing.T) {
+	r := run(t, Settings{Nodes: 3, Changes: 12, Pause: 100 * time.Millisecond, Alone: true, Seed: 3})
+	assert.NotEmpty(t, r.Broken)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -220,10 +220,16 @@
 		n.peers = join(conf, &o.Peers)
 		sources++ // of what the node must have heard before it is ready
 	}
-	n.own = o
 	if o.Policy.On {
 		sources++
-		n.guide = n.guided(&o.Policy, func() { n.watch.First() }, sparse.With("part", "policy"))
+	}
+	first := n.firstAsked(sources)
+	if n.peers != nil {
+		n.peers.heard = first
+	}
+	n.own = o
+	if o.Policy.On {
+		n.guide = n.guided(&o.Policy, first, sparse.With("part", "policy"))
 		stages.First = append([]Stage{n.guide.Wrap}, stages.First...)
 	}
 	if o.Repeats.On {
@@ -245,10 +251,7 @@
 	}
 	n.watch = &discovery.Watcher{Address: conf.Discovery, Limits: watchLimits(&o), Loop: n.loop, Clock: n.clock,
 		Log: sparse.With("part", "inventory"), Sink: plain{n.inventory}, Most: o.Inventory.Discovery.ListMost.Bytes,
-		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: n.firstAsked(sources)}
-	if n.peers != nil {
-		n.peers.heard = n.watch.First
-	}
+		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: first}
 	if len(conf.Known.Hosts) > 0 {
 		n.watch.Known = conf.Known.Index
 	}
