--- a/lab/circle/play.go
+++ b/lab/circle/play.go
@@ -455,6 +455,9 @@
 // claims to be a keeper that it is not, one that says nothing to the end.
 func (p *play) stray(_ Fault, names []string) error {
 	address := p.find(names[0]).address
+	if _, err := p.until(p.ctx, names[0], func(*talk.State) bool { return true }); err != nil { // it may have been started just now
+		return err
+	}
 	for _, hello := range []link.Hello{{Fleet: "other", Name: "x", ID: 5}, {Fleet: fleet, Name: "x", ID: 5},
 		{Fleet: fleet, Name: "c", To: "somebody"}} {
 		c, _, err := link.Dial(address, hello, try)
