--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -42,6 +42,7 @@
 	thriftCommand,
 	listsCommand,
 	circleCommand,
+	policiesCommand,
 }
 
 // The ways in which a command can end badly, beside those that have no status of their own.
--- a/lab/policies/policies_test.go
+++ b/lab/policies/policies_test.go
@@ -62,6 +62,15 @@
 	})
 }
 
+// Guards against nodes that go on without a lease and take no change while all are there. What holds while one is out of reach is
+// in internal/policy.
+func TestGoesOn(t *testing.T) {
+	t.Parallel()
+	r := run(t, Settings{Nodes: 3, Changes: 6, Pause: 50 * time.Millisecond, GoesOn: true, Seed: 4})
+	assert.Empty(t, r.Broken)
+	assert.Equal(t, 7, r.Agreed)
+}
+
 // Guards against a judge that finds nothing: nodes that each read their own file at a signal of their own are caught.
 func TestJudgeSeesTwoPolicies(t *testing.T) {
 	r := run(t, Settings{Nodes: 3, Changes: 12, Pause: 100 * time.Millisecond, Alone: true, Seed: 3})
