Take raters out of the whole fleet's work by a change of its policy

Need: an order for the whole fleet that every member is shown to hold, or that is told to hold at none.

Change: inventory.out names raters that get no new work, listed or not; as a policy it takes hold everywhere or nowhere. linenwheel raters suspend and resume -fleet propose the document that holds with that field changed, and answer as policy propose does. One that comes back is cold; a single node's operators cannot call it back against the policy.

--- a/cmd/linenwheel/command.go
+++ b/cmd/linenwheel/command.go
@@ -32,7 +32,7 @@
 func run(args []string, getenv func(string) string, out, errs io.Writer) int {
 	s := &shell{getenv: getenv, out: out, errs: errs}
 	root := s.command("linenwheel", "run one node, or look at its configuration", true, s.serve)
-	root.ShortUsage = "linenwheel [serve|check|config|inventory|quota|repeats|status|peers|policy|keep|lab|version] [flags]"
+	root.ShortUsage = "linenwheel [serve|check|config|inventory|quota|repeats|status|peers|policy|raters|keep|lab|version] [flags]"
 	root.Subcommands = []*ffcli.Command{
 		s.serveCommand(),
 		s.command("check", "read the configuration and print every fault", true, s.check),
@@ -43,6 +43,7 @@
 		s.statusCommand(),
 		s.peersCommand(),
 		s.policyCommand(),
+		s.ratersCommand(),
 		s.keepCommand(),
 		s.labCommand(),
 		s.command("version", "print the version", false, s.version),
--- a/cmd/linenwheel/command_test.go
+++ b/cmd/linenwheel/command_test.go
@@ -52,7 +52,7 @@
 		{"-config " + path + " -options " + small, 2, "", "small.toml:2:1: service.reserve: no connection to hosts is left"},
 		{"-config " + path + " -options DIR/none", 2, "", "configuration: DIR/none: no such file"},
 		{"", 2, "", "linenwheel: configuration: ROUTER_CONFIG: missing\n"},
-		{"dance", 2, "", "linenwheel [serve|check|config|inventory|quota|repeats|status|peers|policy|keep|lab|version] [flags]"},
+		{"dance", 2, "", "linenwheel [serve|check|config|inventory|quota|repeats|status|peers|policy|raters|keep|lab|version] [flags]"},
 		{"lab run calm", 1, "", "linenwheel-lab does not start: no such file"},
 		{"serve now", 2, "", "USAGE\n  linenwheel serve [flags]"},
 		{"check -x", 2, "", "USAGE\n  linenwheel check [flags]"},
--- a/cmd/linenwheel/peers_test.go
+++ b/cmd/linenwheel/peers_test.go
@@ -79,3 +79,20 @@
 	call(0, "Brno", "get")
 	call(2, "", "set", "one")
 }
+
+// Guards against a change of the raters that are out that loses what else a policy says, or that changes nothing and is proposed.
+func TestWithOut(t *testing.T) {
+	text, err := withOut("[quota]\nrequests = 5.5\n", "r1", true)
+	require.NoError(t, err)
+	assert.Contains(t, text, "requests = 5.5")
+	assert.Contains(t, text, "out = ['r1']")
+	_, err = withOut(text, "r1", true)
+	require.ErrorContains(t, err, "already")
+	text, err = withOut(text, "r1", false)
+	require.NoError(t, err)
+	assert.NotContains(t, text, "inventory")
+	_, err = withOut(text, "r1", false)
+	require.ErrorContains(t, err, "not out")
+	_, err = withOut("broken", "r1", true)
+	require.Error(t, err)
+}
--- a/internal/inventory/ban/ban.go
+++ b/internal/inventory/ban/ban.go
@@ -21,6 +21,7 @@
 // What an order can be refused for.
 var (
 	ErrUnknown = errors.New("no such rater is listed")
+	ErrFleet   = errors.New("the rater is out by the fleet's policy")
 	ErrFull    = fmt.Errorf("%d raters are out by hand, which is all that can be", mostOut)
 )
 
@@ -28,6 +29,7 @@
 type Book struct {
 	listed map[string]pilot.Host
 	out    map[string]bool
+	fleet  map[string]bool    // out by the fleet's policy, beside those by hand
 	back   map[string]float64 // when a listed one was called back
 }
 
@@ -63,7 +65,7 @@
 
 // show is one rater as the module is to see it.
 func (b *Book) show(h pilot.Host) pilot.Host {
-	if b.out[h.Name] && h.Status == pilot.Ready {
+	if b.Out(h.Name) && h.Status == pilot.Ready {
 		h.Status = pilot.Draining
 	}
 	h.Since = max(h.Since, b.back[h.Name])
@@ -94,6 +96,9 @@
 	if !listed && !b.out[name] {
 		return nil, ErrUnknown
 	}
+	if b.fleet[name] {
+		return nil, ErrFleet
+	}
 	if !b.out[name] {
 		return nil, nil
 	}
@@ -105,11 +110,34 @@
 	return []pilot.Host{b.show(h)}, nil
 }
 
+// Fleet has just these raters out by the fleet's policy, listed or not, and returns what has changed for the module. One that comes
+// back is cold.
+func (b *Book) Fleet(now float64, names []string) (changed []pilot.Host) {
+	b.make()
+	was := b.fleet
+	b.fleet = map[string]bool{}
+	for _, name := range names[:min(len(names), mostOut)] {
+		b.fleet[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.listed)) {
+		switch {
+		case was[name] == b.fleet[name] || b.out[name]:
+			continue
+		case was[name]:
+			b.back[name] = now
+		default:
+			delete(b.back, name)
+		}
+		changed = append(changed, b.show(b.listed[name]))
+	}
+	return changed
+}
+
 // Listed is how many raters the sources list.
 func (b *Book) Listed() int { return len(b.listed) }
 
-// Out tells whether a rater is out by hand.
-func (b *Book) Out(name string) bool { return b.out[name] }
+// Out tells whether a rater is out, by hand or by the fleet's policy.
+func (b *Book) Out(name string) bool { return b.out[name] || b.fleet[name] }
 
 // Memory is who is out, and who was called back when, for the process that comes after this one.
 type Memory struct {
--- a/internal/inventory/ban/ban_test.go
+++ b/internal/inventory/ban/ban_test.go
@@ -92,3 +92,22 @@
 	}
 	return list
 }
+
+// Guards against a rater that the fleet's policy leaves out and that is shown ready, one that a single node's operator calls back
+// against it, one that comes back warm, and one out by hand that the policy brings back.
+func TestFleet(t *testing.T) {
+	var b Book
+	b.Take(pilot.Whole, []pilot.Host{{Name: "a", Status: pilot.Ready}, {Name: "b", Status: pilot.Ready}})
+	changed := b.Fleet(5, []string{"a", "later"})
+	require.Equal(t, []pilot.Host{{Name: "a", Status: pilot.Draining}}, changed)
+	require.Empty(t, b.Fleet(6, []string{"a", "later"}))
+	_, err := b.Resume(7, "a")
+	require.ErrorIs(t, err, ErrFleet)
+	shown := b.Take(pilot.Changes, []pilot.Host{{Name: "later", Status: pilot.Ready}})
+	require.Equal(t, pilot.Draining, shown[0].Status)
+	_, err = b.Suspend("a")
+	require.NoError(t, err)
+	changed = b.Fleet(9, nil)
+	require.Equal(t, []pilot.Host{{Name: "later", Status: pilot.Ready, Since: 9}}, changed)
+	require.True(t, b.Out("a"), "by hand")
+}
--- a/internal/options/inventory.go
+++ b/internal/options/inventory.go
@@ -20,6 +20,8 @@
 	// Trust are the sources that are asked, from the most trusted: `discovery`, `etcd`, `files`. The list follows the first
 	// of them that has given one and is not away for longer than its `keep`. Empty is discovery alone.
 	Trust []string `toml:"trust" default:"[]"`
+	// Out are raters that get no new work, by name, listed or not: as a policy, for the whole fleet (linenwheel raters).
+	Out []string `toml:"out" default:"[]" reload:"now"`
 	// MostHosts is how many hosts a list may have, where not discovery alone is asked.
 	MostHosts int       `toml:"most_hosts" default:"20000" min:"1" max:"1000000"`
 	Discovery Discovery `toml:"discovery"`
--- a/node/door.go
+++ b/node/door.go
@@ -132,6 +132,16 @@
 	return nil
 }
 
+// leaveOut has just these raters out by the options, which may be the fleet's policy.
+func (n *Node) leaveOut(names []string) {
+	n.orders.mu.Lock()
+	defer n.orders.mu.Unlock()
+	if changed := n.orders.book.Fleet(n.clock.Now(), names); len(changed) > 0 {
+		n.tell(pilot.Changes, changed)
+		n.log.Info("raters are out or back by the options", "out", len(names))
+	}
+}
+
 // order carries an order out here and in the node's other process, if there is one, and has it agreed with the fleet, if there is
 // one: then it is in force again on a machine that takes this one's place.
 func (n *Node) order(o Order) error {
--- a/node/node.go
+++ b/node/node.go
@@ -303,6 +303,9 @@
 	if n.lists != nil {
 		n.lists.tune(&o)
 	}
+	if was := n.opts.Load(); len(o.Inventory.Out) > 0 || was != nil && len(was.Inventory.Out) > 0 {
+		n.leaveOut(o.Inventory.Out)
+	}
 	if was := n.opts.Load(); was != nil && !reflect.DeepEqual(was.Quota, o.Quota) {
 		n.redivide(&o.Quota)
 	}
