Test the policy's gate in set time, and build programs for tests in one place

Need: the gate's hard moments (lease counted from the question, calls held and let go, a document that does not suit) had only plays on real processes; three packages built programs for their tests each in their own way. A charge's own cost could not be measured.

Change: a test of the gate with a clock that stands; lab/circle/built; linenwheel-lab duplicates -instant -alone.

--- a/cmd/linenwheel-lab/duplicates.go
+++ b/cmd/linenwheel-lab/duplicates.go
@@ -44,6 +44,8 @@
 	flags.DurationVar(&fleet.FaultEvery, "fault-every", 0, "the `time` between two faults of nodes, keepers and links; 0 = none")
 	flags.BoolVar(&fleet.Unsynced, "unsynced", false, "keepers do not sync")
 	flags.BoolVar(&set.Plain, "plain", false, "raters answer every charge")
+	flags.BoolVar(&set.Instant, "instant", false, "and at once, with -plain: what is measured is the nodes' own time")
+	flags.BoolVar(&fleet.Alone, "alone", false, "nodes hold names each for itself")
 	kinds := flags.String("faults", "", "the `kinds` of faults, with commas; empty = all")
 	dir := flags.String("dir", "", "for the node's files; empty = a temporary one")
 	asJSON := flags.Bool("json", false, "print the result as JSON")
--- /dev/null
+++ b/internal/policy/gate/gate_test.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/policy"
+)
+
+// scripted is a fleet that gives one order after the other, and a node that takes what it is given.
+type scripted struct {
+	orders []policy.Order
+	said   []policy.Report
+	fault  error
+	taken  []uint64
+}
+
+func (s *scripted) Report(_ context.Context, r policy.Report) (policy.Order, error) {
+	s.said = append(s.said, r)
+	if len(s.orders) == 0 {
+		return policy.Order{}, errors.New("nobody answers")
+	}
+	o := s.orders[0]
+	s.orders = s.orders[1:]
+	return o, nil
+}
+
+func (s *scripted) Document(_ context.Context, number uint64, id string) (policy.Document, error) {
+	return policy.Document{Number: number, ID: id, Text: "x"}, nil
+}
+
+func (s *scripted) Check(policy.Document) error { return s.fault }
+func (s *scripted) Take(d policy.Document) error {
+	s.taken = append(s.taken, d.Number)
+	return nil
+}
+
+// Guards against a call that begins before the fleet was heard, when the lease has run out here, or while a change takes hold; a
+// lease that is counted from the answer and not from the question; a call that is held for longer than Hold; and a document that
+// does not suit the node and is not said to.
+func TestGate(t *testing.T) {
+	c, s, heard := clock.NewManual(1000), &scripted{fault: errors.New("line 3")}, 0
+	g := New(Settings{Name: "n", Lease: 100, Hold: 50, Heard: func() { heard++ }}, s, s, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	next := g.Wrap(func(*core.Call) core.Answer { return core.Answer{Kind: core.Served} })
+	try := func() core.Answer { // a call at this moment, which waits for as long as it may
+		done := make(chan core.Answer, 1)
+		go func() { done <- next(&core.Call{Deadline: c.Now() + 1000}) }()
+		for {
+			select {
+			case a := <-done:
+				return a
+			default:
+				if c.Next() <= c.Now()+50 {
+					c.Advance(50)
+				}
+			}
+		}
+	}
+	step := func(o policy.Order) float64 {
+		s.orders = []policy.Order{o}
+		return g.step(context.Background())
+	}
+	assert.Equal(t, core.Refused, try().Kind, "the fleet was not heard")
+	assert.Zero(t, step(policy.Order{Number: 4}), "it asks again at once")
+	assert.Equal(t, []uint64{4}, s.taken)
+	assert.Equal(t, core.Refused, try().Kind, "it has no lease")
+	assert.Zero(t, heard)
+	step(policy.Order{Number: 4, Lease: 100})
+	assert.Equal(t, 1, heard)
+	assert.Equal(t, core.Served, try().Kind)
+	c.Advance(94)
+	assert.Equal(t, core.Served, try().Kind)
+	c.Advance(2)
+	a := try()
+	assert.Equal(t, core.Refused, a.Kind, "95%% of the lease are over")
+	assert.Equal(t, ReasonPolicy, a.Reason)
+	assert.Equal(t, 100.0, a.Wait)
+	step(policy.Order{Number: 4, Lease: 100, Change: "p", Stage: policy.Looking})
+	assert.Equal(t, "line 3", g.fault)
+	s.fault = nil
+	step(policy.Order{Number: 4, Lease: 100, Change: "q", Stage: policy.Looking})
+	assert.Empty(t, g.fault)
+	step(policy.Order{Number: 4, Lease: 100, Change: "q", Stage: policy.Looking})
+	assert.Equal(t, "q", s.said[len(s.said)-1].Looked)
+	assert.Equal(t, core.Served, try().Kind, "while it is looked at")
+	step(policy.Order{Number: 4, Change: "q", Stage: policy.Pausing})
+	assert.Equal(t, core.Refused, try().Kind, "a change takes hold")
+	step(policy.Order{Number: 5, Change: "", Stage: ""})
+	assert.Equal(t, "q", s.said[len(s.said)-1].Paused)
+	step(policy.Order{Number: 5, Lease: 100})
+	assert.Equal(t, core.Served, try().Kind)
+	assert.Equal(t, []uint64{4, 5}, s.taken)
+	require.Positive(t, g.step(context.Background()), "nobody answers: it is asked again after a while")
+	g.let(0)
+	call := &core.Call{Deadline: c.Now() + 1000}
+	call.Leave()
+	assert.Equal(t, core.Left, next(call).Kind)
+}
--- a/lab/circle/circle_test.go
+++ b/lab/circle/circle_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -11,26 +10,19 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
 // program is the keeper, built once; under the race detector where the test is.
 var program string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "circle")
+	dir, err := built.Programs(raced, "linenwheel-keep")
 	if err != nil {
 		panic(err)
 	}
 	program = filepath.Join(dir, "linenwheel-keep")
-	args := []string{"build", "-o", program}
-	if raced {
-		args = append(args, "-race")
-	}
-	c := exec.Command("go", append(args, "../../cmd/linenwheel-keep")...)
-	c.Stderr = os.Stderr
-	if err := c.Run(); err != nil {
-		panic(err)
-	}
 	status := m.Run()
 	_ = os.RemoveAll(dir)
 	os.Exit(status)
--- a/lab/duplicates/duplicates.go
+++ b/lab/duplicates/duplicates.go
@@ -34,7 +34,8 @@
 	Kills   int     // times that the node is killed outright and started again
 	Raters  int
 	Seed    uint64
-	Plain   bool   // raters answer every charge
+	Plain   bool   // raters answer every charge,
+	Instant bool   // and at once
 	Fleet   *Fleet // nil = one node that holds names for itself
 }
 
@@ -203,7 +204,9 @@
 			c := &charge{name: fmt.Sprintf("c%d", len(w.charges)), answers: map[string]int{}, by: map[string]bool{}}
 			switch u := rng.Float64(); {
 			case u < 0.70 || w.set.Plain:
-				c.fate.wait = time.Duration(5+rng.IntN(45)) * time.Millisecond
+				if c.fate.wait = time.Duration(5+rng.IntN(45)) * time.Millisecond; w.set.Instant {
+					c.fate.wait = 0
+				}
 			case u < 0.80:
 				c.fate.wait = 700 * time.Millisecond // after it was wanted
 			case u < 0.90:
--- a/lab/duplicates/fleet_test.go
+++ b/lab/duplicates/fleet_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -15,23 +14,21 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
 // programs holds the node and the keeper, built once.
 var programs string
 
 func TestMain(m *testing.M) {
-	var err error
-	if programs, err = os.MkdirTemp("", "fleet"); err != nil {
-		panic(err)
-	}
-	c := exec.Command("go", "build", "-o", programs, "../../cmd/linenwheel", "../../cmd/linenwheel-keep")
-	c.Stderr = os.Stderr
-	if err := c.Run(); err != nil {
+	dir, err := built.Programs(false, "linenwheel", "linenwheel-keep")
+	if err != nil {
 		panic(err)
 	}
+	programs = dir
 	status := m.Run()
-	_ = os.RemoveAll(programs)
+	_ = os.RemoveAll(dir)
 	os.Exit(status)
 }
 
--- a/lab/policies/policies_test.go
+++ b/lab/policies/policies_test.go
@@ -3,30 +3,27 @@
 import (
 	"context"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
 // programs holds the node and the keeper, built once.
 var programs string
 
 func TestMain(m *testing.M) {
-	var err error
-	if programs, err = os.MkdirTemp("", "policies"); err != nil {
-		panic(err)
-	}
-	c := exec.Command("go", "build", "-o", programs, "../../cmd/linenwheel", "../../cmd/linenwheel-keep")
-	c.Stderr = os.Stderr
-	if err := c.Run(); err != nil {
+	dir, err := built.Programs(false, "linenwheel", "linenwheel-keep")
+	if err != nil {
 		panic(err)
 	}
+	programs = dir
 	status := m.Run()
-	_ = os.RemoveAll(programs)
+	_ = os.RemoveAll(dir)
 	os.Exit(status)
 }
 
