Let the group's time keep up under load

Cause: each entry that was applied set the leader's account of the time anew, so that what an entry took to be agreed was lost with each: at one command after the other, half of the time. Windows of charges and leases on a policy then lasted up to twice as long and more; nothing ended early. Found by reading the change again.

Change: while it leads, a member goes on from the time at which it began; followers take each entry's.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -2,7 +2,7 @@
 // It has a part for each thing that is held: members, sessions, the register. It is pure: no I/O, goroutine, lock or
 // clock; the same entries give the same state, replies and images.
 //
-// Time is the group's own: it goes on by what the entries carry and never goes back. While nobody leads it stands.
+// Time is the group's own: it goes on by what the entries carry and never goes back. While no member runs it stands.
 //
 // A command belongs to a session and has a number in it, so that one whose answer was lost can be asked for again: it is
 // applied once and gets the reply that it had. A session that was given up to make room refuses all further commands, and
--- a/internal/peers/group/group.go
+++ b/internal/peers/group/group.go
@@ -237,7 +237,8 @@
 }
 
 // Propose has a command agreed if this member leads; it is told by Applied, wherever it came from. Its time is the group's as
-// this member last heard it, and what has gone by since on its own clock: a clock that is set wrong changes nothing.
+// this member last heard it before it led, and what has gone by since on its own clock: a clock that is set wrong changes nothing,
+// and the group's time never runs ahead of a clock that runs evenly.
 func (g *Group) Propose(now float64, c ledger.Command) error {
 	if g.role != raft.StateLeader {
 		return ErrNotLeader
@@ -364,7 +365,8 @@
 		w.Reads = append(w.Reads, Read{binary.BigEndian.Uint64(g.reads[0].RequestCtx)})
 		g.reads = g.reads[1:]
 	}
-	if then := g.ledger.Now(); then != g.time || g.at == 0 {
+	// While it leads, a member goes on from where it began: what an entry takes to be agreed must not be lost with each.
+	if then := g.ledger.Now(); g.at == 0 || then != g.time && g.role != raft.StateLeader || then > g.time+now-g.at {
 		g.time, g.at = then, now
 	}
 	w.Image = g.image()
--- /dev/null
+++ b/internal/peers/group/group_test.go
@@ -0,0 +1,50 @@
+package group
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/ledger"
+)
+
+// Guards against a group's time that falls behind under load, because what each entry takes to be agreed is lost, or that runs ahead:
+// windows and leases would last for ever, or end before the node that counts on them.
+func TestTimeUnderLoad(t *testing.T) {
+	image, err := Found([]ledger.Member{{ID: 1, Name: "a"}}, 5000)
+	require.NoError(t, err)
+	g, err := New(Settings{ID: 1, Election: 3, Heartbeat: 1, ImageEvery: 1 << 20, Trail: 10, Uncommitted: 1 << 20, Logger: Quiet{}},
+		Saved{Image: image})
+	require.NoError(t, err)
+	now := 100.0
+	var wait []Write
+	take := func() {
+		w, err := g.Take(now)
+		require.NoError(t, err)
+		wait = append(wait, w.Write...)
+	}
+	lasts := func() { // what the disk was given lasts
+		for len(wait) > 0 {
+			w := wait[0]
+			wait = wait[1:]
+			require.NoError(t, g.Done(w))
+			take()
+		}
+	}
+	for range 10 {
+		g.Tick()
+		take()
+		lasts()
+	}
+	require.True(t, g.Leads())
+	begin := now
+	for i := range uint64(1000) {
+		require.NoError(t, g.Propose(now, ledger.Command{Number: i + 1, Body: []byte(`{"name":"c"}`)}))
+		take()
+		now += 1.5 // until the disk has it, with the next one proposed right after
+		lasts()
+		assert.LessOrEqual(t, g.Ledger().Now(), 5000+now-begin, "it runs ahead")
+	}
+	assert.InDelta(t, 5000+now-begin, g.Ledger().Now(), 3)
+}
