Have the go command see which sources the tests' programs are made of

Cause: tests that start programs built beside them were taken from the cache after a change of those programs: their own sources had not changed.

Change: such a test looks at every source that the programs can be made of while it runs, which the cache notes.

--- a/lab/circle/built/built.go
+++ b/lab/circle/built/built.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,7 +13,6 @@
 // Programs builds commands of this module into a folder, under the race detector where raced, and gives the folder. Whoever
 // calls it removes it.
 func Programs(raced bool, names ...string) (dir string, err error) {
-	_, self, _, _ := runtime.Caller(0)
 	if dir, err = os.MkdirTemp("", "built"); err != nil {
 		return "", err
 	}
@@ -24,10 +24,33 @@
 		args = append(args, "./cmd/"+n)
 	}
 	c := exec.Command("go", args...)
-	c.Dir = filepath.Join(filepath.Dir(self), "../../..")
+	c.Dir = root()
 	if text, err := c.CombinedOutput(); err != nil {
 		_ = os.RemoveAll(dir) // the first error counts
 		return "", fmt.Errorf("%w: %s", err, text)
 	}
 	return dir, nil
 }
+
+// root is this module's folder.
+func root() string {
+	_, self, _, _ := runtime.Caller(0)
+	return filepath.Join(filepath.Dir(self), "../../..")
+}
+
+// Look looks at every source that the programs can be made of. A test calls it, once it runs: the go command then knows that its
+// result is of these sources, and does not take an old one for it.
+func Look() error {
+	for _, dir := range []string{"cmd", "decide", "internal", "node"} {
+		err := filepath.WalkDir(filepath.Join(root(), dir), func(path string, d fs.DirEntry, err error) error {
+			if err == nil && !d.IsDir() {
+				_, err = os.Stat(path)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/lab/circle/circle_test.go
+++ b/lab/circle/circle_test.go
@@ -34,6 +34,7 @@
 // Guards, with real processes and links that break between them, against answers that no order explains, keepers that hold
 // different things, a fleet that does not come back, a keeper that votes when it must not, and faults that met nothing.
 func TestSchedules(t *testing.T) {
+	require.NoError(t, built.Look())
 	for _, name := range Names() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/lab/duplicates/fleet_test.go
+++ b/lab/duplicates/fleet_test.go
@@ -33,6 +33,7 @@
 }
 
 func play(t *testing.T, posts int, f Fleet) *Result {
+	require.NoError(t, built.Look())
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer stop()
 	f.Nodes, f.Keepers, f.Program = 3, 3, filepath.Join(programs, "linenwheel-keep")
--- a/lab/policies/policies_test.go
+++ b/lab/policies/policies_test.go
@@ -28,6 +28,7 @@
 }
 
 func run(t *testing.T, set Settings) Result {
+	require.NoError(t, built.Look())
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer stop()
 	set.Node, set.Keeper, set.Dir, set.Keepers, set.Clients = filepath.Join(programs, "linenwheel"), filepath.Join(programs, "linenwheel-keep"),
