Know an older copy of a keeper's folder that has come to the same start

Change: the first word names the life of its process: one start has one life, so another is a copy, and is told for good. The rig's clients use names again in a long play, and it tells twenty faults at the most.

--- a/internal/peers/keeper/keeper.go
+++ b/internal/peers/keeper/keeper.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -68,6 +69,7 @@
 	events chan func()
 	disk   chan job
 	ended  chan struct{}
+	life   uint64 // of this process
 
 	last     atomic.Uint64 // entry that the disk holds
 	known    atomic.Uint64 // entry up to which the agreed state is known here
@@ -82,6 +84,7 @@
 	senders map[uint64]*link.Sender
 	names   map[uint64]string // of keepers that have connected, by number
 	starts  map[uint64]uint64
+	lives   map[uint64]uint64 // by number, of the process that was heard last
 	dialled map[uint64]uint64 // of keepers since their last start, the latest that was heard
 	waiting map[key][]*waiter
 	reads   map[uint64]*waiter
@@ -114,7 +117,7 @@
 func New(set Settings, log *slog.Logger) (*Keeper, error) {
 	k := &Keeper{set: set, log: log, clock: clock.NewSystem(), events: make(chan func(), inbox), disk: make(chan job, inbox),
 		ended: make(chan struct{}), refusals: make(chan error, 1), senders: map[uint64]*link.Sender{}, names: map[uint64]string{},
-		starts: map[uint64]uint64{}, dialled: map[uint64]uint64{}, waiting: map[key][]*waiter{}, reads: map[uint64]*waiter{}, conns: map[*link.Conn]uint64{}}
+		starts: map[uint64]uint64{}, dialled: map[uint64]uint64{}, lives: map[uint64]uint64{}, life: rand.Uint64()>>1 | 1, waiting: map[key][]*waiter{}, reads: map[uint64]*waiter{}, conns: map[*link.Conn]uint64{}}
 	var err error
 	if k.store, err = store.Open(set.Directory, set.Fleet, set.Name, set.Synced, set.Wrap); err != nil {
 		return nil, fmt.Errorf("peers.directory %s: %w", set.Directory, err)
@@ -453,7 +456,7 @@
 
 func (k *Keeper) dial(address, name string, id uint64, within time.Duration) (*link.Conn, error) {
 	c, w, err := link.Dial(address, link.Hello{Fleet: k.set.Fleet, Release: k.set.Release, Name: k.set.Name, To: name, Want: id, ID: k.store.ID,
-		Starts: k.store.Starts, Dial: k.dials.Add(1), Last: k.last.Load(), Applied: k.known.Load()}, within)
+		Starts: k.store.Starts, Life: k.life, Dial: k.dials.Add(1), Last: k.last.Load(), Applied: k.known.Load()}, within)
 	switch {
 	case errors.Is(err, link.ErrRefused) && w.Final:
 		select {
--- a/internal/peers/keeper/serve.go
+++ b/internal/peers/keeper/serve.go
@@ -128,6 +128,9 @@
 	case h.Starts < max(m.Starts, k.starts[h.ID]):
 		w.Reason = fmt.Sprintf("its directory is an older copy: it says start %d, and start %d was seen", h.Starts, max(m.Starts, k.starts[h.ID]))
 		w.Final = true
+	case h.Starts == k.starts[h.ID] && k.lives[h.ID] != 0 && h.Life != k.lives[h.ID]:
+		w.Reason = fmt.Sprintf("its directory is an older copy: start %d was that of another process", h.Starts)
+		w.Final = true
 	case h.Starts == k.starts[h.ID] && h.Dial < k.dialled[h.ID]:
 		w.Reason = "a later connection of it has come" // what this one says of itself is old
 	case k.group.Leads() && min(match, committed) > h.Last:
@@ -135,7 +138,7 @@
 		w.Final = true
 	}
 	if w.Reason == "" {
-		k.names[h.ID], k.starts[h.ID], k.dialled[h.ID] = h.Name, h.Starts, h.Dial
+		k.names[h.ID], k.starts[h.ID], k.dialled[h.ID], k.lives[h.ID] = h.Name, h.Starts, h.Dial, h.Life
 		if s := k.senders[h.ID]; s != nil {
 			if up, _ := s.Up(); !up { // its pause may be long, and it is there
 				s.Close()
--- a/internal/peers/keeper/serve_test.go
+++ b/internal/peers/keeper/serve_test.go
@@ -40,7 +40,7 @@
 		}
 	}
 	as := func(change func(*link.Hello)) (link.Welcome, error) {
-		h := link.Hello{Fleet: "f", Name: other.Name, ID: other.ID, Starts: other.Starts, Dial: 1 << 40, Last: 1 << 40, Applied: 1 << 40}
+		h := link.Hello{Fleet: "f", Name: other.Name, ID: other.ID, Starts: other.Starts + 1, Life: 9, Dial: 1 << 40, Last: 1 << 40, Applied: 1 << 40}
 		change(&h)
 		conn, w, err := link.Dial(address, h, set.Try)
 		if err == nil {
@@ -57,6 +57,7 @@
 		{"itself", func(*link.Hello) {}, true, false},
 		{"an earlier connection that comes late", func(h *link.Hello) { h.Dial, h.Last = 1, 0 }, false, false},
 		{"an older copy by its entries", func(h *link.Hello) { h.Dial++; h.Last = 3 }, false, true},
+		{"an older copy that has come to the same start", func(h *link.Hello) { h.Life = 8 }, false, true},
 		{"an older copy by its starts", func(h *link.Hello) { h.Starts = 0 }, false, true},
 		{"another fleet", func(h *link.Hello) { h.Fleet = "g" }, false, true},
 		{"a stranger", func(h *link.Hello) { h.ID, h.Applied = 77, 0 }, false, false},
--- a/internal/peers/link/link.go
+++ b/internal/peers/link/link.go
@@ -59,6 +59,7 @@
 	Want    uint64 `json:"want,omitempty"`    // and the number of it, 0 = any
 	ID      uint64 `json:"id,omitempty"`      // of a keeper, 0 = a client of the log
 	Starts  uint64 `json:"starts,omitempty"`  // how often it has started
+	Life    uint64 `json:"life,omitempty"`    // drawn by its process: one start has one life
 	Dial    uint64 `json:"dial,omitempty"`    // how often it has connected since its start: one that comes late counts for nothing
 	Last    uint64 `json:"last,omitempty"`    // the last entry that its disk holds,
 	Applied uint64 `json:"applied,omitempty"` // and up to which it knows what was agreed
--- a/lab/circle/play.go
+++ b/lab/circle/play.go
@@ -122,7 +122,8 @@
 	close(p.over)
 	clients.Wait()
 	p.settle()
-	p.broken = append(p.broken, judge.Judge(p.history)...)
+	faults := judge.Judge(p.history)
+	p.broken = append(p.broken, faults[:min(len(faults), mostBroken)]...)
 	r := Result{Broken: p.broken, Counts: c.counts.n, Asked: len(p.history), Told: int(p.told.Load())}
 	for _, kind := range s.Met {
 		if r.Counts[kind] == 0 {
@@ -132,9 +133,15 @@
 	return r, nil
 }
 
+// mostBroken is how much of what went wrong is told.
+const mostBroken = 20
+
 func (p *play) fault(format string, v ...any) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.broken) >= mostBroken {
+		return
+	}
 	p.broken = append(p.broken, fmt.Sprintf("%.3f s: ", time.Since(p.begin).Seconds())+fmt.Sprintf(format, v...))
 }
 
@@ -154,7 +161,7 @@
 			}
 		default:
 		}
-		a := judge.Ask{Client: number, Name: fmt.Sprintf("r%d-%d", luck.IntN(3), i/30), Called: p.now(), Told: math.Inf(1)}
+		a := judge.Ask{Client: number, Name: fmt.Sprintf("r%d-%d", luck.IntN(3), i/30%300), Called: p.now(), Told: math.Inf(1)}
 		ctx, stop := context.WithTimeout(p.ctx, 4*time.Second)
 		var r ledger.Reply
 		var err error
