Draw a post's first node before its goroutine begins

Cause: the race detector in a fresh clone: posts of a play drew from one source of random numbers at once.

Change: the draw is made by whoever starts them.

Measured: go test -race ./lab/duplicates ./lab/policies passes, 11.6 s and 15.7 s.

--- a/lab/duplicates/duplicates.go
+++ b/lab/duplicates/duplicates.go
@@ -171,7 +171,8 @@
 			break
 		}
 		w.late = append(w.late, float64(time.Since(w.began.Add(p.at)))/1e6)
-		wait.Go(func() { w.post(clients[i%len(clients)], nodes, rng.IntN(1<<30), p) })
+		first := rng.IntN(len(nodes))
+		wait.Go(func() { w.post(clients[i%len(clients)], nodes, first, p) })
 	}
 	stopFaults()
 	wait.Wait()
