--- a/cmd/linenwheel/peers.go
+++ b/cmd/linenwheel/peers.go
@@ -25,20 +25,7 @@
 func (s *shell) peersCommand() *ffcli.Command {
 	asJSON, was := false, int64(-1)
 	sub := func(name, args, help string, exec func(context.Context, *fleet, []string) error) *ffcli.Command {
-		flags := flag.NewFlagSet(name, flag.ContinueOnError)
-		flags.SetOutput(s.errs)
-		flags.StringVar(&s.options, "options", "", "the options `file` with a table peers, in place of "+optionsVariable)
-		return &ffcli.Command{Name: name, ShortUsage: "linenwheel peers " + name + " " + args + "[flags]", ShortHelp: help, FlagSet: flags,
-			Exec: func(ctx context.Context, args []string) error {
-				f, err := s.fleet()
-				if err != nil {
-					return err
-				}
-				ctx, stop := context.WithTimeout(ctx, f.patience)
-				defer stop()
-				defer f.log.Close()
-				return exec(ctx, f, args)
-			}}
+		return s.fleetCommand("peers", name, args, help, exec)
 	}
 	status := sub("status", "", "ask every keeper how it does; status 1 if none leads", func(ctx context.Context, f *fleet, args []string) error {
 		return s.peersStatus(ctx, f, args, asJSON)
@@ -58,6 +45,24 @@
 	return c
 }
 
+// fleetCommand makes a sub-command of a group that asks the agreed log, for as long as peers.patience says.
+func (s *shell) fleetCommand(group, name, args, help string, exec func(context.Context, *fleet, []string) error) *ffcli.Command {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(s.errs)
+	flags.StringVar(&s.options, "options", "", "the options `file` with a table peers, in place of "+optionsVariable)
+	return &ffcli.Command{Name: name, ShortUsage: fmt.Sprintf("linenwheel %s %s [flags] %s", group, name, args), ShortHelp: help,
+		FlagSet: flags, Exec: func(ctx context.Context, args []string) error {
+			f, err := s.fleet()
+			if err != nil {
+				return err
+			}
+			ctx, stop := context.WithTimeout(ctx, f.patience)
+			defer stop()
+			defer f.log.Close()
+			return exec(ctx, f, args)
+		}}
+}
+
 // fleet is what the sub-commands work with.
 type fleet struct {
 	options  options.Peers
--- a/cmd/linenwheel/policy.go
+++ b/cmd/linenwheel/policy.go
@@ -30,20 +30,7 @@
 func (s *shell) policyCommand() *ffcli.Command {
 	id, base, wait, asJSON := "", int64(-1), true, false
 	sub := func(name, args, help string, exec func(context.Context, *fleet, []string) error) *ffcli.Command {
-		flags := flag.NewFlagSet(name, flag.ContinueOnError)
-		flags.SetOutput(s.errs)
-		flags.StringVar(&s.options, "options", "", "the options `file` with a table peers, in place of "+optionsVariable)
-		return &ffcli.Command{Name: name, ShortUsage: "linenwheel policy " + name + " [flags] " + args, ShortHelp: help, FlagSet: flags,
-			Exec: func(ctx context.Context, args []string) error {
-				f, err := s.fleet()
-				if err != nil {
-					return err
-				}
-				ctx, stop := context.WithTimeout(ctx, f.patience)
-				defer stop()
-				defer f.log.Close()
-				return exec(ctx, f, args)
-			}}
+		return s.fleetCommand("policy", name, args, help, exec)
 	}
 	propose := sub("propose", "FILE", "have the fleet judge by a document, everywhere or nowhere", func(ctx context.Context, f *fleet, args []string) error {
 		if len(args) != 1 {
