Ask the machine, not the poller, last before an attempt's first byte and at a connection's end

Only a connection that had just come up was asked whether the call is still owed. - What stands on a kept connection to a rater: a second answer that the poller had not read became the answer of the next attempt, and an end made it one that may have run. - A request that the poller had read and not yet handed on: Farewell saw an empty socket, shut the connection and dropped the request. And what came after the shutdown was handed on; that it went no further was up to each front. And End shut both directions at once: bytes that came over it reset the connection while its last answer was unread. Change: Conn.Look asks for both connections in one poll, in place of the one that a write made, as the last thing before the first byte; Call.May replaces two questions and is asked on kept connections too; Farewell holds off who reads; End shuts sending, reads on and drops up to 8 MiB, and closes after north.http.linger or with the other side's end; who is to make room is closed at once as before. Existing tests call End and May by their new forms.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -28,6 +28,7 @@
 	Hops     int     // gateways that it has come through
 	Alone    bool    // no other call goes on its client's connection meanwhile
 	Payload  any     // the message as it came, which only the front and the carrier can read
+	Client   any     // the connection that it came on, which only they can look at; nil = none, as of a copy for several clients
 
 	// Stands is the last look before a relay's first byte: whether the call is still this node's to run. nil = it is.
 	Stands func() bool
@@ -107,12 +108,10 @@
 	return c.cut
 }
 
-// Owed tells whether the call may still get its final answer from a relay: one that has not gone out for it when another
-// was served is not to.
-func (c *Call) Owed() bool { return !c.ticket.Over() }
-
-// Permits tells whether the rules let something new go to a host, which may be departing since the relay was decided.
-func (c *Call) Permits(host string) bool { return c.ticket.Permits(host) }
+// May tells, before the first byte of an attempt, whether the call may still get its final answer from it (owed: another may have
+// been served meanwhile, or the client may have left), and whether the rules let something new go to a host, which may be departing
+// since the attempt was decided.
+func (c *Call) May(host string) (owed, permitted bool) { return c.ticket.May(host) }
 
 // Standing takes that look.
 func (c *Call) Standing() bool { return c.Stands == nil || c.Stands() }
--- /dev/null
+++ b/internal/loop/crossing_test.go
@@ -0,0 +1,197 @@
+package loop
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// held is a loop whose poller can be held in Data, and the connections that came in, in order.
+type held struct {
+	slow
+	*Loop
+	conns chan *Conn
+}
+
+func holding(t *testing.T, most int) held {
+	h := held{slow: slow{make(chan struct{}, 1), make(chan struct{})}, conns: make(chan *Conn, most)}
+	var err error
+	h.Loop, err = Listen("127.0.0.1:0", most, func(c *Conn) Handler { h.conns <- c; return h.slow })
+	require.NoError(t, err)
+	t.Cleanup(h.Loop.Stop)
+	return h
+}
+
+// connect gives both ends of a new connection.
+func (h held) connect(t *testing.T) (client *net.TCPConn, c *Conn) {
+	raw, err := net.Dial("tcp", h.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	return raw.(*net.TCPConn), <-h.conns
+}
+
+// hold keeps the poller in Data of a connection of its own until the test ends or free is closed.
+func (h held) hold(t *testing.T) {
+	client, _ := h.connect(t)
+	say(t, client, "x")
+	<-h.came
+}
+
+// polled waits until the machine tells some of these of a connection; the poller may not know.
+func polled(t *testing.T, c *Conn, events int16) {
+	require.Eventually(t, func() (told bool) {
+		c.descriptor(func(fd int) {
+			look := []unix.PollFd{{Fd: int32(fd), Events: events}}
+			n, err := unix.Poll(look, 0)
+			told = err == nil && n > 0 && look[0].Revents&events != 0
+		})
+		return told
+	}, time.Minute, time.Millisecond)
+}
+
+// Guards against a request that the poller has read and not yet handed on being lost with a connection that looks idle.
+func TestFarewellSeesWhatIsOnItsWay(t *testing.T) {
+	h := holding(t, 1)
+	client, c := h.connect(t)
+	say(t, client, "one")
+	<-h.came // read, and on its way: nothing stands in the socket
+	assert.False(t, c.Farewell())
+	close(h.free)
+	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond, "the handler has it")
+}
+
+// counting tells how many bytes it was handed, at the end.
+type counting struct {
+	n   int
+	end chan int
+}
+
+func (c *counting) Data(b []byte) { c.n += len(b) }
+func (c *counting) Closed(error)  { c.end <- c.n }
+
+// Guards against a request that is read after the shutdown of its connection and handed on all the same.
+func TestNothingIsHandedOnAfterTheFarewell(t *testing.T) {
+	handler, conns := &counting{end: make(chan int, 1)}, make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return handler })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	client, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	c := <-conns
+	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond)
+	say(t, client, "late") // the client has not read the end yet
+	require.NoError(t, client.Close())
+	assert.Zero(t, <-handler.end)
+}
+
+// Guards against a close over bytes that nobody has read, which resets the connection and may take the last answer with it.
+func TestEndReadsOn(t *testing.T) {
+	conns := make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	client, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	c := <-conns
+	require.NoError(t, c.Write([]byte("answer")))
+	c.End(600_000)
+	raw, err := client.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.Eventually(t, func() (ended bool) {
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+			n, err := unix.Poll(look, 0)
+			ended = err == nil && n > 0
+		}))
+		return ended
+	}, time.Minute, time.Millisecond)
+	say(t, client, "one more") // over the end, before the answer is read
+	say(t, client, "and one")
+	have, err := io.ReadAll(client)
+	require.NoError(t, err)
+	assert.Equal(t, "answer", string(have))
+	require.NoError(t, client.Close())
+	require.Eventually(t, c.isClosed, time.Minute, time.Millisecond, "it goes as soon as the client has")
+}
+
+// Guards against a client that holds a connection which was ended: by never ending it, or by sending without end.
+func TestEndIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		linger float64
+		sends  bool
+	}{"silent": {1, false}, "flood": {600_000, true}} {
+		t.Run(name, func(t *testing.T) {
+			conns := make(chan *Conn, 1)
+			l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
+			require.NoError(t, err)
+			t.Cleanup(l.Stop)
+			client, err := net.Dial("tcp", l.Addr())
+			require.NoError(t, err)
+			conn := <-conns
+			conn.End(c.linger)
+			for n, piece := 0, make([]byte, 64<<10); c.sends && err == nil; n += len(piece) {
+				_, err = client.Write(piece)
+				require.Less(t, n, 8*dropMost, "it takes all that is sent")
+			}
+			require.Eventually(t, conn.isClosed, time.Minute, time.Millisecond)
+		})
+	}
+}
+
+// Guards against a request written to a connection on which something came, or which the other side has ended, and against one for a
+// client that has gone, while the poller has not heard of it.
+func TestLookIsAheadOfThePoller(t *testing.T) {
+	h := holding(t, 4)
+	up, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = up.Close() })
+	dial := func() (*Conn, net.Conn) {
+		c, err := h.Dial(context.Background(), up.Addr().String(), 60_000, func(*Conn) Handler { return silent{} })
+		require.NoError(t, err)
+		peer, err := up.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = peer.Close() })
+		return c, peer
+	}
+	client, down := h.connect(t)
+	spoilt, peer := dial()
+	ended, peer2 := dial()
+	good, _ := dial()
+	h.hold(t)
+	fit, gone := good.Look(down)
+	assert.True(t, fit)
+	assert.False(t, gone)
+	say(t, peer, "half a li")
+	polled(t, spoilt, unix.POLLIN)
+	fit, gone = spoilt.Look(down)
+	assert.False(t, fit, "bytes stand in the socket")
+	assert.False(t, gone)
+	require.NoError(t, peer2.(*net.TCPConn).CloseWrite())
+	polled(t, ended, unix.POLLRDHUP)
+	fit, _ = ended.Look(nil)
+	assert.False(t, fit, "the other side has ended it")
+	say(t, client, "a further request") // which nobody reads
+	require.NoError(t, client.CloseWrite())
+	polled(t, down, unix.POLLRDHUP)
+	fit, gone = good.Look(down)
+	assert.True(t, fit)
+	assert.True(t, gone, "behind bytes that nobody has read")
+	close(h.free)
+}
+
+// Guards against bytes that the poller has read and not yet handed on being taken for the next answer.
+func TestLookSeesWhatIsOnItsWay(t *testing.T) {
+	h := holding(t, 1)
+	client, c := h.connect(t)
+	say(t, client, "stray")
+	<-h.came
+	fit, _ := c.Look(nil)
+	assert.False(t, fit)
+	close(h.free)
+}
--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -13,6 +13,7 @@
 	readMost    = 32 << 10  // bytes in one read
 	turnMost    = 256 << 10 // bytes that one connection is read before it is others' turn
 	receiveMost = 96 << 10  // of the kernel's memory for what a host has sent and is not read yet
+	dropMost    = 8 << 20   // read and dropped after the end, before the connection is closed all the same
 )
 
 var spare = sync.Pool{New: func() any { return new([readMost]byte) }}
@@ -60,7 +61,12 @@
 			return
 		}
 		total += n
-		c.handler.Data(buffer[:n])
+		if !c.deaf.Load() {
+			c.handler.Data(buffer[:n])
+		} else if c.dropped += n; c.dropped > dropMost {
+			c.Close()
+			return
+		}
 		if n < len(buffer) && !c.toEnd.Load() {
 			return
 		}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -46,15 +46,19 @@
 	asked   int64
 	mu      sync.Mutex // orders writes with the count of bytes asked for
 	ending  atomic.Int64
-	came    bool // it was accepted rather than dialled
+	linger  float64     // milliseconds that End gives the other side, under mu
+	deaf    atomic.Bool // nothing that comes is handed on any more
+	came    bool        // it was accepted rather than dialled
 
 	reading         sync.Mutex    // held by who reads: the poller, or a goroutine that catches up
+	dropped         int           // bytes that nobody was handed, by who reads
 	paused          atomic.Bool   // nothing more is to be read for now
 	toEnd, finished atomic.Bool   // the end is waited for; it has come
 	room            chan struct{} // something was taken of what was written, or the connection has ended
 
-	last   sync.Mutex // orders what is done to the descriptor with its end
-	closed bool       // the engine closes it; its number is another connection's then
+	last   sync.Mutex  // orders what is done to the descriptor with its end
+	closed bool        // the engine closes it; its number is another connection's then
+	lapse  *time.Timer // closes it once the other side has had its time to end it too
 }
 
 // descriptor lets f see the descriptor, unless it is closed.
@@ -73,8 +77,11 @@
 // over notes that the engine is about to close the descriptor: nothing is to be done to it any more.
 func (c *Conn) over() {
 	c.last.Lock()
+	defer c.last.Unlock()
 	c.closed = true
-	c.last.Unlock()
+	if c.lapse != nil {
+		c.lapse.Stop()
+	}
 }
 
 var errEnded = errors.New("the connection has ended")
@@ -97,6 +104,11 @@
 	if c.ended() {
 		return fmt.Errorf("writing: %w", errEnded)
 	}
+	return c.Send(b)
+}
+
+// Send is Write for a connection that Look has just found fit.
+func (c *Conn) Send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked += int64(len(b))
@@ -119,10 +131,15 @@
 	return c.asked - c.written.Load()
 }
 
-// Farewell tells the other side that nothing more comes, if nothing has come that the poller has not read: a connection
-// that looks idle may not be. If it gives true, End is to follow. Between looking and telling there is next to no time,
+// Farewell tells the other side that nothing more comes, if nothing has come that was not handed on: a connection that looks idle
+// may not be. Bytes that are read but on their way to the handler count, and so do those that the poller has not read. If it gives
+// true, nothing that comes later is handed on, and End or Close is to follow. Between looking and telling there is next to no time,
 // whereas the engine closes a socket some time after its poller hears of the end.
 func (c *Conn) Farewell() bool {
+	if !c.reading.TryLock() {
+		return false
+	}
+	defer c.reading.Unlock()
 	free, empty := true, c.Backlog() == 0
 	c.descriptor(func(fd int) {
 		if n, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil && n > 0 {
@@ -131,6 +148,7 @@
 			_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the other side was faster
 		}
 	})
+	c.deaf.Store(free)
 	return free
 }
 
@@ -142,17 +160,66 @@
 	})
 }
 
-// End closes the connection when all that was to be written is.
-func (c *Conn) End() {
+// End tells the other side that nothing more comes once all that was to be written is, and closes the connection when the other side
+// ends it too, after so many milliseconds at the latest. What still comes is read and dropped: a close over bytes that nobody has
+// read resets the connection, and the last answer may be lost with it.
+func (c *Conn) End(linger float64) {
+	c.deaf.Store(true)
+	c.Resume()
 	c.mu.Lock()
+	c.linger = linger
 	c.ending.Store(c.asked)
 	done := c.written.Load() >= c.asked
 	c.mu.Unlock()
 	if done {
-		c.Close()
+		c.endSending()
 	}
 }
 
+// endSending is the part of End that waits until all is written.
+func (c *Conn) endSending() {
+	c.mu.Lock()
+	linger := c.linger
+	c.mu.Unlock()
+	c.descriptor(func(fd int) {
+		_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the connection has ended, of which the poller hears too
+		if c.lapse == nil {
+			c.lapse = time.AfterFunc(time.Duration(linger*float64(time.Millisecond)), c.Close)
+		}
+	})
+}
+
+// Look tells, in one system call, whether a request can go out on c, and whether the client that it is for has ended its own
+// connection; nil is a client that is not looked at. Nothing may have come on c that was not asked for, and the other side may not
+// have ended it: the poller hears of both some time after the machine does.
+func (c *Conn) Look(client *Conn) (fit, gone bool) {
+	if !c.reading.TryLock() { // something has come
+		return false, client.looksGone()
+	}
+	defer c.reading.Unlock()
+	c.descriptor(func(fd int) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}, {Fd: -1}}
+		poll := func() {
+			n, err := unix.Poll(look, 0)
+			fit = err == nil && (n == 0 || look[0].Revents == 0)
+			gone = gone || err == nil && look[1].Revents != 0
+		}
+		if client == nil {
+			poll()
+			return
+		}
+		gone = true // unless its descriptor is still its own
+		client.descriptor(func(fd int) {
+			gone, look[1] = false, unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+			poll()
+		})
+	})
+	return fit, gone
+}
+
+// looksGone tells whether the other side has ended a connection; that of nobody has not.
+func (c *Conn) looksGone() bool { return c != nil && (c.isClosed() || c.hungUp()) }
+
 // Loop is a running engine.
 type Loop struct {
 	engine   *nbio.Engine
@@ -216,7 +283,7 @@
 		if c := l.conn(nb); c != nil {
 			done := c.written.Add(int64(n))
 			if end := c.ending.Load(); end > 0 && done >= end {
-				go c.Close() // the engine holds its lock here
+				go c.endSending() // the engine holds its lock here
 			}
 			c.wake()
 		}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -23,7 +23,7 @@
 func (e echo) Data(b []byte) {
 	_ = e.c.Write(b)
 	if bytes.HasSuffix(b, []byte("end")) {
-		e.c.End()
+		e.c.End(0)
 	}
 }
 func (e echo) Closed(error) {}
@@ -115,8 +115,8 @@
 	s.free <- struct{}{}
 	<-s.came
 	s.free <- struct{}{}
-	assert.True(t, c.Farewell())
-	go c.End()
+	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond, "the poller has handed it all on")
+	go c.End(0)
 	have, err := io.ReadAll(client)
 	require.NoError(t, err)
 	assert.Empty(t, have)
@@ -154,7 +154,7 @@
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler {
 		go func() {
 			_ = c.Write(big)
-			c.End()
+			c.End(0)
 		}()
 		return echo{c}
 	})
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -142,7 +142,7 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if victim != nil {
-		go victim.retire()
+		go victim.retire(true)
 	}
 	return c
 }
@@ -216,7 +216,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range free {
-		c.retire()
+		c.retire(false)
 	}
 	for _, c := range slow {
 		c.mu.Lock()
@@ -291,15 +291,19 @@
 	}
 }
 
-// retire closes the connection if it still carries nothing, or has its last answer. A request that the machine has taken
-// and the poller not yet read would be lost with it.
-func (c *conn) retire() {
+// retire ends the connection if it still carries nothing, or has its last answer. A request that the machine has taken and the
+// handler not yet seen would be lost with it. Where it makes room for another it is closed at once.
+func (c *conn) retire(room bool) {
 	c.mu.Lock()
 	free := c.ended || !c.busy && c.parser.Idle() && c.net.Farewell()
 	c.ended = c.ended || free
 	c.mu.Unlock()
-	if free {
-		c.net.End()
+	switch {
+	case free && room && c.net.Backlog() == 0:
+		c.net.Close()
+		return
+	case free:
+		c.net.End(c.side.limits.Load().Linger)
 		return
 	}
 	c.side.mu.Lock()
@@ -423,7 +427,7 @@
 		return
 	}
 	if path, _, _ := bytes.Cut(m.Target, []byte("?")); string(path) != "/up" {
-		if _, r := c.side.read(m, path, c.came); r.Status != 0 {
+		if _, r := c.side.read(m, path, c.came, c.net); r.Status != 0 {
 			c.last(m, r)
 			return
 		}
@@ -438,15 +442,14 @@
 	c.last(c.parser.Head(), text(status, "", err.Error()))
 }
 
-// last answers a client that may go on sending, under the lock, and ends the connection a little later, so that the
-// answer arrives; what still comes is not read.
+// last answers a client that may go on sending, under the lock, and ends the connection.
 func (c *conn) last(m *http1.Message, r http1.Reply) {
 	c.ended = true
 	c.enter(leaving)
 	now := c.side.clock.Now()
-	c.side.clock.At(now+c.side.limits.Load().Linger, c.net.Close)
 	r.Date, r.Close, r.Head = c.side.dates.at(now), true, m != nil && string(m.Method) == "HEAD"
 	_ = c.net.Write(http1.AppendResponse(nil, r))
+	c.net.End(c.side.limits.Load().Linger)
 }
 
 // request handles one request under the lock.
@@ -460,7 +463,7 @@
 		c.up(m)
 		return
 	}
-	call, r := c.side.read(m, path, c.came)
+	call, r := c.side.read(m, path, c.came, c.net)
 	if r.Status != 0 {
 		c.write(m, r)
 		return
@@ -496,7 +499,7 @@
 }
 
 // read finds what the core has to know, or the answer where the request cannot be served.
-func (s *Side) read(m *http1.Message, path []byte, came float64) (call *core.Call, refusal http1.Reply) {
+func (s *Side) read(m *http1.Message, path []byte, came float64, client *loop.Conn) (call *core.Call, refusal http1.Reply) {
 	name, _, _ := bytes.Cut(path[1:], []byte("/"))
 	class, ok := s.set.ByName[string(name)]
 	if !ok {
@@ -520,7 +523,7 @@
 	if n != 1 || err != nil || wait == 0 {
 		return nil, text(400, "", http1.DeadlineField+" is missing or bad")
 	}
-	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait) + s.extra(m), Payload: m}
+	call = &core.Call{ID: string(id), Alone: true, Class: class, Tenant: -1, Key: key, Deadline: came + float64(wait) + s.extra(m), Payload: m, Client: client}
 	if owner, n := m.Get("Req-Owner"); n > 0 {
 		if i, ok := s.set.Tenants[string(owner)]; ok {
 			call.Tenant = i
@@ -648,14 +651,9 @@
 	} else {
 		c.enter(idle)
 	}
-	lingers := end && (c.deaf || c.parser.Buffered() > 0) // the client goes on sending
-	if lingers {
-		c.side.clock.At(c.side.clock.Now()+c.side.limits.Load().Linger, c.net.End)
-	}
 	switch {
-	case lingers:
 	case end:
-		c.net.End()
+		c.net.End(c.side.limits.Load().Linger)
 	case c.net.Backlog() > int64(c.side.limits.Load().Backlog):
 		c.ended = true
 		go c.net.Close()
--- a/internal/north/thriftfront/front.go
+++ b/internal/north/thriftfront/front.go
@@ -169,7 +169,7 @@
 		c.write(m, mapping.Fault(m.Name, mapping.InvalidMessageType, "a client sends calls"))
 		return
 	}
-	call, fault := c.side.read(m, c.came)
+	call, fault := c.side.read(m, c.came, c.net)
 	if fault != nil {
 		c.write(m, fault)
 		return
@@ -183,7 +183,7 @@
 }
 
 // read finds what the core has to know, or the application exception where the call cannot be served.
-func (s *Side) read(m *thrift.Message, came float64) (call *core.Call, fault *thrift.Message) {
+func (s *Side) read(m *thrift.Message, came float64, client *loop.Conn) (call *core.Call, fault *thrift.Message) {
 	method, ok := s.set.Methods[string(m.Name)]
 	if !ok {
 		return nil, mapping.Fault(m.Name, mapping.UnknownMethod, "unknown method")
@@ -206,7 +206,8 @@
 	case s.set.Classes[class].Keyed && len(i.Key) == 0:
 		return wrong("the key is missing")
 	}
-	call = &core.Call{ID: string(i.ID), Class: class, Tenant: -1, Deadline: came + float64(i.Deadline), Repeat: i.Retry, Payload: m}
+	call = &core.Call{ID: string(i.ID), Class: class, Tenant: -1, Deadline: came + float64(i.Deadline), Repeat: i.Retry, Payload: m,
+		Client: client}
 	if s.set.Classes[class].Keyed {
 		call.Key = i.Key
 	}
@@ -281,7 +282,7 @@
 func (c *conn) end() {
 	c.ended = true
 	c.seat.Enter(lobby.Leaving, c.came)
-	c.net.End()
+	c.net.End(c.side.set.Linger)
 }
 
 // leave gives up the calls of a client that is not served any more.
@@ -291,13 +292,12 @@
 	}
 }
 
-// unreadable tells a client why nothing more of it is read, once all that it asked before is answered, and ends the connection
-// a little later, so that this arrives.
+// unreadable tells a client why nothing more of it is read, once all that it asked before is answered, and ends the connection.
 func (c *conn) unreadable(err error) {
 	c.ended = true
 	c.side.log.Warn("a client sent what cannot be read", "client", c.net.Peer(), "status", "thrift", "error", err)
 	c.seat.Enter(lobby.Leaving, c.came)
-	c.side.clock.At(c.side.clock.Now()+c.side.set.Linger, c.net.Close)
+	defer c.net.End(c.side.set.Linger)
 	if errors.Is(err, thrift.ErrNotThrift) {
 		_ = c.net.Write(http1.AppendResponse(nil, http1.Reply{Status: 400, Body: []byte("Thrift is spoken here\n"), Close: true}))
 		return
@@ -314,8 +314,11 @@
 	free := c.ended || len(c.open) == 0 && c.next == nil && c.reader.Idle() && c.net.Farewell()
 	c.ended = c.ended || free
 	c.mu.Unlock()
-	if free {
-		c.net.End()
+	switch {
+	case free && c.net.Backlog() == 0:
+		c.net.Close()
+	case free:
+		c.net.End(c.side.set.Linger)
 	}
 	return free
 }
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -265,26 +265,17 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
-// Over tells that the final answer is given, or that nobody waits for it.
-func (t *Ticket) Over() bool {
-	if t.p == nil {
-		return false
-	}
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	return t.over
-}
-
-// Permits tells whether the rules let something new go to a host now: one that departs gets nothing after its grace.
-func (t *Ticket) Permits(name string) bool {
+// May tells whether the final answer is still owed, and whether the rules let something new go to a host now: one that departs
+// gets nothing after its grace.
+func (t *Ticket) May(name string) (owed, permitted bool) {
 	p := t.p
 	if p == nil {
-		return true
+		return true, true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[p.ids[name]]
-	return h != nil && p.clock.Now() <= h.left+p.grace
+	return !t.over, h != nil && p.clock.Now() <= h.left+p.grace
 }
 
 func (t *Ticket) push(v Verdict) {
--- /dev/null
+++ b/internal/south/carrier/crossing_test.go
@@ -0,0 +1,184 @@
+package carrier_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/http1"
+	"linenwheel.dev/linenwheel/internal/loop"
+	"linenwheel.dev/linenwheel/internal/pilot"
+	"linenwheel.dev/linenwheel/internal/south/carrier"
+	"linenwheel.dev/linenwheel/internal/south/httphost"
+)
+
+// bench is a pool whose poller can be held, between a rater and clients.
+type bench struct {
+	t          *testing.T
+	clock      *clock.Manual
+	pool       *carrier.Pool
+	rater      net.Listener
+	front      string
+	conns      chan *loop.Conn // of clients
+	came, free chan struct{}   // what clients send holds the poller until free is closed
+}
+
+func (b *bench) Data([]byte)  { b.came <- struct{}{}; <-b.free }
+func (b *bench) Closed(error) {}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{})}
+	l, err := loop.Listen("127.0.0.1:0", 8, func(c *loop.Conn) loop.Handler { b.conns <- c; return b })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	b.front = l.Addr()
+	b.rater, err = net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = b.rater.Close() })
+	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000},
+		Protocol: func(core.Host) carrier.Protocol { return httphost.Protocol{} }}, b.clock, l, slog.New(slog.DiscardHandler))
+	return b
+}
+
+// client gives both ends of a client's connection.
+func (b *bench) client() (*net.TCPConn, *loop.Conn) {
+	raw, err := net.Dial("tcp", b.front)
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = raw.Close() })
+	return raw.(*net.TCPConn), <-b.conns
+}
+
+// hold keeps the poller busy until free is closed.
+func (b *bench) hold() {
+	c, _ := b.client()
+	_, err := c.Write([]byte("x"))
+	require.NoError(b.t, err)
+	<-b.came
+}
+
+type result struct {
+	outcome pilot.Outcome
+	body    string
+}
+
+// attempt sends one attempt, and gives its end.
+func (b *bench) attempt(id string, client any) (*core.Call, chan result) {
+	call := &core.Call{ID: id, Tenant: -1, Deadline: 1e9, Client: client,
+		Payload: &http1.Message{Method: []byte("GET"), Target: []byte("/look/" + id)}}
+	ended := make(chan result, 1)
+	go func() {
+		o, payload := b.pool.Relay(core.Host{Name: "h", Address: b.rater.Addr().String()}, call, 1e9, make(chan struct{}))
+		r := result{outcome: o}
+		if m, ok := payload.(*http1.Message); ok {
+			r.body = string(m.Body)
+		}
+		ended <- r
+	}()
+	return call, ended
+}
+
+func (b *bench) accept() net.Conn {
+	c, err := b.rater.Accept()
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// serve answers the next request on a connection with its path.
+func (b *bench) serve(c net.Conn) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	require.NoError(b.t, err)
+	_, err = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(r.URL.Path)) + "\r\n\r\n" + r.URL.Path))
+	require.NoError(b.t, err)
+}
+
+// arrived waits until all that was sent on a connection has reached the other machine's buffer.
+func (b *bench) arrived(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(b.t, err)
+	require.Eventually(b.t, func() (all bool) {
+		_ = raw.Control(func(fd uintptr) {
+			n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+			all = err == nil && n == 0
+		})
+		return all
+	}, time.Minute, time.Millisecond)
+}
+
+// Guards against an attempt on a kept connection on which something stands that the poller has not read: a second answer taken for
+// that of the attempt, half a line, or the end, which makes it one that may have run.
+func TestAttemptTakesNoSpoiltConnection(t *testing.T) {
+	for name, spoil := range map[string]func(net.Conn) error{
+		"a second answer": func(c net.Conn) error {
+			_, err := c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother"))
+			return err
+		},
+		"half a line":   func(c net.Conn) error { _, err := c.Write([]byte("HTTP/1.1 2")); return err },
+		"its end":       func(c net.Conn) error { return c.(*net.TCPConn).CloseWrite() },
+		"its end whole": func(c net.Conn) error { return c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			_, ended := b.attempt("1", nil)
+			c := b.accept()
+			b.serve(c)
+			require.Equal(t, result{pilot.Served, "/look/1"}, <-ended)
+			b.clock.Advance(10) // it is used again
+			b.hold()
+			require.NoError(t, spoil(c))
+			if name != "its end whole" {
+				b.arrived(c)
+			}
+			_, ended = b.attempt("2", nil)
+			b.serve(b.accept())
+			close(b.free)
+			assert.Equal(t, result{pilot.Served, "/look/2"}, <-ended)
+			if name != "its end whole" {
+				text, err := io.ReadAll(c)
+				if !errors.Is(err, unix.ECONNRESET) {
+					require.NoError(t, err)
+				}
+				assert.Empty(t, text, "nothing went out on it")
+			}
+		})
+	}
+}
+
+// Guards against an attempt that begins for a client whose end the poller has not seen, on a connection that has just come up and on a
+// kept one, also behind requests that nobody has read; and against the connection being lost for it.
+func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
+	for _, kept := range []bool{false, true} {
+		for _, behind := range []string{"", "a further request"} {
+			b := newBench(t)
+			if kept {
+				_, ended := b.attempt("1", nil)
+				b.serve(b.accept())
+				require.Equal(t, pilot.Served, (<-ended).outcome)
+				b.clock.Advance(10)
+			}
+			raw, client := b.client()
+			b.hold()
+			_, err := raw.Write([]byte(behind))
+			require.NoError(t, err)
+			require.NoError(t, raw.CloseWrite())
+			b.arrived(raw)
+			call, ended := b.attempt("2", client)
+			assert.Equal(t, result{pilot.CalledOff, ""}, <-ended)
+			assert.True(t, call.HasLeft())
+			assert.Equal(t, map[string]carrier.Use{"h": {Open: 1, Idle: 1}}, b.pool.Uses())
+			close(b.free)
+		}
+	}
+}
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -338,42 +338,9 @@
 func (p *Pool) Relay(host core.Host, call *core.Call, until float64, off <-chan struct{}) (pilot.Outcome, any) {
 	done := make(chan end, 1)
 	late := make(chan struct{})
-	c, err := p.get(host, until, done, off)
-	if err != nil {
-		return p.unsent(err, until, off), nil
-	}
-	left := int(math.Ceil(until - p.clock.Now()))
-	select {
-	case <-off:
-		c.giveUp(done)
-		return pilot.CalledOff, nil
-	default:
-		if left <= 0 {
-			c.giveUp(done)
-			return pilot.Unsent, nil
-		}
-	}
-	if c.since == 0 && !call.Owed() { // while it connected another relay was served: nothing goes out any more
-		c.disarm()
-		p.put(c, true)
-		return pilot.CalledOff, nil
-	}
-	if c.since == 0 && !call.Permits(host.Name) { // or the host began to depart
-		c.disarm()
-		p.put(c, true)
-		return pilot.Unsent, nil
-	}
-	if !call.Standing() { // the node stood still for longer than its claim: another may have it
-		c.disarm()
-		p.put(c, true)
-		return pilot.Unsent, nil
-	}
-	out, about, err := c.speaks.Request(nil, host, call, left)
-	if err != nil {
-		c.disarm()
-		p.put(c, true)
-		p.log.Warn("a call cannot be written for a host: a relay was not sent", "host", host.Name, "error", err)
-		return pilot.Unsent, nil
+	c, out, about, o := p.ready(host, call, until, done, off)
+	if c == nil {
+		return o, nil
 	}
 	sent, broke := p.clock.Now(), false
 	defer func() { p.note(c.band, broke) }()
@@ -401,7 +368,7 @@
 		out = http1.AppendChunkHead(out, len(body.First))
 		size += int64(len(out) - was)
 	}
-	err = c.net.Write(out)
+	err := c.net.Send(out)
 	if err == nil && body != nil && len(body.First) > 0 {
 		err = c.net.Write(body.First)
 	}
@@ -473,6 +440,60 @@
 	return e.answer.Outcome, e.answer.Payload
 }
 
+// ready finds a connection for an attempt and writes down its request, or tells why nothing is to go out. What may have changed
+// since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the final
+// answer is given, the host departs, the client is there, and nothing has come on the connection.
+func (p *Pool) ready(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (*conn, []byte, any, pilot.Outcome) {
+	client, _ := call.Client.(*loop.Conn)
+	for {
+		c, err := p.get(host, until, done, off)
+		if err != nil {
+			return nil, nil, nil, p.unsent(err, until, off)
+		}
+		select {
+		case <-off:
+			c.giveUp(done)
+			return nil, nil, nil, pilot.CalledOff
+		default:
+		}
+		left := int(math.Ceil(until - p.clock.Now()))
+		if left <= 0 {
+			c.giveUp(done)
+			return nil, nil, nil, pilot.Unsent
+		}
+		back := func(o pilot.Outcome) (*conn, []byte, any, pilot.Outcome) {
+			c.disarm()
+			p.put(c, true)
+			return nil, nil, nil, o
+		}
+		if !call.Standing() { // the node stood still for longer than its claim: another may have it
+			return back(pilot.Unsent)
+		}
+		if owed, permitted := call.May(host.Name); !owed {
+			return back(pilot.CalledOff)
+		} else if !permitted {
+			return back(pilot.Unsent)
+		}
+		out, about, err := c.speaks.Request(nil, host, call, left)
+		if err != nil {
+			p.log.Warn("a call cannot be written for a host: a relay was not sent", "host", host.Name, "error", err)
+			return back(pilot.Unsent)
+		}
+		fit, gone := c.net.Look(client)
+		if gone { // the poller has not heard of it yet
+			call.Leave()
+			return back(pilot.CalledOff)
+		}
+		if fit {
+			return c, out, about, 0
+		}
+		c.giveUp(done)
+		if c.since == 0 {
+			return nil, nil, nil, pilot.NoConnect
+		}
+	}
+}
+
 // note tells how a connection did that was given a request.
 func (p *Pool) note(band int, broke bool) {
 	p.mu.Lock()
