Hold further attempts at cold raters to the limit that first ones keep to

Need: a cold rater falls under the sum of all nodes. Over a budget of N only 2*sqrt(N) + 2 is chance. Found, in virtual time: first attempts never come near the bound, further ones broke it. Change: the clock counts every attempt, in send, and fit asks it for every attempt. A cold rater without a turn gets none. A request whose repeats are dropped by all raters keeps to those with a turn; one bound to a zone or cell may still go to another warm one. First attempts keep their independent phase.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -279,6 +279,9 @@
 	b.sent += q.work
 	q.out++
 	s.out++
+	if b.cold(s) < 1 { // further attempts and second copies add up with first ones
+		s.coldNext = b.now + seconds(coldGap/s.coldTop)
+	}
 	if e := &s.ills[q.class]; e.times > 0 { // one at a time, until it is answered
 		e.until = max(e.until, b.now+b.paced(1, awayFirst))
 	}
@@ -408,13 +411,13 @@
 	left := min(q.deadline, q.arrived+c.Aim) - b.now
 	var best *server
 	for _, s := range b.servers {
-		// One bound to a group may go to a backend of it that this node does not use otherwise.
-		able := s.turn >= 0 || c.Effect == Keyed && q.ran && b.able(s)
-		able = able && s.overdue == 0 && b.fit(s, q)
-		if !able || best != nil && best.next <= s.next || !b.mayRepeat(q, s) {
+		// One bound to a group may go to a warm backend of it that this node does not use otherwise.
+		bound := c.Effect == Keyed && c.Group != GroupAll && q.ran
+		able := s.turn >= 0 || bound && b.able(s) && b.cold(s) >= 1
+		if !able || s.overdue > 0 || !b.fit(s, q) || !b.mayRepeat(q, s) {
 			continue
 		}
-		if s.delay(float64(s.out)+1)*q.work < left.Seconds() {
+		if (best == nil || s.next < best.next) && s.delay(float64(s.out)+1)*q.work < left.Seconds() {
 			best = s
 		}
 	}
@@ -434,12 +437,10 @@
 	}
 	c := &b.classes[q.class]
 	if c.Effect != Keyed || !q.ran {
-		return b.cold(s) >= 1 || q.ran
-	}
-	if b.now >= q.ranAt+c.KeyTTL {
-		return false
+		return true
 	}
-	return c.Group == GroupAll || s.Zone == q.ranOn.Zone && (c.Group == GroupZone || s.Cell == q.ranOn.Cell)
+	near := c.Group == GroupAll || s.Zone == q.ranOn.Zone && (c.Group == GroupZone || s.Cell == q.ranOn.Cell)
+	return near && b.now < q.ranAt+c.KeyTTL
 }
 
 // sweep looks for attempts that should have been answered by now. They are evidence against their backend
@@ -594,12 +595,14 @@
 // Probed takes the result of a probe. The module asks for none yet.
 func (b *Balancer) Probed(now time.Duration, _ Outcome) { b.now = now }
 
-// fit tells whether a backend answers a class, as far as is known. After a time it gets one to try.
-func (b *Balancer) fit(s *server, q *request) bool { return b.now >= s.ills[q.class].until }
+// fit tells whether a backend may get a request now. A cold one is held to its limit by the clock, whichever
+// attempt it is; one that leaves a class unanswered gets one to try after a time.
+func (b *Balancer) fit(s *server, q *request) bool {
+	return b.now >= max(s.coldNext, s.ills[q.class].until)
+}
 
 // pick takes the next turn. A backend that owes overdue work, or would be slowed by more of ours, passes its
-// turn. Where all do, the one that should answer soonest is taken, if that is soon enough, else none. Passing
-// brings the others' turns nearer, so a cold backend is held to its limit by the clock as well.
+// turn. Where all do, the one that should answer soonest is taken, if that is soon enough, else none.
 func (b *Balancer) pick(q *request, limit float64) *server {
 	var turn *server
 	for i := 0; turn == nil && len(b.turns) > 0 && i < len(b.turns)+mostSkips; i++ {
@@ -608,20 +611,17 @@
 		s.next += 1 / s.share
 		heap.Fix(&b.turns, 0)
 		free := s.overdue == 0 && s.delay(float64(s.out)+1) <= crowdPart*s.slow*s.pool.idle
-		if free && b.now >= s.coldNext && b.fit(s, q) {
+		if free && b.fit(s, q) {
 			turn = s
 		}
 	}
 	best, least := turn, limit
 	for i := 0; turn == nil && i < len(b.turns); i++ {
 		s := b.turns[i]
-		if d := s.delay(float64(s.out)+1) + s.risk; b.now >= s.coldNext && d < least && b.fit(s, q) {
+		if d := s.delay(float64(s.out)+1) + s.risk; d < least && b.fit(s, q) {
 			best, least = s, d
 		}
 	}
-	if best != nil {
-		best.coldNext = b.now + seconds(coldGap/best.coldTop)
-	}
 	return best
 }
 
