Send keyed work again only within its window, copies and late connections included

Lines to blame: mayRepeat asked for the window only once an attempt had ended as one that may have run, so that a second copy beside one still out (late, at the aim less two mean answers) had no window; the window was counted from the first attempt to end, not the first sent; and nobody asked again when the connection of a further attempt had come up late. Change: mayRepeat counts from the first attempt that is out or may have run; Ticket.May asks for the window last before the first byte.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -334,8 +334,8 @@
 	}
 	q.closed = q.closed || o.Over
 	b.report(a.server, &o.Load)
-	if o.Result.MayHaveRun() && !q.ran {
-		q.ran, q.ranOn, q.ranAt = true, a.server, a.sent
+	if o.Result.MayHaveRun() {
+		q.ran, a.ran = true, true
 	}
 	if o.Result == Good {
 		if !q.begun {
@@ -428,19 +428,19 @@
 	return best
 }
 
-// mayRepeat tells whether the rules let a request go to a backend after its earlier attempts.
+// mayRepeat tells whether the rules let a request go to a backend after its earlier attempts. What drops the
+// repeats of keyed work does so for a time from the first attempt that has run, or may yet.
 func (b *Balancer) mayRepeat(q *request, s *server) bool {
-	for i := range q.attempts {
-		if q.attempts[i].server == s {
-			return false
-		}
+	if slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.server == s }) {
+		return false
 	}
-	c := &b.classes[q.class]
-	if c.Effect != Keyed || !q.ran {
+	c, i := &b.classes[q.class], slices.IndexFunc(q.attempts, func(a attempt) bool { return a.open || a.ran })
+	if c.Effect != Keyed || i < 0 {
 		return true
 	}
-	near := c.Group == GroupAll || s.Zone == q.ranOn.Zone && (c.Group == GroupZone || s.Cell == q.ranOn.Cell)
-	return near && b.now < q.ranAt+c.KeyTTL
+	on := q.attempts[i].server
+	near := c.Group == GroupAll || s.Zone == on.Zone && (c.Group == GroupZone || s.Cell == on.Cell)
+	return near && b.now < q.attempts[i].sent+c.KeyTTL
 }
 
 // sweep looks for attempts that should have been answered by now. They are evidence against their backend
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -305,10 +305,12 @@
 	everywhere := settings()
 	everywhere.Classes[1].Group = GroupAll
 	everywhere.Limits.MaxAttempts = 1
+	short := settings() // a window shorter than an answer is waited for
+	short.Classes[1].Group, short.Classes[1].KeyTTL = GroupAll, 50*time.Millisecond
 	many := settings()
 	many.Nodes, many.Node, many.Ask = 40, 17, true
 	many.Weights = WeightLive
-	return map[string]Settings{"copies": one, "single": single, "zone group": groups, "one attempt": everywhere,
+	return map[string]Settings{"copies": one, "single": single, "zone group": groups, "short window": short, "one attempt": everywhere,
 		"many nodes": many}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -81,6 +81,7 @@
 	held    float64 // attempts that the backend held when it was sent, this one included, by size
 	charged float64 // latency already counted against the backend while the attempt was out
 	open    bool
+	ran     bool // it may have
 	overdue bool
 }
 
@@ -91,9 +92,7 @@
 	arrived  time.Duration
 	deadline time.Duration
 	closed   bool
-	ran      bool // an attempt may have run,
-	ranOn    *server
-	ranAt    time.Duration // sent then
+	ran      bool // an attempt may have run
 	begun    bool
 	useless  bool // a backend that read it turned it away for good
 	attempts []attempt
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -114,7 +114,8 @@
 	clock clock.Clock
 	log   *slog.Logger
 	grace float64
-	safe  []bool // by class: a back-off answer is harmless even if the request has run
+	safe  []bool    // by class: a back-off answer is harmless even if the request has run
+	again []float64 // by class: for so many milliseconds after a send that may have run another one does no harm
 	zones map[string]int
 	kinds map[string]int
 	wake  func()
@@ -142,8 +143,9 @@
 
 type relay struct {
 	to     decide.BackendID
-	sent   float64
+	sent   float64 // decided then: it goes out no sooner
 	ended  bool
+	ran    bool // it may have, now that it has ended
 	called bool
 }
 
@@ -173,6 +175,7 @@
 	p.module = module
 	for _, c := range set.Classes {
 		p.safe = append(p.safe, c.Effect == decide.Safe || c.Effect == decide.Keyed && c.Group == decide.GroupAll)
+		p.again = append(p.again, map[decide.Effect]float64{decide.Safe: math.Inf(1), decide.Keyed: millis(c.KeyTTL)}[c.Effect])
 	}
 	return p, nil
 }
@@ -265,8 +268,9 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
-// May tells whether the final answer is still owed, and whether the rules let something new go to a host now: one that departs
-// gets nothing after its grace.
+// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host now: one that departs
+// gets nothing after its grace, and what may have run is not sent again once its repeats are not dropped any more. Since the
+// attempt was decided, its connection may have taken long to come up.
 func (t *Ticket) May(name string) (owed, permitted bool) {
 	p := t.p
 	if p == nil {
@@ -274,8 +278,23 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[p.ids[name]]
-	return !t.over, h != nil && p.clock.Now() <= h.left+p.grace
+	now, id := p.clock.Now(), p.ids[name]
+	h := p.hosts[id]
+	return !t.over, h != nil && now <= h.left+p.grace && t.repeats(id, now)
+}
+
+// repeats tells whether an attempt at a host may go out in view of those before it.
+func (t *Ticket) repeats(to decide.BackendID, now float64) bool {
+	for i := range t.relays {
+		r := &t.relays[i]
+		if r.to == to && !r.ended {
+			return true
+		}
+		if !r.ended || r.ran {
+			return now < r.sent+t.p.again[t.class]
+		}
+	}
+	return true
 }
 
 func (t *Ticket) push(v Verdict) {
@@ -312,8 +331,8 @@
 			return
 		}
 		r := &t.relays[n]
-		r.ended = true
-		t.ran = t.ran || results[o].MayHaveRun()
+		r.ended, r.ran = true, results[o].MayHaveRun()
+		t.ran = t.ran || r.ran
 		t.out--
 		if o == Served && !t.over {
 			t.push(Verdict{Kind: Answer, Relay: n, Payload: payload})
--- a/internal/pilot/pilot_test.go
+++ b/internal/pilot/pilot_test.go
@@ -139,3 +139,34 @@
 	assert.Len(t, p.hosts, 1)
 	assert.Len(t, p.ids, 1)
 }
+
+// Guards against work that may have run being sent again after its repeats are no longer dropped, or while it must not be at all,
+// because the further attempt's connection came up late; and against the time of an attempt that never ran being counted.
+func TestWindowOfRepeatsIsAskedLast(t *testing.T) {
+	for _, c := range []struct {
+		effect    decide.Effect
+		first     Outcome
+		late      float64 // after the first send
+		permitted bool
+	}{{decide.Keyed, Reset, 299, true}, {decide.Keyed, Reset, 300, false}, {decide.Keyed, NoConnect, 300, true},
+		{decide.Safe, Reset, 300, true}, {decide.Unsafe, NoConnect, 300, true}} {
+		clk := clock.NewManual(epoch)
+		p, err := New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 3},
+			Classes: []decide.Class{{Name: "alert", Effect: c.effect, KeyTTL: 300 * time.Millisecond, Aim: time.Second, Deadline: 2 * time.Second,
+				Worth: 1}}}, 1, clk, slog.New(slog.DiscardHandler), nil)
+		require.NoError(t, err)
+		p.Inventory(Whole, []Host{{Name: "h1", Zone: "z", Kind: "k", Weight: 1}, {Name: "h2", Zone: "z", Kind: "k", Weight: 1}})
+		q := p.Open(Request{Tenant: -1, Deadline: epoch + 2000})
+		v := q.Pick()
+		clk.Advance(100)
+		_, permitted := q.May(v.Host)
+		require.True(t, permitted, "the first attempt")
+		q.Report(v.Relay, c.first, nil)
+		v = q.Pick()
+		require.Equal(t, Relay, v.Kind)
+		clk.Advance(c.late - 100)
+		owed, permitted := q.May(v.Host)
+		assert.True(t, owed)
+		assert.Equal(t, c.permitted, permitted, c)
+	}
+}
--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
 	"linenwheel.dev/linenwheel/internal/http1"
@@ -33,13 +34,15 @@
 	front      string
 	conns      chan *loop.Conn // of clients
 	came, free chan struct{}   // what clients send holds the poller until free is closed
+	dialling   func()          // called before a connection is opened
 }
 
 func (b *bench) Data([]byte)  { b.came <- struct{}{}; <-b.free }
 func (b *bench) Closed(error) {}
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{})}
+	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{}),
+		dialling: func() {}}
 	l, err := loop.Listen("127.0.0.1:0", 8, func(c *loop.Conn) loop.Handler { b.conns <- c; return b })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
@@ -48,7 +51,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = b.rater.Close() })
 	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000},
-		Protocol: func(core.Host) carrier.Protocol { return httphost.Protocol{} }}, b.clock, l, slog.New(slog.DiscardHandler))
+		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return httphost.Protocol{} }}, b.clock, l, slog.New(slog.DiscardHandler))
 	return b
 }
 
@@ -182,3 +185,38 @@
 		}
 	}
 }
+
+// Guards against keyed work being sent again after its repeats are no longer dropped: the first attempt breaks within the window, the
+// connection of the further one comes up after it.
+func TestLateConnectionSendsNothingAfterTheWindow(t *testing.T) {
+	b := newBench(t)
+	quiet := slog.New(slog.DiscardHandler)
+	module, err := pilot.New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 3},
+		Classes: []decide.Class{{Name: "alert", Effect: decide.Keyed, Group: decide.GroupAll, KeyTTL: 300 * time.Millisecond, Aim: time.Second,
+			Deadline: 2 * time.Second, Worth: 1}}}, 1, b.clock, quiet, nil)
+	require.NoError(t, err)
+	address := b.rater.Addr().String()
+	module.Inventory(pilot.Whole, []pilot.Host{{Name: "h1", Address: address, Zone: "z", Kind: "k", Weight: 1},
+		{Name: "h2", Address: address, Zone: "z", Kind: "k", Weight: 1}})
+	call := &core.Call{ID: "q", Tenant: -1, Deadline: 3000, Payload: &http1.Message{Method: []byte("POST"), Target: []byte("/alert/q")}}
+	dialled := 0
+	b.dialling = func() {
+		if dialled++; dialled == 2 {
+			b.clock.Advance(300)
+		}
+	}
+	answer := make(chan core.Answer, 1)
+	go func() { answer <- core.New(core.Settings{Calls: 1}, module, b.pool, quiet).Serve(call) }()
+	first := b.accept()
+	_, err = http.ReadRequest(bufio.NewReader(first))
+	require.NoError(t, err)
+	require.NoError(t, first.Close())
+	second := b.accept()
+	a := <-answer
+	assert.Equal(t, core.Refused, a.Kind)
+	assert.True(t, a.Ran)
+	b.pool.Resize(0)
+	text, err := io.ReadAll(second)
+	require.NoError(t, err)
+	assert.Empty(t, text)
+}
