Call for the list again within 6 s of a call that failed, and give none longer than that leaves

Need: a change of the list counts as told 6 s after discovery had it and could be reached, whatever failed before; 4 s after SIGHUP. Change: package pace owns the time of a call as well as the pause after it. Both are cut so that the next call has its quarter of platform.list_told (6s) before that has passed since the one that failed began; 4s (platform.reload_told) until a new address has answered. Where the list is pushed nothing changes: limits and pauses are shorter there.

--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -26,6 +26,8 @@
 	Slack      float64 // and how long after that its answer may come
 	FirstPause float64 // after a failed call, doubled each time
 	LastPause  float64
+	Told       float64 // after which a change counts as told, once discovery could be reached; 0 = never,
+	ToldMoved  float64 // and from a new address, once the node was told of that
 }
 
 // mostTold is how many of a list's bad entries the log has a reason for.
@@ -169,10 +171,14 @@
 	openWait   = 1.0 // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
 )
 
-// paced is when calls are made.
-func (w *Watcher) paced() pace.Settings {
+// paced is when calls are made: moved tells that none has been answered since the watch moved.
+func (w *Watcher) paced(moved bool) pace.Settings {
 	set := w.limits()
-	return pace.Settings{Spread: w.Spread, First: set.FirstPause, Last: set.LastPause}
+	told := set.Told
+	if moved && set.ToldMoved > 0 {
+		told = min(told, set.ToldMoved)
+	}
+	return pace.Settings{Spread: w.Spread, First: set.FirstPause, Last: set.LastPause, Told: told}
 }
 
 // spread varies a time.
@@ -194,30 +200,30 @@
 
 // Run watches until ctx ends, wherever Move sends it.
 func (w *Watcher) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for moved := false; ctx.Err() == nil; moved = true {
 		address, here := w.stay(ctx)
-		w.watch(here, address)
+		w.watch(here, address, moved)
 		w.moved()
 		w.drop()
 	}
 }
 
-// watch fetches the whole list from an address, then watches until ctx ends.
-func (w *Watcher) watch(ctx context.Context, address string) {
+// watch fetches the whole list from an address, to which it may have moved, then watches until ctx ends.
+func (w *Watcher) watch(ctx context.Context, address string, moved bool) {
 	index, known, epoch, open := int64(0), false, "", false
 	calls := pace.Pace{Chance: w.Chance}
 	hosts, doubted := w.Known >= 0, false // whether the last list named some, and an empty one is asked for again
 	if w.Spread > 0 && w.Known >= 0 && w.First != nil {
 		index, known = w.Known, true
 		w.asked()
-		w.wait(ctx, calls.Begin(w.paced()))
+		w.wait(ctx, calls.Begin(w.paced(moved)))
 		if ctx.Err() != nil {
 			return
 		}
 	}
 	for {
-		set := w.limits()
-		path, limit := "/discovery/hosts", max(set.Fetch, w.Spread)
+		set, paced := w.limits(), w.paced(moved)
+		path, limit := "/discovery/hosts", paced.Limit(set.Fetch)
 		call, look, done := w.calls(ctx)
 		switch {
 		case look && epoch != "":
@@ -231,8 +237,9 @@
 			if epoch != "" {
 				path += "&epoch=" + epoch
 			}
-			limit = wait + max(set.Slack, w.Spread)
+			limit = wait + paced.Limit(set.Slack)
 		}
+		began := w.Clock.Now()
 		l, err := w.ask(call, address, path, limit)
 		if done() {
 			w.drop() // a second look goes before what it would have said
@@ -262,6 +269,7 @@
 		}
 		if err == nil {
 			calls.Answered()
+			moved = false
 			index, known, epoch = l.Index, true, ""
 			if l.Origin != nil {
 				epoch = url.QueryEscape(l.Origin.Epoch)
@@ -281,10 +289,10 @@
 		}
 		w.asked()
 		if err != nil {
-			now := calls.Failed(w.paced())
+			pause := calls.Failed(paced, w.Clock.Now()-began, set.Fetch)
 			w.Log.Warn("discovery gave no list that can be used: the last one stays", "address", address, "error", err,
-				"again_ms", now)
-			w.wait(ctx, now)
+				"again_ms", pause)
+			w.wait(ctx, pause)
 		}
 	}
 }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -59,6 +59,11 @@
 	DrainQuiet Duration `toml:"drain_quiet" default:"2s" min:"0s" max:"1h"`
 	// LongestWatch is how long discovery holds a call that waits for changes at the most.
 	LongestWatch Duration `toml:"longest_watch" default:"1m" min:"100ms" max:"1h" reload:"now"`
+	// ListTold is the time after which a change of the list counts as told to a node, from when discovery had it and could be
+	// reached. A call, the pause after it and the next call take no longer: the limits and pauses of inventory.discovery are cut to that.
+	ListTold Duration `toml:"list_told" default:"6s" min:"500ms" max:"1h" reload:"now"`
+	// ReloadTold is the same for the list of an address that came with SIGHUP.
+	ReloadTold Duration `toml:"reload_told" default:"4s" min:"500ms" max:"1h" reload:"now"`
 }
 
 // Log says what is logged and how.
--- a/node/node.go
+++ b/node/node.go
@@ -423,7 +423,7 @@
 func watchLimits(o *Options) discovery.Limits {
 	d := &o.Inventory.Discovery
 	return discovery.Limits{Fetch: d.FetchLimit.Ms, Wait: d.WatchWait.Ms, Slack: d.WatchSlack.Ms,
-		FirstPause: d.FirstPause.Ms, LastPause: d.LastPause.Ms}
+		FirstPause: d.FirstPause.Ms, LastPause: d.LastPause.Ms, Told: o.Platform.ListTold.Ms, ToldMoved: o.Platform.ReloadTold.Ms}
 }
 
 func frontSettings(conf *Config, o *Options, room options.Room, budget *flow.Budget) httpfront.Settings {
