Reject class and tenant names that cannot work, and a cap on open requests below 0

A whole node now starts and serves in a test with one class, ten, twelve of every effect and group, one attempt, one open request, no tenants and two zones: nothing was found there. A second test holds what cannot work to a refusal in one line with file, line, column and field. It found settings that were taken all the same: two classes of one name, of which the first was never served; a name with a slash, a blank, ? or #, which no path can hold; two tenants of one name; and a limits.max_open below 0, which was no limit at all. internal/config, which reads them, names each of these now.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"linenwheel.dev/linenwheel/decide"
@@ -118,6 +119,7 @@
 	errMissing = errors.New("missing")
 	errBelow1  = errors.New("must be 1 or more")
 	errAbove0  = errors.New("must be above 0")
+	errBelow0  = errors.New("must be 0 or more")
 )
 
 // Load reads the environment and the file that ROUTER_CONFIG names. A variable goes before the file. The error is
@@ -271,6 +273,7 @@
 		{len(f.Kinds) == 0, "settings.machine_types", errMissing},
 		{f.GroupSize < 1, "settings.group_size", errBelow1},
 		{f.Limits.MaxAttempts < 1, "settings.limits.max_attempts", errBelow1},
+		{f.Limits.MaxOpen < 0, "settings.limits.max_open", errBelow0},
 	} {
 		if check.bad {
 			s.fault(check.field, check.err)
@@ -286,6 +289,7 @@
 			ColdTime: seconds(f.Safety.Cold), FallMultiple: f.Safety.FallMultiple,
 			FallTime: seconds(f.Safety.Fall)},
 	}
+	names := map[string]bool{}
 	for i, k := range f.Classes {
 		at := fmt.Sprintf("settings.classes.%d.", i)
 		effect, ok := effects[k.Effect]
@@ -296,26 +300,37 @@
 			err   error
 		}{
 			{k.Name == "", "name", errMissing},
+			{strings.ContainsFunc(k.Name, notInPath), "name", fmt.Errorf("no part of a path can be %q", k.Name)},
+			{k.Name != "" && names[k.Name], "name", fmt.Errorf("another class is named %q", k.Name)},
 			{!ok, "effect", fmt.Errorf("unknown: %q", k.Effect)},
 			{!ok2, "group", fmt.Errorf("unknown: %q", k.Group)},
 			{!(k.OnTime > 0), "on_time_s", errAbove0},
 			{k.HardLimit < k.OnTime || k.HardLimit > 1e6, "hard_limit_s",
 				errors.New("must be on_time_s or more, a million at most")},
-			{k.Worth < 0, "worth", errors.New("must be 0 or more")},
+			{k.Worth < 0, "worth", errBelow0},
 		} {
 			if check.bad {
 				s.fault(at+check.field, check.err)
 			}
 		}
+		names[k.Name] = true
 		c.MaxDeadline = max(c.MaxDeadline, k.HardLimit*1000)
 		c.Settings.Classes = append(c.Settings.Classes, decide.Class{Name: k.Name, Effect: effect, Group: group,
 			KeyTTL: seconds(k.KeyTTL), Aim: seconds(k.OnTime), Deadline: seconds(k.HardLimit), Worth: k.Worth,
 			LateWorth: k.LateShare, Streaming: k.Streaming})
 	}
-	for _, p := range f.Projects {
+	tenants := map[string]bool{}
+	for i, p := range f.Projects {
+		if tenants[p.Name] {
+			s.fault(fmt.Sprintf("settings.projects.%d.name", i), fmt.Errorf("another tenant is named %q", p.Name))
+		}
+		tenants[p.Name] = true
 		c.Settings.Tenants = append(c.Settings.Tenants, decide.Tenant{Name: p.Name, Quota: p.Quota, Share: p.Share})
 	}
 }
 
+// notInPath tells what ends the first part of a request's path, or cannot be in one.
+func notInPath(r rune) bool { return r <= ' ' || r == 0x7f || r == '/' || r == '?' || r == '#' }
+
 // seconds converts the settings' times, which are in seconds, to the module's.
 func seconds(s float64) time.Duration { return time.Duration(math.Round(s * 1e9)) }
--- /dev/null
+++ b/node/settings_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/script"
+)
+
+// classesOf are n classes of every effect and group in turn.
+func classesOf(n int) (list []map[string]any) {
+	effects := []string{"read_like", "idempotency_key", "non_idempotent"}
+	groups := []string{"all", "zone", "cell", ""}
+	for i := range n {
+		list = append(list, map[string]any{"name": fmt.Sprint("c", i), "effect": effects[i%3], "group": groups[i/3%4], "key_ttl_s": 3,
+			"on_time_s": 0.6, "hard_limit_s": 2, "worth": 1})
+	}
+	return list
+}
+
+// configOf writes a configuration whose settings are the test's own but for those that are given, and loads it.
+func configOf(t *testing.T, discovery, zone string, other map[string]any) (*Config, error) {
+	var set map[string]any
+	require.NoError(t, json.Unmarshal([]byte(settings), &set))
+	for name, value := range other {
+		if inner, ok := value.(map[string]any); ok {
+			for k, v := range inner {
+				set[name].(map[string]any)[k] = v
+			}
+			continue
+		}
+		set[name] = value
+		if value == nil {
+			delete(set, name)
+		}
+	}
+	set["locality"] = zone
+	text, err := json.MarshalIndent(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": set}, "", " ")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return Load(func(name string) string { return map[string]string{"ROUTER_CONFIG": path}[name] })
+}
+
+// Guards against a node that is fitted to one deployment: to its number of classes, their effects and groups, tenants, zones, or to
+// limits above one.
+func TestOtherSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		other   map[string]any
+		classes int
+	}{
+		"one class":                {map[string]any{"classes": classesOf(1)}, 1},
+		"one unsafe class":         {map[string]any{"classes": classesOf(3)[2:]}, 0},
+		"every effect and group":   {map[string]any{"classes": classesOf(12)}, 12},
+		"ten classes":              {map[string]any{"classes": classesOf(10)}, 10},
+		"one attempt":              {map[string]any{"classes": classesOf(3), "limits": map[string]any{"max_attempts": 1, "cancel": false}}, 3},
+		"one open request":         {map[string]any{"classes": classesOf(3), "limits": map[string]any{"max_open": 1}}, 3},
+		"no tenants":               {map[string]any{"classes": classesOf(3), "projects": nil}, 3},
+		"an empty list of tenants": {map[string]any{"classes": classesOf(3), "projects": []any{}}, 3},
+		"two zones":                {map[string]any{"classes": classesOf(3), "zones": []string{"y", "z"}, "machine_types": []string{"j", "k"}}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := script.New(t, "h1")
+			conf, err := configOf(t, s.Discovery, "z", c.other)
+			require.NoError(t, err)
+			runNode(t, s, conf)
+			s.Run(begin("h1"))
+			for i := range c.classes {
+				s.Run("wait 5\n" + serves(classesOf(12)[i], i))
+			}
+			if c.classes == 0 {
+				s.Run(serves(classesOf(3)[2], 2))
+			}
+		})
+	}
+}
+
+// runNode has a node of its own configuration serve on a stage until the test ends.
+func runNode(t *testing.T, s *script.Stage, conf *Config) {
+	n, err := newNode(conf, Extras{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, s.Clock)
+	require.NoError(t, err)
+	s.Address = n.loop.Addr
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { s.Ended <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		for {
+			select {
+			case <-s.Ended:
+				return
+			case <-time.After(time.Millisecond):
+				s.Clock.Advance(1000)
+			}
+		}
+	})
+}
+
+// serves are the steps of one request of a class, and its answer.
+func serves(class map[string]any, i int) string {
+	method, key := "POST", ""
+	switch class["effect"] {
+	case "read_like":
+		method = "GET"
+	case "idempotency_key":
+		key = fmt.Sprint(" key=k", i)
+	}
+	line := fmt.Sprintf("%s /%s/1 id=q%d%s", method, class["name"], i, key)
+	return "a send " + line + " owner=t deadline=900\n r expect " + line + "\n r send 200 body=ok\n a expect 200 body=ok"
+}
+
+// Guards against a node that starts on settings which cannot work, and against a refusal that does not say in one line where.
+func TestSettingsThatCannotWork(t *testing.T) {
+	with := func(name string, value any) map[string]any {
+		list := classesOf(2)
+		list[1][name] = value
+		return map[string]any{"classes": list}
+	}
+	limits := func(name string, value any) map[string]any {
+		return map[string]any{"limits": map[string]any{name: value}}
+	}
+	for _, c := range []struct {
+		other map[string]any
+		field string
+	}{
+		{map[string]any{"classes": []any{}}, "settings.classes: missing"},
+		{map[string]any{"zones": []string{"x", "y"}}, `settings.locality: "z" is none of zones`},
+		{map[string]any{"machine_types": []string{}}, "settings.machine_types: missing"},
+		{with("effect", "odd"), "settings.classes.1.effect: unknown"},
+		{with("group", "odd"), "settings.classes.1.group: unknown"},
+		{with("name", ""), "settings.classes.1.name: missing"},
+		{with("name", "c0"), "settings.classes.1.name: "},
+		{with("name", "c/1"), "settings.classes.1.name: "},
+		{with("name", "c 1"), "settings.classes.1.name: "},
+		{with("name", "c?1"), "settings.classes.1.name: "},
+		{with("on_time_s", 0), "settings.classes.1.on_time_s: must be above 0"},
+		{with("hard_limit_s", 0.1), "settings.classes.1.hard_limit_s: must be on_time_s or more"},
+		{with("worth", -1), "settings.classes.1.worth: must be 0 or more"},
+		{limits("max_attempts", 0), "settings.limits.max_attempts: must be 1 or more"},
+		{limits("max_open", -1), "settings.limits.max_open: must be 0 or more"},
+		{limits("connect_timeout_s", 0), "settings.limits.connect_timeout_s: must be above 0"},
+		{map[string]any{"projects": []map[string]any{{"name": "t"}, {"name": "t"}}}, "settings.projects.1.name: "},
+	} {
+		_, err := configOf(t, "127.0.0.1:1", "z", c.other)
+		require.ErrorContains(t, err, c.field)
+		require.Regexp(t, `config\.json:\d+:\d+: settings\.`, err.Error())
+		require.NotContains(t, strings.TrimSpace(err.Error()), "\n")
+	}
+}
