Let nothing more into a listening socket before it is looked at last and closed

Need: a planned stop closes the listening socket once nothing waits there. What the machine took between the last look and the close was reset, and so was what waited when all slots were taken, when descriptors had run out, or when new connections kept coming for 0.2 s. A connection whose second descriptor was refused was closed unread at any time.

Change: the listener has a file of its own. Before the close, a filter on the socket drops each packet that begins a connection; what has begun is then taken until nothing is left, as slots and descriptors come free, at most up to the engine's end. The filter is read back, since some systems ignore it; without it the socket is closed as before. A socket that another process has, or is given, is not barred. The node's sockets are no longer multipath ones, which take no filter. A connection waits for its second descriptor.

A client whose SYN comes in the 5 ms between filter and close is refused at its next try, 1 s later, rather than at once.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +30,8 @@
 	drainMost = 200 * time.Millisecond
 )
 
+const shortPause = 5 * time.Millisecond // where descriptors have run out for a moment
+
 // Handler takes what happens on a connection. Data comes from the poller, in order, and must not block; the bytes
 // live until it returns. Closed comes once.
 type Handler interface {
@@ -171,11 +172,7 @@
 // Listen starts an engine that listens on an address and accepts. accept gives each connection that comes in its
 // Handler. At most `most` of them are open at once; further ones wait to be accepted.
 func Listen(addr string, most int, accept func(*Conn) Handler) (*Loop, error) {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("listening on %s: %w", addr, err)
-	}
-	l, err := On(listener, most, accept)
+	l, err := Hold(addr, most, accept)
 	if err != nil {
 		return nil, err
 	}
@@ -183,11 +180,26 @@
 	return l, nil
 }
 
+// Hold is Listen for an engine whose connections wait until StartAccepting.
+func Hold(addr string, most int, accept func(*Conn) Handler) (*Loop, error) {
+	var plain net.ListenConfig
+	plain.SetMultipathTCP(false) // its listening sockets cannot be barred
+	inner, err := plain.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listening on %s: %w", addr, err)
+	}
+	l, err := On(inner, most, accept)
+	if err == nil {
+		l.listener.sole = true
+	}
+	return l, err
+}
+
 // On starts an engine on a listener, which is its own from here on, even if it fails. Connections wait there until
 // StartAccepting.
 func On(inner net.Listener, most int, accept func(*Conn) Handler) (*Loop, error) {
 	l := &Loop{accept: accept, slots: newSlots(most)}
-	l.listener = &listener{Listener: inner, slots: l.slots, open: make(chan struct{}), most: drainMost,
+	l.listener = &listener{Listener: inner, slots: l.slots, open: make(chan struct{}), most: drainMost, own: own, looked: func() {},
 		begun: make(chan struct{}), closed: make(chan struct{}), quiet: make(chan struct{}), stopped: make(chan struct{})}
 	addr := inner.Addr().String()
 	conf := nbio.Config{Name: "linenwheel", Network: nbio.NETWORK_TCP, NPoller: 1, EpollMod: nbio.EPOLLET, Addrs: []string{addr},
@@ -240,15 +252,10 @@
 // Descriptor lets f see the listening socket's descriptor, to pass it on: another process that has it accepts from the
 // same queue. It fails once accepting has been stopped. f must not change the descriptor.
 func (l *Loop) Descriptor(f func(fd uintptr)) error {
-	raw, ok := l.listener.Listener.(syscall.Conn)
-	if !ok {
+	if _, ok := l.listener.Listener.(syscall.Conn); !ok {
 		return fmt.Errorf("the listener on %s has no descriptor", l.Addr())
 	}
-	c, err := raw.SyscallConn()
-	if err == nil {
-		err = c.Control(f)
-	}
-	if err != nil {
+	if err := l.listener.share(f); err != nil {
 		return fmt.Errorf("the descriptor of the listener on %s: %w", l.Addr(), err)
 	}
 	return nil
@@ -264,7 +271,7 @@
 	l.conns.Store(nb, c) // and the poller sees the handler
 }
 
-// own makes a connection the engine's; it is closed on an error. The engine duplicates the descriptor, and the duplicate
+// own makes a connection the engine's; on an error it is still the caller's. The engine duplicates the descriptor, and the duplicate
 // would go on to every program that the process starts: a connection that was closed here stayed open there, and its last
 // events came for the next connection under its number, which was ended by them.
 func own(c net.Conn) (*nbio.Conn, error) {
@@ -272,7 +279,6 @@
 	defer syscall.ForkLock.RUnlock()
 	nb, err := nbio.NBConn(c)
 	if err != nil {
-		_ = c.Close()
 		return nil, err
 	}
 	syscall.CloseOnExec(nb.Hash()) // which is the descriptor
@@ -291,6 +297,7 @@
 	}
 	nb, err := own(raw)
 	if err != nil {
+		_ = raw.Close()
 		return nil, fmt.Errorf("connecting to %s: %w", addr, err)
 	}
 	c := &Conn{nb: nb, room: make(chan struct{}, 1)}
@@ -324,11 +331,9 @@
 }
 
 // DrainAccepting closes the listening socket as soon as no connection waits there, for the machine has taken those
-// already, but soon in any case, and blocks until then. Connections stay.
+// already, and blocks until then. It has the machine take no more soon in any case. Connections stay.
 func (l *Loop) DrainAccepting() {
-	l.listener.draining.Store(true)
-	l.listener.hasten()
-	time.AfterFunc(l.listener.most, l.listener.stop)
+	l.listener.drain()
 	<-l.listener.quiet
 }
 
@@ -353,99 +358,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// listener is closed in two steps: the engine spins on a listener that fails, so Accept blocks from the first
-// step to the second.
-type listener struct {
-	net.Listener
-	first, once, last sync.Once
-	begin             sync.Once
-	begun             chan struct{} // closed when the engine accepts
-	slots             *slots
-	open              chan struct{} // closed when connections may be accepted
-	draining          atomic.Bool   // it is closed once nothing waits,
-	most              time.Duration // or after so long
-	closed            chan struct{} // closed when the listening socket is
-	park              sync.Once
-	quiet             chan struct{} // closed when the engine will get no further connection
-	stopped           chan struct{}
-}
-
-// waits tells whether a connection waits to be accepted.
-func (l *listener) waits() (some bool) {
-	tcp, ok := l.Listener.(*net.TCPListener)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	_ = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		some = n > 0 && err == nil
-	})
-	return some
-}
-
-// hasten lets a call of Accept end that finds nothing for a moment.
-func (l *listener) hasten() {
-	if tcp, ok := l.Listener.(*net.TCPListener); ok {
-		_ = tcp.SetDeadline(time.Now().Add(drained))
-	}
-}
-
-func (l *listener) stop() {
-	l.once.Do(func() {
-		_ = l.Listener.Close()
-		close(l.closed)
-		l.slots.close()
-	})
-}
-
-// end holds the engine's accepting goroutine, which has taken care of all that it got, until the engine ends.
-func (l *listener) end() (net.Conn, error) {
-	l.park.Do(func() { close(l.quiet) })
-	<-l.stopped
-	return nil, net.ErrClosed
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	l.begin.Do(func() { close(l.begun) })
-	select {
-	case <-l.open:
-	case <-l.closed:
-		return l.end()
-	}
-	if !l.slots.take() {
-		return l.end()
-	}
-	for {
-		if l.draining.Load() {
-			l.hasten()
-		}
-		c, err := l.Listener.Accept()
-		switch {
-		case err == nil:
-			var nb *nbio.Conn
-			if nb, err = own(c); err == nil {
-				return nb, nil
-			}
-		case errors.Is(err, net.ErrClosed):
-			return l.end()
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			if !l.waits() {
-				l.stop()
-			}
-			continue
-		}
-		time.Sleep(5 * time.Millisecond) // out of descriptors for a moment
-	}
-}
-
-// Close is the engine's: it ends the accepting goroutine.
-func (l *listener) Close() error {
-	l.stop()
-	l.last.Do(func() { close(l.stopped) })
-	return nil
-}
--- a/node/handover.go
+++ b/node/handover.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
-	"net"
 	"slices"
 
 	"linenwheel.dev/linenwheel/internal/inventory/ban"
@@ -135,14 +134,13 @@
 
 // listen makes the node's loop: on the socket that it was given, or on one of its own.
 func listen(extra *Extras, address string, most int, accept func(*loop.Conn) loop.Handler) (*loop.Loop, error) {
-	inner := extra.Listener
-	if inner == nil {
-		var err error
-		if inner, err = net.Listen("tcp", address); err != nil {
-			return nil, fmt.Errorf("listening on %s: %w", address, err)
-		}
+	var l *loop.Loop
+	var err error
+	if extra.Listener != nil {
+		l, err = loop.On(extra.Listener, most, accept)
+	} else {
+		l, err = loop.Hold(address, most, accept)
 	}
-	l, err := loop.On(inner, most, accept)
 	if err == nil && !extra.Hold {
 		l.StartAccepting()
 	}
