Take back what was decided and not picked when a request is over

Need: a retry or a hedge that was decided just before the planned stop's final answers, the client's leaving or another relay's answer stood in the request's queue before the final verdict and went out after it. Carriers look once more only on a new connection. The stop also said of such a request that it may have run, though nobody had sent it.

Change: the pilot takes relays that nobody has picked out of the queue when the request is over, and tells the module that they were not sent. The final answer of a stop is then a back-off answer where nothing has run.

--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -299,6 +300,21 @@
 	}
 }
 
+// retract takes back the relays that were decided and that nobody has picked: nothing goes out any more for a request that
+// is about to be over.
+func (t *Ticket) retract() {
+	t.queue = slices.DeleteFunc(t.queue, func(v Verdict) bool {
+		if v.Kind == Relay {
+			r := &t.relays[v.Relay]
+			r.ended = true
+			t.out--
+			t.p.unsent = append(t.p.unsent, decide.Outcome{Request: t.id, Backend: r.to, Attempt: v.Relay, Over: true,
+				Result: decide.NotSent})
+		}
+		return v.Kind == Relay || v.Kind == CallOff && t.relays[v.Relay].ended
+	})
+}
+
 // end marks that the request's final answer is given, or that no one waits for it.
 func (t *Ticket) end() {
 	t.over = true
@@ -325,6 +341,7 @@
 		t.ran = t.ran || results[o].MayHaveRun()
 		t.out--
 		if o == Served && !t.over {
+			t.retract()
 			t.push(Verdict{Kind: Answer, Relay: n, Payload: payload})
 			used = true
 			t.end()
@@ -343,6 +360,7 @@
 			return
 		}
 		t.over = true // first, so that nothing is sent for it any more
+		t.retract()
 		t.p.module.Gone(span(now), t.id)
 		t.end()
 	})
@@ -357,6 +375,7 @@
 			if t.over {
 				continue
 			}
+			t.retract()
 			v := Verdict{Kind: BackOff, Ran: t.ran || t.out > 0}
 			if v.Ran && !p.safe[t.class] {
 				v.Kind = Fail
--- a/internal/pilot/pilot_test.go
+++ b/internal/pilot/pilot_test.go
@@ -63,6 +63,28 @@
 	assert.False(t, open(p).Pick().Ran, "one that comes after that never ran")
 }
 
+// Guards against a retry that is decided in the moment of the stop, of the client's leaving or of another relay's answer and goes
+// out after it, and against a stop that says a request may have run which nobody has sent.
+func TestNothingGoesOutOnceItIsOver(t *testing.T) {
+	p, _, _ := newPilot(t, Host{Name: "h", Address: "a:1"}, Host{Name: "g", Address: "a:2"})
+	finished, gone, served := open(p), open(p), open(p)
+	for _, q := range []*Ticket{finished, gone, served} {
+		require.Equal(t, Relay, q.Pick().Kind)
+	}
+	finished.Report(0, Declined, nil) // a retry is decided
+	gone.Report(0, Declined, nil)
+	p.event(func(float64) { actions{p}.Send(served.id, served.relays[0].to, 0) })
+	served.Report(0, Served, "body")
+	assert.Equal(t, Verdict{Kind: Answer, Payload: "body"}, served.Pick())
+	assert.Equal(t, Verdict{Kind: Done, Ran: true}, served.Pick())
+	gone.Gone()
+	assert.Equal(t, Verdict{Kind: Done}, gone.Pick())
+	p.Finish()
+	assert.Equal(t, Verdict{Kind: BackOff}, finished.Pick())
+	assert.Equal(t, Verdict{Kind: Done}, finished.Pick())
+	assert.Empty(t, p.tickets)
+}
+
 // Guards against a request kept for a client that has left.
 func TestGoneCallsOff(t *testing.T) {
 	p, _, _ := newPilot(t, Host{Name: "h", Address: "a:1"})
