Set the stop's timer again when it rings a rounding error early

Need: times are milliseconds as float64, which are a quarter of a microsecond apart. A timer that rang that much early did nothing, was not set again, and the stop stood still until something else happened.

Change: a timer that rings is no longer taken for one that is set.

--- a/internal/stop/gate/gate.go
+++ b/internal/stop/gate/gate.go
@@ -137,7 +137,8 @@
 	if next := g.machine.Next(); next != g.due {
 		g.timer()
 		if g.due = next; !math.IsInf(next, 1) {
-			g.timer = g.clock.At(next, func() { g.event(func(float64) {}) })
+			// Times are rounded, so one may ring a little early: it is set again then.
+			g.timer = g.clock.At(next, func() { g.event(func(float64) { g.due = 0 }) })
 		}
 	}
 	g.mu.Unlock()
