Hear signals that come while a node starts or reads its configuration

Need: three moments in which a signal did harm. A SIGHUP before the files were read ended the process, for nobody had asked for it yet. A SIGTERM that waited when the node began was, by chance, taken for one that breaks a takeover off: status 1, and the socket closed over what waited there. A SIGTERM while SIGHUP's reading stood still was not heard before the reading ended. A manager was also told READY after STOPPING where both came at once.

Change: SIGHUP and SIGUSR2 are heard from the first moment on; SIGTERM while the files are read still ends the process, which has taken nothing. A signal to end looks first whether the process serves by now. Reading again has a goroutine of its own. The manager hears that the process serves only while it was not told to end.

--- a/cmd/linenwheel/process_test.go
+++ b/cmd/linenwheel/process_test.go
@@ -563,3 +563,46 @@
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
+
+// feed has the next process that reads a file, which is a FIFO, read a text; it returns once the process has begun to, and
+// finish lets it end.
+func feed(path, text string) (finish func()) {
+	f := must(os.OpenFile(path, os.O_WRONLY, 0)) // until there is a reader
+	_ = must(f.WriteString(text[:1]))
+	return func() {
+		_ = must(f.WriteString(text[1:]))
+		_ = f.Close()
+	}
+}
+
+// Guards against a process that a SIGHUP ends while it reads its configuration for the first time, and against a reading
+// that stands still and holds a signal to end with it: the call that is open then is answered, and the process ends.
+func TestSignalsWhileTheConfigurationIsRead(t *testing.T) {
+	s := newSite(t)
+	text, path := s.config(s.address), filepath.Join(s.dir, "n1.json")
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	p := s.start("serve")
+	finish := feed(path, text)
+	p.signal(syscall.SIGHUP)
+	finish()
+	p.await("the node is ready")
+	feed(path, text)() // what the signal had asked for
+	p.await("the configuration was read again")
+
+	p.signal(syscall.SIGHUP)
+	finish = feed(path, strings.Replace(text, `"listen"`, `"listem"`, 1))
+	id, owed := s.held()
+	p.signal(syscall.SIGTERM)
+	p.await("the node is stopping")
+	finish() // a bad one, while the node stops
+	p.await("the new configuration is bad and the old one stays")
+	s.answer <- struct{}{}
+	require.Equal(t, "200 served "+id+"<nil>", <-owed)
+	require.Zero(t, p.end())
+
+	p = s.start("serve")
+	_ = feed(path, text) // which it does not read to the end
+	p.signal(syscall.SIGTERM)
+	require.NotZero(t, p.end(), "it has taken nothing")
+}
--- a/cmd/linenwheel/serve.go
+++ b/cmd/linenwheel/serve.go
@@ -23,6 +23,9 @@
 // serve runs a node until SIGTERM, an interrupt, or a process that takes its place. SIGHUP has it read its configuration
 // again, SIGUSR2 start such a process.
 func (s *shell) serve(context.Context) error {
+	// A signal to end that comes while the files are read ends the process, which has taken nothing; the others would do
+	// that too, unless they are heard from the first moment on.
+	reload, roll := signals(syscall.SIGHUP), signals(syscall.SIGUSR2)
 	conf, file, faults := s.load()
 	if len(faults) > 0 {
 		return faults
@@ -43,8 +46,7 @@
 			}
 		}
 	}
-	return daemon.Run(set, daemon.Signals{End: signals(syscall.SIGTERM, syscall.SIGINT), Reload: signals(syscall.SIGHUP),
-		Roll: signals(syscall.SIGUSR2)})
+	return daemon.Run(set, daemon.Signals{End: signals(syscall.SIGTERM, syscall.SIGINT), Reload: reload, Roll: roll})
 }
 
 func signals(list ...os.Signal) <-chan os.Signal {
--- a/internal/daemon/beside.go
+++ b/internal/daemon/beside.go
@@ -124,7 +124,10 @@
 // leaves by itself just then may be taken for something else. It owes nothing and holds next to nothing any more.
 func (d *daemon) awaitEnd(end <-chan os.Signal) {
 	server := d.control()
-	if !d.shared || d.told || server == nil || !server.Given() {
+	d.telling.Lock()
+	told := d.told
+	d.telling.Unlock()
+	if !d.shared || told || server == nil || !server.Given() {
 		return
 	}
 	select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -58,7 +58,6 @@
 	stuck   atomic.Pointer[string]
 	shared  bool          // the platform holds the clients' listening socket
 	made    chan struct{} // closed when there is a node
-	told    bool          // a signal to end has come
 	from    string        // the process that this one took over from
 	given   string        // where that one listened, if not here
 	mark    string        // how names of calls are made that are handed over, empty = none are
@@ -66,6 +65,9 @@
 	owner chan struct{} // closed when this process is to serve for good
 	fail  chan error    // why it is to end instead
 
+	telling sync.Mutex // held while the manager is told how far the process is
+	told    bool       // a signal to end has come
+
 	mu     sync.Mutex
 	server *control.Server // nil = no control socket, or not yet
 	child  int             // a process that was started to take over, 0 = none
@@ -322,34 +324,38 @@
 	if d.take == nil {
 		close(d.owner)
 	}
+	go d.reload(back, signals.Reload)
 	owner, ready, failed := d.owner, d.node.Ready(), d.fail
+	own := func() {
+		owner = nil
+		if err := d.own(back); err != nil {
+			d.log.Error("the control socket cannot be used", "error", err)
+		}
+	}
 	var why error
 	for {
 		select {
 		case <-owner:
-			owner = nil
-			if err := d.own(back); err != nil {
-				d.log.Error("the control socket cannot be used", "error", err)
-			}
+			own()
 		case <-ready:
 			ready = nil
 			if d.take != nil {
 				d.take.Prepared()
 			} else {
 				d.node.StartAccepting()
-				d.manager.Ready(service.Serving)
+				d.serving()
 			}
 		case why = <-failed:
 			failed = nil
 			d.keeper.release()
 			d.node.Yield() // at once, where nothing was accepted
 		case s := <-signals.End:
-			d.told = true
+			select {
+			case <-owner: // it came at the same time
+				own()
+			default:
+			}
 			d.stop(s, owner == nil, stop)
-		case <-signals.Reload:
-			d.manager.Reloading("reading the configuration again")
-			d.node.Reload(d.set.Env)
-			d.manager.Ready(service.Serving)
 		case <-signals.Roll:
 			d.spawn()
 		case err := <-ended:
@@ -363,6 +369,32 @@
 	}
 }
 
+// reload reads the configuration again at each signal until ctx ends. It is apart from what waits for the signal to end:
+// reading may take any time.
+func (d *daemon) reload(ctx context.Context, signal <-chan os.Signal) {
+	for {
+		select {
+		case <-signal:
+			d.unlessTold(func() { d.manager.Reloading("reading the configuration again") })
+			d.node.Reload(d.set.Env)
+			d.serving()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// serving tells the manager that the process serves, unless it was told to end.
+func (d *daemon) serving() { d.unlessTold(func() { d.manager.Ready(service.Serving) }) }
+
+func (d *daemon) unlessTold(tell func()) {
+	d.telling.Lock()
+	defer d.telling.Unlock()
+	if !d.told {
+		tell()
+	}
+}
+
 // own starts what only the process that serves may do.
 func (d *daemon) own(ctx context.Context) error {
 	if d.take != nil {
@@ -422,11 +454,16 @@
 
 // stop does what a signal to end asks for. A further one changes nothing: what is owed is answered all the same.
 func (d *daemon) stop(s os.Signal, serving bool, stop func()) {
+	d.telling.Lock()
+	d.told = true
+	if serving {
+		d.manager.Stopping("answering what is owed")
+	}
+	d.telling.Unlock()
 	if !serving {
 		d.end(fmt.Errorf("taking over: %v came first", s))
 		return
 	}
-	d.manager.Stopping("answering what is owed")
 	if server := d.control(); server != nil {
 		server.Stopping()
 	}
--- a/internal/daemon/spawn.go
+++ b/internal/daemon/spawn.go
@@ -7,8 +7,6 @@
 	"strconv"
 
 	"golang.org/x/sys/unix"
-
-	"linenwheel.dev/linenwheel/internal/service"
 )
 
 // spawnedVariable marks a process that another one of the node has started.
@@ -31,7 +29,7 @@
 	_ = unix.CloseRange(3, math.MaxUint32, unix.CLOSE_RANGE_CLOEXEC)
 	if err := command.Start(); err != nil {
 		d.log.Error("the process that is to take over cannot be started", "error", err)
-		d.manager.Ready(service.Serving)
+		d.serving()
 		return
 	}
 	d.child = command.Process.Pid
@@ -44,7 +42,7 @@
 		d.mu.Unlock()
 		if !given {
 			d.log.Error("the process that was to take over has ended, and this one goes on", "error", err)
-			d.manager.Ready(service.Serving)
+			d.serving()
 		}
 	}()
 }
