Be ready after 5 s though the first call for the list goes on; play rare moments

Need: where calls for the list are spread over all nodes, the first one is waited for as long as they are, ask_within_s/2. With ask_within_s = 30, silent discovery and no known list a node was ready after 15 s; the platform gives 10 s.

Change: the watcher tells after 5 s that the node may begin; the call itself goes on. New scenarios of the whole node: signals that cross what clients do, an answer in the moment of the final answers, and whatever discovery does at the start. The scenario language can reset discovery's connection.

Measured: without the bound TestReadyWhateverDiscoveryDoes (silent, asked for) and TestManyNodesAreReadyWhileDiscoveryIsSilent fail with "it is not ready" (tried).

--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -98,7 +98,7 @@
 	Log     *slog.Logger
 	Sink    Sink
 	Most    int    // bytes in an answer
-	First   func() // called once, when the first call has ended either way
+	First   func() // called once, when the first call has ended either way or takes too long
 	// Spread is the time over which the first calls of all nodes and those that follow a failure are spread, where each
 	// one loads a service that all nodes have together: calls in step would bury it. 0 = a call costs nothing.
 	Spread float64
@@ -109,7 +109,8 @@
 	// only this one.
 	Chance func() float64
 
-	conn *conn
+	conn     *conn
+	patience func() // stops the timer of First; set by Run
 
 	mu    sync.Mutex
 	index int64              // of the newest answer
@@ -165,8 +166,9 @@
 
 // Parts by which times differ from node to node.
 const (
-	waitSpread = 0.1 // a watch is held so much shorter at the most: silence is noticed no later
-	openWait   = 1.0 // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
+	waitSpread = 0.1    // a watch is held so much shorter at the most: silence is noticed no later
+	firstMost  = 5000.0 // milliseconds after which the node is ready at the latest, though the first call goes on
+	openWait   = 1.0    // milliseconds that a call is held which opens a watch that costs: it has waited in turn before
 )
 
 // paced is when calls are made.
@@ -194,6 +196,10 @@
 
 // Run watches until ctx ends, wherever Move sends it.
 func (w *Watcher) Run(ctx context.Context) {
+	w.mu.Lock()
+	w.patience = w.Clock.At(w.Clock.Now()+firstMost, func() { w.asked() })
+	w.mu.Unlock()
+	defer w.patience()
 	for ctx.Err() == nil {
 		address, here := w.stay(ctx)
 		w.watch(here, address)
@@ -207,9 +213,8 @@
 	index, known, epoch, open := int64(0), false, "", false
 	calls := pace.Pace{Chance: w.Chance}
 	hosts, doubted := w.Known >= 0, false // whether the last list named some, and an empty one is asked for again
-	if w.Spread > 0 && w.Known >= 0 && w.First != nil {
+	if w.Spread > 0 && w.Known >= 0 && w.asked() {
 		index, known = w.Known, true
-		w.asked()
 		w.wait(ctx, calls.Begin(w.paced()))
 		if ctx.Err() != nil {
 			return
@@ -289,12 +294,18 @@
 	}
 }
 
-// asked tells that the first call has ended, or that the node begins with what it knows.
-func (w *Watcher) asked() {
-	if w.First != nil {
-		w.First()
-		w.First = nil
+// asked tells that the first call has ended or takes too long, or that the node begins with what it knows. It gives whether that
+// was news.
+func (w *Watcher) asked() bool {
+	w.mu.Lock()
+	first := w.First
+	w.First = nil
+	w.patience()
+	w.mu.Unlock()
+	if first != nil {
+		first()
 	}
+	return first != nil
 }
 
 // calls begins a call: a second look, if one was asked for; else one that ends early when that happens, which done tells.
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -12,6 +12,7 @@
 //	r close    r expect close                            the host, or the node, ends the connection
 //	d expect /discovery/hosts                            discovery gets a call
 //	d send 2 whole h1:Ready h2:Terminating               and answers it; `changes` for what changed
+//	d close                                              or resets its connection
 //	node send other                                      its configuration names the other discovery; it gets SIGHUP
 //	node close    node expect end                        the node is told to stop, and has stopped
 //	wait 250                                             the clock moves on by so many milliseconds
@@ -214,6 +215,9 @@
 		return within(s.Ended, func(err error) error { return err })
 	case who == "d" && verb == "expect":
 		return s.expectCall(who, s.asks, "GET "+rest)
+	case who == "d" && verb == "close":
+		_ = s.peers[who].net.(*net.TCPConn).SetLinger(0)
+		return s.peers[who].net.Close()
 	case who == "d":
 		return s.list(rest)
 	case strings.Contains("rst", who[:1]) && verb == "expect" && rest != "close":
--- /dev/null
+++ b/node/moments_test.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/script"
+)
+
+// Each of these crosses a signal to end with what a client does just then. By the platform's times the node stops as follows:
+// new connections end at 500 ms, last calls come at 1950 ms, the final answers at 2550 ms.
+var stopMoments = []struct {
+	guards string
+	hosts  []string
+	steps  string
+}{
+	{"a connection that was accepted, and has not asked yet, ended by the signal", []string{"h1"}, `
+		a send raw ""
+		b send GET /up
+		b expect 200
+		node close
+		wait 500
+		a send POST /pay/1 id=q deadline=900
+		r expect POST /pay/1
+		r send 200 body=ok
+		a expect 200 body=ok Connection=`},
+	{"a request whose body comes after the signal being lost", []string{"h1"}, `
+		a send raw "POST /pay/1 HTTP/1.1\r\nHost: x\r\nReq-Id: q\r\nReq-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nh"
+		b send GET /up
+		b expect 200
+		node close
+		wait 500
+		a send raw "i"
+		r expect POST /pay/1 body=hi
+		r send 200 body=ok
+		a expect 200 body=ok Connection=`},
+	{"a request whose body comes after the last calls being lost or sent on", []string{"h1"}, `
+		b send GET /up
+		b expect 200
+		node close
+		wait 500
+		wait 1400
+		b send raw "POST /pay/1 HTTP/1.1\r\nHost: x\r\nReq-Id: q\r\nReq-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nh"
+		wait 600
+		b send raw "i"
+		b expect 503 Connection=close
+		b expect close
+		node expect end`},
+	{"a request that is written to a resting connection when it has been shut being sent on", []string{"h1"}, `
+		a send GET /up
+		a expect 200
+		node close
+		wait 500
+		wait 1450
+		a expect close
+		a send POST /pay/1 id=q deadline=900
+		node expect end`},
+	{"a node that does not end, or is up, because discovery is silent from its start on", nil, `
+		a send GET /up
+		a expect 503
+		node close
+		wait 500
+		b expect refused
+		a send GET /up
+		a expect 503
+		wait 900
+		a send GET /up
+		a expect 503
+		wait 550
+		a expect close
+		node expect end`},
+}
+
+func TestStopMoments(t *testing.T) {
+	for _, c := range stopMoments {
+		t.Run(c.guards, func(t *testing.T) {
+			s, n := startNode(t, Extras{}, 1024, c.hosts)
+			if len(c.hosts) > 0 {
+				s.Run(begin(c.hosts...))
+			} else {
+				s.Run("d expect /discovery/hosts")
+			}
+			s.Run(c.steps)
+			for _, e := range n.Endings() {
+				require.LessOrEqual(t, e.Calls, uint64(1), "no more than the one request is taken")
+			}
+		})
+	}
+}
+
+// Guards against two final answers, or none, for a call whose host answers in the moment in which the node gives all that is
+// open its final answer.
+func TestAnswerInTheMomentOfTheFinalAnswers(t *testing.T) {
+	for range 20 {
+		s, _ := startNode(t, Extras{}, 1024, []string{"h1"})
+		s.Run(begin("h1") + `
+			b send ` + pay + `
+			r expect POST /pay/1
+			r send 200 body=ok
+			b expect 200
+			wait 5`)
+		client, err := net.Dial("tcp", s.Address())
+		require.NoError(t, err)
+		defer client.Close()
+		s.Run("node close\nwait 500\nwait 2000")
+		_, err = io.WriteString(client, "POST /pay/2 HTTP/1.1\r\nHost: x\r\nReq-Id: q2\r\nReq-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		s.Run("r expect POST /pay/2")
+		var both sync.WaitGroup
+		both.Go(func() { s.Clock.Advance(50) })
+		both.Go(func() { s.Run("r send 200 body=yes") })
+		both.Wait()
+		have, err := io.ReadAll(client)
+		require.NoError(t, err)
+		require.Equal(t, 1, strings.Count(string(have), "HTTP/1.1 "), string(have))
+		require.Regexp(t, "^HTTP/1.1 (200|502) ", string(have))
+		s.Run("b expect close")
+		s.Run("node expect end") // with no call unanswered
+	}
+}
+
+// asking is a fleet of 300 whose list comes only when asked for.
+func asking(s string) string {
+	return strings.NewReplacer(`"group_size":1`, `"group_size":300,"discovery":"ask"`,
+		`"drain_grace_s":0.5`, `"drain_grace_s":0.5,"ask_within_s":30`).Replace(s)
+}
+
+// Guards against a node that is not ready within 10 s because of what discovery or the hosts do: /up answers 503 until the
+// first call for the list has ended, well or not, and 200 from then on, and a call is served from the list that there is.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	const called = "d expect /discovery/hosts\n a send GET /up\n a expect 503\n"
+	for _, c := range []struct {
+		discovery, steps string
+		ask              bool
+		wait             float64 // until it is ready
+	}{
+		{discovery: "down"},
+		{discovery: "down", ask: true},
+		{"silent", called, false, 1000},
+		{"silent", called, true, 5000},
+		{"silent in its answer", called + `d send raw "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"`, false, 1000},
+		{"garbage", called + `d send raw "\x16\x03\x01\r\n\r\n"`, false, 0},
+		{"garbage in its answer", called + `d send raw "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[1,2]"`, true, 0},
+		{"reset", called + "d close", false, 0},
+		{"reset", called + "d close", true, 0},
+		{"an error", called + `d send raw "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"`, false, 0},
+	} {
+		for _, known := range [][]string{nil, {"h1"}} {
+			t.Run(fmt.Sprint(c.discovery, c.ask, known), func(t *testing.T) {
+				s, n := startTuned(t, Extras{}, 1024, func(s *script.Stage, conf map[string]any) {
+					if c.discovery == "down" {
+						s.Discovery = s.Hosts["dead"]
+					}
+					if c.ask {
+						conf["settings"] = json.RawMessage(asking(settings))
+					}
+				}, []string{"h1"}, known...)
+				if !c.ask || known == nil { // else it begins with what it has
+					s.Run(c.steps)
+					if c.wait > 0 {
+						s.Clock.Advance(c.wait - 1)
+						s.Run("e send GET /up\n e expect 503")
+						s.Clock.Advance(1)
+					}
+				}
+				isReady(t, n)
+				s.Run("b send GET /up\n b expect 200")
+				if known != nil { // and the host hangs
+					s.Run("c send " + pay + "\n r expect POST /pay/1\n b send GET /up\n b expect 200")
+				}
+			})
+		}
+	}
+}
+
+func isReady(t *testing.T, n *Node) {
+	select {
+	case <-n.Ready():
+	case <-time.After(time.Minute):
+		require.Fail(t, "it is not ready")
+	}
+}
+
+// Guards against nodes that wait for each other's calls when many are started at once while discovery is silent.
+func TestManyNodesAreReadyWhileDiscoveryIsSilent(t *testing.T) {
+	for i := range 20 {
+		s, n := startTuned(t, Extras{}, 256, func(s *script.Stage, conf map[string]any) {
+			conf["name"] = fmt.Sprint("n", i)
+			conf["settings"] = json.RawMessage(strings.Replace(asking(settings), `"my_number":0`, fmt.Sprintf(`"my_number":%d`, i), 1))
+		}, nil)
+		s.Run("d expect /discovery/hosts")
+		s.Clock.Advance(5000)
+		isReady(t, n)
+		s.Run("a send GET /up\n a expect 200")
+	}
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -51,6 +51,12 @@
 
 // startNode is start for a node with what an embedder adds; without a log it is the test's own.
 func startNode(t *testing.T, extra Extras, sockets int, hosts []string, known ...string) (*script.Stage, *Node) {
+	return startTuned(t, extra, sockets, func(*script.Stage, map[string]any) {}, hosts, known...)
+}
+
+// startTuned is startNode for a node whose configuration is changed first.
+func startTuned(t *testing.T, extra Extras, sockets int, tune func(*script.Stage, map[string]any), hosts []string,
+	known ...string) (*script.Stage, *Node) {
 	s := script.New(t, hosts...)
 	list := []map[string]any{}
 	for _, name := range known {
@@ -63,9 +69,11 @@
 			"LINENWHEEL_OPTIONS": optionsPath}[name]
 	}
 	write := func(discovery string) {
-		text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+		conf := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
 			"seed": "1", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
-			"known": map[string]any{"index": 0, "endpoints": list}, "settings": json.RawMessage(settings)})
+			"known": map[string]any{"index": 0, "endpoints": list}, "settings": json.RawMessage(settings)}
+		tune(s, conf)
+		text, err := json.Marshal(conf)
 		require.NoError(t, err)
 		require.NoError(t, os.WriteFile(path, text, 0o600))
 	}
