End the engine only when it adds no connection any more

Need: one of 50 runs of TestDial under the race detector (GOMAXPROCS=6) failed: the engine's end read its table of connections while the accepting goroutine added one. Another run met "i/o timeout" for "refused": the test called a port that it had given up, which another process may listen on by then, here one that lets nothing in for a moment.

Change: Stop closes the listening socket and waits, within its second, until the accepting goroutine is done. TestDial calls a port that it holds and does not listen on, with more time.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -342,6 +342,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	l.awake(ctx)
+	l.listener.stop()
+	select { // the engine must not be adding a connection while it ends
+	case <-l.listener.quiet:
+	case <-ctx.Done():
+	}
 	_ = l.engine.Shutdown(ctx)
 }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -171,10 +172,13 @@
 // wrong address being called.
 func TestDial(t *testing.T) {
 	l := listening(t, 4)
-	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0) // has a port and does not listen
 	require.NoError(t, err)
-	require.NoError(t, gone.Close())
-	_, err = l.Dial(context.Background(), gone.Addr().String(), 1000, func(c *Conn) Handler { return echo{c} })
+	defer unix.Close(fd)
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	at, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	_, err = l.Dial(context.Background(), fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port), 60000, func(c *Conn) Handler { return echo{c} })
 	assert.ErrorContains(t, err, "refused")
 	c, err := l.Dial(context.Background(), l.Addr(), 1000, func(c *Conn) Handler { return silent{} })
 	require.NoError(t, err)
