--- a/internal/loop/descriptors_test.go
+++ b/internal/loop/descriptors_test.go
@@ -16,14 +16,14 @@
 
 var errNoDescriptor = &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
 
-// starved is a listener that has no descriptor for a connection as long as times are hard.
-type starved struct {
+// poorListener is a listener that has no descriptor for a connection as long as times are hard.
+type poorListener struct {
 	net.Listener
 	hard  atomic.Bool
 	asked chan struct{} // told each time
 }
 
-func (s *starved) Accept() (net.Conn, error) {
+func (s *poorListener) Accept() (net.Conn, error) {
 	if s.hard.Load() {
 		select {
 		case s.asked <- struct{}{}:
@@ -38,7 +38,7 @@
 func TestOutOfDescriptors(t *testing.T) {
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	inner := &starved{Listener: tcp, asked: make(chan struct{})}
+	inner := &poorListener{Listener: tcp, asked: make(chan struct{})}
 	l, err := On(inner, 9, func(c *Conn) Handler { return echo{c} })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
