--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -197,7 +197,7 @@
 			conf["settings"] = json.RawMessage(strings.Replace(asking(settings), `"my_number":0`, fmt.Sprintf(`"my_number":%d`, i), 1))
 		}, nil)
 		s.Run("d expect /discovery/hosts")
-		s.Clock.Advance(5000)
+		s.Clock.Advance(1500)
 		isReady(t, n)
 		s.Run("a send GET /up\n a expect 200")
 	}
