--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -114,7 +115,8 @@
 	clock clock.Clock
 	log   *slog.Logger
 	grace float64
-	safe  []bool // by class: a back-off answer is harmless even if the request has run
+	safe  []bool    // by class: a back-off answer is harmless even if the request has run
+	again []float64 // by class: for so many milliseconds after a send that may have run another one does no harm
 	zones map[string]int
 	kinds map[string]int
 	wake  func()
@@ -142,8 +144,9 @@
 
 type relay struct {
 	to     decide.BackendID
-	sent   float64
+	sent   float64 // decided then: it goes out no sooner
 	ended  bool
+	ran    bool // it may have, now that it has ended
 	called bool
 }
 
@@ -173,6 +176,7 @@
 	p.module = module
 	for _, c := range set.Classes {
 		p.safe = append(p.safe, c.Effect == decide.Safe || c.Effect == decide.Keyed && c.Group == decide.GroupAll)
+		p.again = append(p.again, map[decide.Effect]float64{decide.Safe: math.Inf(1), decide.Keyed: millis(c.KeyTTL)}[c.Effect])
 	}
 	return p, nil
 }
@@ -265,26 +269,33 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
-// Over tells that the final answer is given, or that nobody waits for it.
-func (t *Ticket) Over() bool {
-	if t.p == nil {
-		return false
-	}
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	return t.over
-}
-
-// Permits tells whether the rules let something new go to a host now: one that departs gets nothing after its grace.
-func (t *Ticket) Permits(name string) bool {
+// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host now: one that departs
+// gets nothing after its grace, and what may have run is not sent again once its repeats are not dropped any more. Since the
+// attempt was decided, its connection may have taken long to come up.
+func (t *Ticket) May(name string) (owed, permitted bool) {
 	p := t.p
 	if p == nil {
-		return true
+		return true, true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[p.ids[name]]
-	return h != nil && p.clock.Now() <= h.left+p.grace
+	now, id := p.clock.Now(), p.ids[name]
+	h := p.hosts[id]
+	return !t.over, h != nil && now <= h.left+p.grace && t.repeats(id, now)
+}
+
+// repeats tells whether an attempt at a host may go out in view of those before it.
+func (t *Ticket) repeats(to decide.BackendID, now float64) bool {
+	for i := range t.relays {
+		r := &t.relays[i]
+		if r.to == to && !r.ended {
+			return true
+		}
+		if !r.ended || r.ran {
+			return now < r.sent+t.p.again[t.class]
+		}
+	}
+	return true
 }
 
 func (t *Ticket) push(v Verdict) {
@@ -299,6 +310,21 @@
 	}
 }
 
+// retract takes back the relays that were decided and that nobody has picked: nothing goes out any more for a request that
+// is about to be over.
+func (t *Ticket) retract() {
+	t.queue = slices.DeleteFunc(t.queue, func(v Verdict) bool {
+		if v.Kind == Relay {
+			r := &t.relays[v.Relay]
+			r.ended = true
+			t.out--
+			t.p.unsent = append(t.p.unsent, decide.Outcome{Request: t.id, Backend: r.to, Attempt: v.Relay, Over: true,
+				Result: decide.NotSent})
+		}
+		return v.Kind == Relay || v.Kind == CallOff && t.relays[v.Relay].ended
+	})
+}
+
 // end marks that the request's final answer is given, or that no one waits for it.
 func (t *Ticket) end() {
 	t.over = true
@@ -321,10 +347,11 @@
 			return
 		}
 		r := &t.relays[n]
-		r.ended = true
-		t.ran = t.ran || results[o].MayHaveRun()
+		r.ended, r.ran = true, results[o].MayHaveRun()
+		t.ran = t.ran || r.ran
 		t.out--
 		if o == Served && !t.over {
+			t.retract()
 			t.push(Verdict{Kind: Answer, Relay: n, Payload: payload})
 			used = true
 			t.end()
@@ -343,6 +370,7 @@
 			return
 		}
 		t.over = true // first, so that nothing is sent for it any more
+		t.retract()
 		t.p.module.Gone(span(now), t.id)
 		t.end()
 	})
@@ -357,6 +385,7 @@
 			if t.over {
 				continue
 			}
+			t.retract()
 			v := Verdict{Kind: BackOff, Ran: t.ran || t.out > 0}
 			if v.Ran && !p.safe[t.class] {
 				v.Kind = Fail
--- a/internal/pilot/pilot_test.go
+++ b/internal/pilot/pilot_test.go
@@ -63,6 +63,28 @@
 	assert.False(t, open(p).Pick().Ran, "one that comes after that never ran")
 }
 
+// Guards against a retry that is decided in the moment of the stop, of the client's leaving or of another relay's answer and goes
+// out after it, and against a stop that says a request may have run which nobody has sent.
+func TestNothingGoesOutOnceItIsOver(t *testing.T) {
+	p, _, _ := newPilot(t, Host{Name: "h", Address: "a:1"}, Host{Name: "g", Address: "a:2"})
+	finished, gone, served := open(p), open(p), open(p)
+	for _, q := range []*Ticket{finished, gone, served} {
+		require.Equal(t, Relay, q.Pick().Kind)
+	}
+	finished.Report(0, Declined, nil) // a retry is decided
+	gone.Report(0, Declined, nil)
+	p.event(func(float64) { actions{p}.Send(served.id, served.relays[0].to, 0) })
+	served.Report(0, Served, "body")
+	assert.Equal(t, Verdict{Kind: Answer, Payload: "body"}, served.Pick())
+	assert.Equal(t, Verdict{Kind: Done, Ran: true}, served.Pick())
+	gone.Gone()
+	assert.Equal(t, Verdict{Kind: Done}, gone.Pick())
+	p.Finish()
+	assert.Equal(t, Verdict{Kind: BackOff}, finished.Pick())
+	assert.Equal(t, Verdict{Kind: Done}, finished.Pick())
+	assert.Empty(t, p.tickets)
+}
+
 // Guards against a request kept for a client that has left.
 func TestGoneCallsOff(t *testing.T) {
 	p, _, _ := newPilot(t, Host{Name: "h", Address: "a:1"})
@@ -139,3 +161,34 @@
 	assert.Len(t, p.hosts, 1)
 	assert.Len(t, p.ids, 1)
 }
+
+// Guards against work that may have run being sent again after its repeats are no longer dropped, or while it must not be at all,
+// because the further attempt's connection came up late; and against the time of an attempt that never ran being counted.
+func TestWindowOfRepeatsIsAskedLast(t *testing.T) {
+	for _, c := range []struct {
+		effect    decide.Effect
+		first     Outcome
+		late      float64 // after the first send
+		permitted bool
+	}{{decide.Keyed, Reset, 299, true}, {decide.Keyed, Reset, 300, false}, {decide.Keyed, NoConnect, 300, true},
+		{decide.Safe, Reset, 300, true}, {decide.Unsafe, NoConnect, 300, true}} {
+		clk := clock.NewManual(epoch)
+		p, err := New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 3},
+			Classes: []decide.Class{{Name: "alert", Effect: c.effect, KeyTTL: 300 * time.Millisecond, Aim: time.Second, Deadline: 2 * time.Second,
+				Worth: 1}}}, 1, clk, slog.New(slog.DiscardHandler), nil)
+		require.NoError(t, err)
+		p.Inventory(Whole, []Host{{Name: "h1", Zone: "z", Kind: "k", Weight: 1}, {Name: "h2", Zone: "z", Kind: "k", Weight: 1}})
+		q := p.Open(Request{Tenant: -1, Deadline: epoch + 2000})
+		v := q.Pick()
+		clk.Advance(100)
+		_, permitted := q.May(v.Host)
+		require.True(t, permitted, "the first attempt")
+		q.Report(v.Relay, c.first, nil)
+		v = q.Pick()
+		require.Equal(t, Relay, v.Kind)
+		clk.Advance(c.late - 100)
+		owed, permitted := q.May(v.Host)
+		assert.True(t, owed)
+		assert.Equal(t, c.permitted, permitted, c)
+	}
+}
