--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -93,8 +93,8 @@
 	FirstLimit Duration `toml:"first_limit" default:"2800ms" min:"1ms" max:"1h" reload:"now"`
 	// SweepEvery is the time between two looks for connections that are past one of these times.
 	SweepEvery Duration `toml:"sweep_every" default:"100ms" min:"5ms" max:"10s" reload:"now"`
-	// Linger is how long a client that sent what cannot be read, or goes on sending behind its last request, has to read
-	// the answer before its connection ends.
+	// Linger is how long a connection that the node ends is read on, and what comes dropped, so that the last answer is not lost to a
+	// reset; it closes sooner if the client ends it.
 	Linger Duration `toml:"linger" default:"500ms" min:"0s" max:"10s" reload:"now"`
 	// RetryAfter is the form of Retry-After: seconds with decimals, as the platform's clients read it, or whole ones, rounded
 	// up, as RFC 9110 and most libraries have it.
