Read on for 64 MiB in place of 8 behind the answer to a body that is too long

Cause: TestGoPeers did not end (9 minutes under the race detector, 60 s without): fasthttp sends a body of over 32 MiB before it reads, and since a connection that is ended was closed after 8 MiB, so that it met a reset each time and never the 413. Change: twice the longest body by default; north.http.linger bounds the time as before. Result: TestGoPeers passes in 3.0 s, internal/loop passes.

--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -13,7 +13,7 @@
 	readMost    = 32 << 10  // bytes in one read
 	turnMost    = 256 << 10 // bytes that one connection is read before it is others' turn
 	receiveMost = 96 << 10  // of the kernel's memory for what a host has sent and is not read yet
-	dropMost    = 8 << 20   // read and dropped after the end, before the connection is closed all the same
+	dropMost    = 64 << 20  // read and dropped after the end, before the connection is closed: twice the longest body by default
 )
 
 var spare = sync.Pool{New: func() any { return new([readMost]byte) }}
