Let pauses before calls for a pushed list last half of the grace for drains at most

Need: where the list is pushed, what the agent gets when discovery is back counts as told at once, and sends to a drained rater must stop within the grace (0.3 to 2 s on the sites we have). After six failures in a row the pause was 1 s, 1.5 s with the spread of chance, so a drain could be heard of up to 1.2 s too late. Found by reading.

Change: listLimits cuts last_pause to half of drain_grace_s where the list is pushed, and a pause before a call that costs nothing is not spread any more. Where calls cost, nothing changes.

--- a/internal/inventory/discovery/discovery_test.go
+++ b/internal/inventory/discovery/discovery_test.go
@@ -70,3 +70,24 @@
 		d send 42 changes h1:Terminating
 		d expect /discovery/hosts?index=42&wait=1900`)
 }
+
+// Guards against pauses that go on after the agent of the machine is back, where what it has counts as told at once and a call costs
+// nothing: however often it has failed, the next call comes within the last pause, whatever chance says.
+func TestAnAgentThatIsBackIsAskedWithinThePause(t *testing.T) {
+	s := script.New(t, "h1")
+	l, err := loop.Listen("127.0.0.1:0", 1, func(*loop.Conn) loop.Handler { return nil })
+	require.NoError(t, err)
+	w := &Watcher{Address: s.Discovery, Limits: Limits{Fetch: 1000, Wait: 2000, Slack: 1000, FirstPause: 25, LastPause: 150, Told: 6000},
+		Loop: l, Clock: s.Clock, Log: slog.New(slog.DiscardHandler), Sink: nowhere{}, Most: 1 << 20, Known: -1,
+		Chance: func() float64 { return 1 }}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended; l.Stop() })
+	for _, pause := range []float64{25, 50, 100, 150, 150, 150} {
+		s.Run("d expect /discovery/hosts\n d close")
+		require.Eventually(t, func() bool { return s.Clock.Next()-s.Clock.Now() == pause }, time.Minute, time.Millisecond)
+		s.Clock.Advance(pause)
+	}
+	s.Run("d expect /discovery/hosts\n d send 1 whole h1:Terminating\n d expect /discovery/hosts?index=1&wait=2000")
+}
--- a/internal/inventory/pace/pace.go
+++ b/internal/inventory/pace/pace.go
@@ -28,7 +28,7 @@
 type Settings struct {
 	Spread float64 // over which the calls of all nodes are spread, 0 = a call costs nothing
 	First  float64 // least pause after a failure
-	Last   float64 // where its doubling ends, if that is more than MostSpreads spreads
+	Last   float64 // where its doubling ends, if that is more than MostSpreads spreads; no pause is longer where a call costs nothing
 	Told   float64 // after which a change counts as told, from when discovery had it and could be reached; 0 = never
 }
 
@@ -66,7 +66,7 @@
 		spread = cutSpread
 		pause = min(pause, left/(1+spread/2))
 	}
-	if p.Chance == nil {
+	if p.Chance == nil || set.Spread == 0 { // nobody else is at the agent of this machine
 		return pause
 	}
 	return pause * (1 - spread/2 + spread*p.Chance())
--- a/internal/inventory/pace/pace_test.go
+++ b/internal/inventory/pace/pace_test.go
@@ -75,13 +75,20 @@
 func TestPausesGrow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := Settings{rapid.Float64Range(0, 1e4).Draw(t, "spread"), 25, 1000, 0}
+		if rapid.Bool().Draw(t, "free") {
+			set.Spread = 0
+		}
 		p := Pace{Chance: func() float64 { return rapid.Float64Range(0, 1).Draw(t, "chance") }}
 		least := max(25, set.Spread/2) / 2
 		for range rapid.IntRange(1, 20).Draw(t, "failures") {
 			was := p.pause
-			if got := p.Failed(set, 0, 1000); got < least || got > 1.5*max(1000, MostSpreads*set.Spread) || p.pause < was {
+			got := p.Failed(set, 0, 1000)
+			if got < least || got > 1.5*max(1000, MostSpreads*set.Spread) || p.pause < was {
 				t.Fatalf("a pause of %.0f ms after one of %.0f", got, was)
 			}
+			if set.Spread == 0 && got > set.Last {
+				t.Fatalf("a pause of %.0f ms, %.0f is where the doubling ends and a call costs nothing", got, set.Last)
+			}
 		}
 		p.Answered()
 		if got := p.Failed(set, 0, 1000); got > 3*least {
--- a/node/node.go
+++ b/node/node.go
@@ -263,7 +263,7 @@
 		n.loop.Stop()
 		return nil, err
 	}
-	n.watch = &discovery.Watcher{Address: conf.Discovery, Limits: watchLimits(&o), Loop: n.loop, Clock: n.clock,
+	n.watch = &discovery.Watcher{Address: conf.Discovery, Limits: listLimits(conf, &o), Loop: n.loop, Clock: n.clock,
 		Log: sparse.With("part", "inventory"), Sink: plain{n.inventory}, Most: o.Inventory.Discovery.ListMost.Bytes,
 		Chance: chances(conf, n.fleet), Spread: callSpread(&set), Known: -1, First: first}
 	if len(conf.Known.Hosts) > 0 {
@@ -316,7 +316,7 @@
 	n.flood.Set(o.Log.FloodInterval.Ms)
 	n.pool.Limit(southLimits(n.conf, &o))
 	n.north.Limit(northLimits(&o))
-	n.watch.Limit(watchLimits(&o))
+	n.watch.Limit(listLimits(n.conf, &o))
 	if n.lists != nil {
 		n.lists.tune(&o)
 	}
@@ -426,6 +426,16 @@
 		FirstPause: d.FirstPause.Ms, LastPause: d.LastPause.Ms, Told: o.Platform.ListTold.Ms, ToldMoved: o.Platform.ReloadTold.Ms}
 }
 
+// listLimits are those of the platform's list. Where it is pushed, what the agent gets when discovery returns counts as told at once:
+// no pause lasts for more than half of the time in which sends to a rater that departs must stop, and calls there cost nothing.
+func listLimits(conf *Config, o *Options) discovery.Limits {
+	l := watchLimits(o)
+	if grace := conf.Settings.Rules.DrainGrace.Seconds() * 1000; !conf.Settings.Ask {
+		l.LastPause = min(l.LastPause, max(l.FirstPause, grace/2))
+	}
+	return l
+}
+
 func frontSettings(conf *Config, o *Options, room options.Room, budget *flow.Budget) httpfront.Settings {
 	set := httpfront.Settings{ByName: map[string]int{}, Tenants: map[string]int{}, Connections: room.Clients,
 		Crowded: room.Crowded, Limits: northLimits(o)}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -157,3 +157,28 @@
 		require.NotContains(t, strings.TrimSpace(err.Error()), "\n")
 	}
 }
+
+// Guards against a node that sleeps over a drain: where the list is pushed, what the agent gets when it is back counts as told at once,
+// so that the pauses after failed calls go by the grace of the settings; where a call costs, and with a shorter pause, they stay.
+func TestPausesOfAPushedListGoByTheGrace(t *testing.T) {
+	for name, c := range map[string]struct {
+		settings map[string]any
+		option   float64
+		want     float64
+	}{
+		"pushed":           {map[string]any{}, 1000, 250},
+		"short grace":      {map[string]any{"safety": map[string]any{"drain_grace_s": 0.3}}, 1000, 150},
+		"no grace":         {map[string]any{"safety": map[string]any{"drain_grace_s": 0}}, 1000, 25},
+		"long grace":       {map[string]any{"safety": map[string]any{"drain_grace_s": 5}}, 1000, 1000},
+		"a shorter option": {map[string]any{}, 100, 100},
+		"asked for":        {map[string]any{"discovery": "ask", "safety": map[string]any{"ask_within_s": 30}}, 1000, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conf, err := configOf(t, "127.0.0.1:1", "z", c.settings)
+			require.NoError(t, err)
+			o := DefaultOptions()
+			o.Inventory.Discovery.LastPause.Ms = c.option
+			require.InDelta(t, c.want, listLimits(conf, &o).LastPause, 1e-9)
+		})
+	}
+}
