Say in the pages how long pauses before calls for a pushed list last

Need: the table of what is taken of discovery, the operators' page and the reference had 1 s. Result: the test that compares the reference with the types passes.

--- a/internal/options/inventory.go
+++ b/internal/options/inventory.go
@@ -42,7 +42,7 @@
 	WatchSlack Duration `toml:"watch_slack" default:"1s" min:"10ms" max:"1h" reload:"now"`
 	// FirstPause is the time before a failed call is made again, doubled with each further one.
 	FirstPause Duration `toml:"first_pause" default:"25ms" min:"1ms" max:"1h" reload:"now"`
-	// LastPause is where the doubling ends.
+	// LastPause is where the doubling ends. Where the platform pushes the list, it ends at half of its grace for drains.
 	LastPause Duration `toml:"last_pause" default:"1s" min:"1ms" max:"1h" reload:"now"`
 	// ListMost is how large an answer may be. The platform's protocol has 64 KiB, which is some 400 hosts.
 	ListMost Size `toml:"list_most" default:"64KiB" min:"1KiB" max:"256MiB"`
