Take no reset for an end of stream when it comes behind bytes that are being handed on

Seen: a test of a list that a reset cuts short had the cut list taken for whole in 2 of 20 runs. A trace of the reads: 135 bytes, then -1 (connection reset by peer), then 0 twice. The system tells of a reset once; the engine's event for the reset has the socket read again, which finds an end, and read (flow.go, finished) took that for an end of stream. An answer of a rater that tells no length and is reset on the way could so go to its client as a whole one. Ruled out: the peer's close (linger 0, the first read says reset), the parser.

Change: once a read has told how the other side ended the connection, none is made any more.

Result: TestResetBehindBytesIsNoEnd holds the poller in Data until the reset stands in the socket.

--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -195,3 +195,36 @@
 	assert.False(t, fit)
 	close(h.free)
 }
+
+// toItsEnd holds the poller in Data and tells how the connection ended.
+type toItsEnd struct {
+	slow
+	ended chan error
+}
+
+func (h toItsEnd) Closed(err error) { h.ended <- err }
+
+// Guards against a reset that comes while bytes are handed on being taken for an end, and what came before it for all: the system tells
+// of a reset once, so that a further read finds an end.
+func TestResetBehindBytesIsNoEnd(t *testing.T) {
+	h := toItsEnd{slow{make(chan struct{}, 1), make(chan struct{})}, make(chan error, 1)}
+	conns := make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler {
+		c.ReadToEnd()
+		conns <- c
+		return h
+	})
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	raw, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	say(t, raw, "half of it")
+	<-h.came
+	require.NoError(t, raw.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, raw.Close())
+	polled(t, <-conns, unix.POLLERR)
+	close(h.free)
+	err = <-h.ended
+	require.Error(t, err)
+	assert.NotErrorIs(t, err, io.EOF)
+}
--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -42,7 +42,7 @@
 func (c *Conn) read(buffer []byte) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	for total := 0; ; {
+	for total := 0; !c.heard; {
 		if (c.paused.Load() || total > turnMost) && !c.hungUp() {
 			if !c.paused.Load() {
 				go c.catchUp()
@@ -55,7 +55,8 @@
 		}
 		if n <= 0 || err != nil {
 			if !errors.Is(err, syscall.EAGAIN) { // the engine hears of it, too, and closes the socket next
-				c.finished.Store(c.finished.Load() || err == nil)
+				c.heard = true // the system tells of a reset once: a further read would find an end in its place
+				c.finished.Store(err == nil)
 				c.over()
 			}
 			return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -53,6 +53,7 @@
 
 	reading         sync.Mutex    // held by who reads: the poller, or a goroutine that catches up
 	dropped         int           // bytes that nobody was handed, by who reads
+	heard           bool          // how the other side ended it, by who reads
 	paused          atomic.Bool   // nothing more is to be read for now
 	toEnd, finished atomic.Bool   // the end is waited for; it has come
 	room            chan struct{} // something was taken of what was written, or the connection has ended
