Read lists whose answer tells no length and ends with its connection

Need: HTTP/1.1 lets an answer with Connection: close tell no length and end with its connection.

Change: the watch's parser holds a body until the connection ends, up to list_most, and takes it at an end of stream, not at a reset. The language of the scenarios has d end beside d close, which resets.

--- a/internal/inventory/discovery/discovery.go
+++ b/internal/inventory/discovery/discovery.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/url"
 	"sync"
@@ -352,9 +353,11 @@
 	until := w.Clock.Now() + limit
 	if w.conn == nil || !w.conn.usable() {
 		w.drop()
-		c := &conn{parser: http1.NewResponsesOf(w.Most), came: make(chan struct{}, 1)}
+		// It holds what ends with its connection, too, and gives nothing before it is whole.
+		c := &conn{parser: http1.NewFlowing(true, w.Most, http1.Flow{Whole: w.Most + 1}), came: make(chan struct{}, 1)}
 		_, err := w.Loop.Dial(ctx, address, limit, func(n *loop.Conn) loop.Handler {
 			c.net = n
+			n.ReadToEnd()
 			return c
 		})
 		if err != nil {
@@ -399,6 +402,7 @@
 	mu     sync.Mutex
 	parser *http1.Parser
 	ended  bool
+	clean  bool // by an end of stream: a reset is no end of an answer
 }
 
 // Data takes bytes from discovery.
@@ -410,9 +414,9 @@
 }
 
 // Closed takes the end of the connection.
-func (c *conn) Closed(error) {
+func (c *conn) Closed(err error) {
 	c.mu.Lock()
-	c.ended = true
+	c.ended, c.clean = true, errors.Is(err, io.EOF)
 	c.mu.Unlock()
 	c.signal()
 }
@@ -440,6 +444,9 @@
 		c.mu.Lock()
 		m, err := c.parser.Next()
 		ended := c.ended
+		if m == nil && err == nil && c.clean {
+			m, _ = c.parser.End()
+		}
 		if m != nil && m.Close {
 			c.ended = true
 		}
--- a/internal/inventory/discovery/discovery_test.go
+++ b/internal/inventory/discovery/discovery_test.go
@@ -91,3 +91,44 @@
 	}
 	s.Run("d expect /discovery/hosts\n d send 1 whole h1:Terminating\n d expect /discovery/hosts?index=1&wait=2000")
 }
+
+// Guards against a list that is never had because the answer tells no length and ends with its connection, which HTTP/1.1 allows, and
+// against one that a reset has cut short being taken for whole.
+func TestAListThatEndsWithItsConnection(t *testing.T) {
+	s := script.New(t, "h1")
+	l, err := loop.Listen("127.0.0.1:0", 1, func(*loop.Conn) loop.Handler { return nil })
+	require.NoError(t, err)
+	took := &taken{}
+	w := &Watcher{Address: s.Discovery, Limits: Limits{Fetch: 1000, Wait: 2000, Slack: 1000, FirstPause: 25, LastPause: 25, Told: 6000},
+		Loop: l, Clock: s.Clock, Log: slog.New(slog.DiscardHandler), Sink: took, Most: 1 << 20, Known: -1}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { w.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended; l.Stop() })
+	const whole = `HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"index\":5,\"snapshot\":true,\"endpoints\":[{\"name\":\"h1\",` +
+		`\"address\":\"127.0.0.1:80\",\"status\":\"Ready\"}]}`
+	s.Run(`d expect /discovery/hosts
+		d send raw "` + whole + `"
+		d close`) // a reset
+	require.Eventually(t, func() bool { return s.Clock.Next()-s.Clock.Now() == 25 }, time.Minute, time.Millisecond)
+	assert.Empty(t, took.lists)
+	s.Clock.Advance(25)
+	s.Run(`d expect /discovery/hosts
+		d send raw "` + whole + `"
+		d end
+		d expect /discovery/hosts?index=5&wait=2000`)
+	require.Len(t, took.lists, 1)
+	assert.Equal(t, "h1", took.lists[0].Hosts[0].Name)
+}
+
+// taken keeps the lists that came.
+type taken struct {
+	nowhere
+	lists []List
+}
+
+// Take takes one, before the next call is made.
+func (s *taken) Take(l List) error {
+	s.lists = append(s.lists, l)
+	return nil
+}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -12,7 +12,7 @@
 //	r close    r expect close                            the host, or the node, ends the connection
 //	d expect /discovery/hosts                            discovery gets a call
 //	d send 2 whole h1:Ready h2:Terminating               and answers it; `changes` for what changed
-//	d close                                              or resets its connection
+//	d close    d end                                     or resets its connection, or ends it
 //	node send other                                      its configuration names the other discovery; it gets SIGHUP
 //	node close    node expect end                        the node is told to stop, and has stopped
 //	wait 250                                             the clock moves on by so many milliseconds
@@ -218,6 +218,8 @@
 	case who == "d" && verb == "close":
 		_ = s.peers[who].net.(*net.TCPConn).SetLinger(0)
 		return s.peers[who].net.Close()
+	case who == "d" && verb == "end":
+		return s.peers[who].net.Close()
 	case who == "d":
 		return s.list(rest)
 	case strings.Contains("rst", who[:1]) && verb == "expect" && rest != "close":
