Tell of a broken play on real keepers how each keeper was, whatever else is wrong

Need: TestSchedules/leader-dies-in-a-change hung until its bound of 15 min, and all that was told was that 4 logs were there in place of 5. The count of the logs was required before what the judge found was looked at, so the cause and the logs were never printed. Lines to blame: require.NoError and require.Len ahead of assert.Empty(r.Broken) in circle_test.go, and a play that forgot its keepers' states. Change: what broke is asserted first, each further check holds as before and none ends the test before all that is known is told; a play that broke, or did not begin, gives the state of each of its keepers (leader, members, how far it is; that it is down, stands still, or how it ended), and the test prints them with all logs.

--- a/lab/circle/circle.go
+++ b/lab/circle/circle.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -254,6 +255,37 @@
 	return a.State, nil
 }
 
+// states tells of each keeper how it does, in the words of people.
+func (c *Circle) states() (list []string) {
+	for _, k := range c.keepers {
+		list = append(list, k.name+": "+c.stateOf(k))
+	}
+	return list
+}
+
+func (c *Circle) stateOf(k *keeper) string {
+	if k.process == nil {
+		return "it is down"
+	}
+	select {
+	case <-k.process.Done():
+		return "it " + k.process.Exit().String()
+	default:
+	}
+	if k.stopped {
+		return "it stands still"
+	}
+	s, err := c.state(context.Background(), k.name) // whatever bounds the play has ended it, and the look has its own bound
+	if err != nil {
+		return err.Error()
+	}
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 // until waits until a keeper does as wanted, or ctx ends.
 func (c *Circle) until(ctx context.Context, name string, want func(*talk.State) bool) (*talk.State, error) {
 	for {
--- a/lab/circle/circle_test.go
+++ b/lab/circle/circle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -44,11 +45,15 @@
 			defer stop()
 			dir := t.TempDir()
 			r, err := Play(ctx, s, Options{Program: program, Dir: dir})
-			require.NoError(t, err)
+			assert.NoError(t, err)
+			assert.Empty(t, r.Broken)
 			logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
 			require.NoError(t, err)
-			require.Len(t, logs, s.Keepers+s.Spare)
-			broken := !assert.Empty(t, r.Broken)
+			assert.Len(t, logs, s.Keepers+s.Spare)
+			broken := t.Failed() // whatever it is, all is told that is known: it may not come a second time
+			if broken {
+				t.Errorf("the keepers at the end:\n%s", strings.Join(r.States, "\n"))
+			}
 			for _, log := range logs {
 				text, err := os.ReadFile(log)
 				require.NoError(t, err)
@@ -59,3 +64,35 @@
 		})
 	}
 }
+
+// Guards against a play that went wrong and does not tell how its keepers were: those that run, stand still, ended by themselves, and were
+// never started.
+func TestBrokenPlayTells(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), most)
+	defer stop()
+	s := &Schedule{Keepers: 3, Spare: 1, Clients: 1, Faults: []Fault{{Kind: "no such"}}}
+	r, err := Play(ctx, s, Options{Program: program, Dir: t.TempDir()})
+	require.NoError(t, err)
+	require.Len(t, r.Broken, 1)
+	assert.Contains(t, r.Broken[0], `there is no kind "no such"`)
+	require.Len(t, r.States, 4)
+	for i, text := range r.States[:3] {
+		assert.Regexp(t, fmt.Sprintf(`^k%d: .*"role":"(leader|voter)"`, i), text)
+	}
+	assert.Equal(t, "k3: it is down", r.States[3])
+
+	c, err := New([]string{"still", "ended"}, Options{Program: program, Dir: t.TempDir()})
+	require.NoError(t, err)
+	defer c.Close()
+	for _, k := range c.keepers {
+		require.NoError(t, c.Start(k.name))
+	}
+	c.Pause("still", true)
+	c.find("ended").process.Kill()
+	assert.Equal(t, []string{"still: it stands still", "ended: it was ended by killed"}, c.states())
+
+	stop() // before the keepers are founded
+	r, err = Play(ctx, s, Options{Program: program, Dir: t.TempDir()})
+	require.ErrorContains(t, err, "k0: ")
+	assert.Len(t, r.States, 4)
+}
--- a/lab/circle/play.go
+++ b/lab/circle/play.go
@@ -81,6 +81,7 @@
 	Counts map[string]int `json:"counts"`
 	Asked  int            `json:"asked"`
 	Told   int            `json:"told"`
+	States []string       `json:"states,omitempty"` // of a broken play: how each keeper was at its end
 }
 
 // play is one under way.
@@ -120,7 +121,7 @@
 		c.Release(n, s.Before)
 	}
 	if err := c.Found(ctx, p.voters); err != nil {
-		return Result{}, err
+		return Result{States: c.states()}, err
 	}
 	var clients sync.WaitGroup
 	for i := range s.Clients {
@@ -140,6 +141,9 @@
 			r.Broken = append(r.Broken, fmt.Sprintf("%q was never met: the play tested nothing", kind))
 		}
 	}
+	if len(r.Broken) > 0 {
+		r.States = c.states()
+	}
 	return r, nil
 }
 
