Close ended connections whose clients read nothing; break answers off by a reset alone

A connection that is to end once its last answer is written (loop.Conn.End, lines 164-178 of loop.go before) had no bound until then: a client that stops reading held its descriptor and the answer's bytes for ever, also when it was to make room for another, as the linger began only behind the last byte. And an answer that breaks off (loop.Conn.Abort) was shut down before the reset: a client that was told no length (HTTP/1.0) saw an end first, which to it is that of a whole answer. Ruled out: chunked answers and those with a length, whose clients see that something is missing either way.

Change: End takes a time (north.http.stall) in which the other side must take something of what is still to be written; each byte that it takes begins it anew. Abort resets by connecting to nobody, which sends no end and leaves the descriptor to the poller; where a system does not do that, it ends as before. Fronts pass the time; its option's text says so.

Result: TestEndIsBounded/unread and TestAbortIsNoEnd, with the poller held.

--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -100,7 +100,7 @@
 	require.NoError(t, err)
 	c := <-conns
 	require.NoError(t, c.Write([]byte("answer")))
-	c.End(600_000)
+	c.End(600_000, 600_000)
 	raw, err := client.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	require.Eventually(t, func() (ended bool) {
@@ -120,12 +120,15 @@
 	require.Eventually(t, c.isClosed, time.Minute, time.Millisecond, "it goes as soon as the client has")
 }
 
-// Guards against a client that holds a connection which was ended: by never ending it, or by sending without end.
+// Guards against a client that holds a connection which was ended: by never ending it, by sending without end, or by not reading
+// what is still to be written.
 func TestEndIsBounded(t *testing.T) {
 	for name, c := range map[string]struct {
-		linger float64
-		sends  bool
-	}{"silent": {1, false}, "flood": {600_000, true}} {
+		linger, stall float64
+		sends         bool
+		unread        int
+	}{"silent": {linger: 1, stall: 600_000}, "flood": {linger: 600_000, stall: 600_000, sends: true},
+		"unread": {linger: 600_000, stall: 1, unread: 16 << 20}} {
 		t.Run(name, func(t *testing.T) {
 			conns := make(chan *Conn, 1)
 			l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
@@ -133,8 +136,10 @@
 			t.Cleanup(l.Stop)
 			client, err := net.Dial("tcp", l.Addr())
 			require.NoError(t, err)
+			defer client.Close()
 			conn := <-conns
-			conn.End(c.linger)
+			require.NoError(t, conn.Write(make([]byte, c.unread)))
+			conn.End(c.linger, c.stall)
 			for n, piece := 0, make([]byte, 64<<10); c.sends && err == nil; n += len(piece) {
 				_, err = client.Write(piece)
 				require.Less(t, n, 8*dropMost, "it takes all that is sent")
@@ -144,6 +149,22 @@
 	}
 }
 
+// Guards against an answer that breaks off and looks whole: to a client that was told no length the end of the connection is that of
+// the answer. The poller, which closes the descriptor, stands still meanwhile.
+func TestAbortIsNoEnd(t *testing.T) {
+	h := holding(t, 2)
+	client, c := h.connect(t)
+	h.hold(t)
+	require.NoError(t, c.Write([]byte("half")))
+	_, err := io.ReadFull(client, make([]byte, 4))
+	require.NoError(t, err)
+	c.Abort()
+	_, err = client.Read(make([]byte, 1))
+	require.ErrorIs(t, err, unix.ECONNRESET)
+	close(h.free)
+	require.Eventually(t, c.isClosed, time.Minute, time.Millisecond, "its place is free")
+}
+
 // Guards against a request written to a connection on which something came, or which the other side has ended, and against one for a
 // client that has gone, while the poller has not heard of it.
 func TestLookIsAheadOfThePoller(t *testing.T) {
--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -128,10 +129,13 @@
 	return c.closed
 }
 
-// Abort ends the connection at once, so that the other side sees that something is missing.
+// Abort resets the connection at once, so that the other side sees that something is missing. An end would not do: to one that was told
+// no length it means that it has all. The descriptor stays the poller's to close (see Close).
 func (c *Conn) Abort() {
 	c.descriptor(func(fd int) {
 		_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		nobody := unix.RawSockaddr{Family: unix.AF_UNSPEC} // connecting to that breaks a connection off
+		_, _, _ = unix.Syscall(unix.SYS_CONNECT, uintptr(fd), uintptr(unsafe.Pointer(&nobody)), unsafe.Sizeof(nobody))
 	})
-	c.Close()
+	c.Close() // where the system does not reset it so
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -59,7 +59,8 @@
 
 	last   sync.Mutex  // orders what is done to the descriptor with its end
 	closed bool        // the engine closes it; its number is another connection's then
-	lapse  *time.Timer // closes it once the other side has had its time to end it too
+	sent   bool        // all that was to be written before its end is
+	lapse  *time.Timer // closes it once the other side has had its time to take what is written, or to end it too
 }
 
 // descriptor lets f see the descriptor, unless it is closed.
@@ -162,9 +163,10 @@
 }
 
 // End tells the other side that nothing more comes once all that was to be written is, and closes the connection when the other side
-// ends it too, after so many milliseconds at the latest. What still comes is read and dropped: a close over bytes that nobody has
-// read resets the connection, and the last answer may be lost with it.
-func (c *Conn) End(linger float64) {
+// ends it too, after so many milliseconds at the latest (linger). What still comes is read and dropped: a close over bytes that nobody
+// has read resets the connection, and the last answer may be lost with it. Where the other side takes nothing of what is still to be
+// written for so many milliseconds (stall), the connection is closed as it is: it would be held for ever.
+func (c *Conn) End(linger, stall float64) {
 	c.deaf.Store(true)
 	c.Resume()
 	c.mu.Lock()
@@ -174,6 +176,8 @@
 	c.mu.Unlock()
 	if done {
 		c.endSending()
+	} else {
+		c.limitStall(stall)
 	}
 }
 
@@ -184,12 +188,45 @@
 	c.mu.Unlock()
 	c.descriptor(func(fd int) {
 		_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the connection has ended, of which the poller hears too
-		if c.lapse == nil {
-			c.lapse = time.AfterFunc(time.Duration(linger*float64(time.Millisecond)), c.Close)
+		if !c.sent {
+			c.sent = true
+			c.expire(linger, c.Close)
 		}
 	})
 }
 
+// limitStall closes the connection once the other side takes nothing for so many milliseconds, until all is written.
+func (c *Conn) limitStall(stall float64) {
+	c.last.Lock()
+	defer c.last.Unlock()
+	if c.closed || c.sent || c.lapse != nil {
+		return
+	}
+	before := c.written.Load()
+	var look func()
+	look = func() {
+		c.last.Lock()
+		now := c.written.Load()
+		stalled := !c.closed && !c.sent && now == before
+		if before = now; !c.closed && !c.sent && !stalled {
+			c.expire(stall, look)
+		}
+		c.last.Unlock()
+		if stalled {
+			c.Close()
+		}
+	}
+	c.expire(stall, look)
+}
+
+// expire has f called after so many milliseconds, under last, in place of what was to be called before.
+func (c *Conn) expire(after float64, f func()) {
+	if c.lapse != nil {
+		c.lapse.Stop()
+	}
+	c.lapse = time.AfterFunc(time.Duration(after*float64(time.Millisecond)), f)
+}
+
 // Look tells, in one system call, whether a request can go out on c, and whether the client that it is for has ended its own
 // connection; nil is a client that is not looked at. Nothing may have come on c that was not asked for, and the other side may not
 // have ended it: the poller hears of both some time after the machine does.
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -24,7 +24,7 @@
 func (e echo) Data(b []byte) {
 	_ = e.c.Write(b)
 	if bytes.HasSuffix(b, []byte("end")) {
-		e.c.End(0)
+		e.c.End(0, 600_000)
 	}
 }
 func (e echo) Closed(error) {}
@@ -117,7 +117,7 @@
 	<-s.came
 	s.free <- struct{}{}
 	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond, "the poller has handed it all on")
-	go c.End(0)
+	go c.End(0, 600_000)
 	have, err := io.ReadAll(client)
 	require.NoError(t, err)
 	assert.Empty(t, have)
@@ -155,7 +155,7 @@
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler {
 		go func() {
 			_ = c.Write(big)
-			c.End(0)
+			c.End(0, 600_000)
 		}()
 		return echo{c}
 	})
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -53,7 +53,7 @@
 	Read     float64 // in which a request that has begun must be whole,
 	First    float64 // the first one counted from when the client connected
 	Rate     float64 // bytes a millisecond by which a body may take longer than Read,
-	Stall    float64 // and how long a long answer may stand still on its way
+	Stall    float64 // and how long an answer may stand still on its way
 	Linger   float64 // that a client which may go on sending has to read its last answer
 	Settle   float64 // that a client which has connected has before it may have to make room
 	Pipeline int     // kept of what comes behind a request that is being handled
@@ -303,7 +303,7 @@
 		c.net.Close()
 		return
 	case free:
-		c.net.End(c.side.limits.Load().Linger)
+		c.end()
 		return
 	}
 	c.side.mu.Lock()
@@ -314,6 +314,12 @@
 	c.side.mu.Unlock()
 }
 
+// end ends the connection behind its last answer.
+func (c *conn) end() {
+	limits := c.side.limits.Load()
+	c.net.End(limits.Linger, limits.Stall)
+}
+
 // Data takes bytes from the client.
 func (c *conn) Data(data []byte) {
 	c.mu.Lock()
@@ -449,7 +455,7 @@
 	now := c.side.clock.Now()
 	r.Date, r.Close, r.Head = c.side.dates.at(now), true, m != nil && string(m.Method) == "HEAD"
 	_ = c.net.Write(http1.AppendResponse(nil, r))
-	c.net.End(c.side.limits.Load().Linger)
+	c.end()
 }
 
 // request handles one request under the lock.
@@ -653,7 +659,7 @@
 	}
 	switch {
 	case end:
-		c.net.End(c.side.limits.Load().Linger)
+		c.end()
 	case c.net.Backlog() > int64(c.side.limits.Load().Backlog):
 		c.ended = true
 		go c.net.Close()
--- a/internal/north/thriftfront/front.go
+++ b/internal/north/thriftfront/front.go
@@ -43,6 +43,7 @@
 	Pipeline int     // bytes kept of what comes behind
 	Backlog  int     // bytes of results kept for a client that does not read them
 	Linger   float64 // ms that a client which sent what cannot be read has to read why
+	Stall    float64 // ms that results may stand still on their way to a client whose connection ends
 }
 
 // Side serves clients.
@@ -282,7 +283,7 @@
 func (c *conn) end() {
 	c.ended = true
 	c.seat.Enter(lobby.Leaving, c.came)
-	c.net.End(c.side.set.Linger)
+	c.net.End(c.side.set.Linger, c.side.set.Stall)
 }
 
 // leave gives up the calls of a client that is not served any more.
@@ -297,7 +298,7 @@
 	c.ended = true
 	c.side.log.Warn("a client sent what cannot be read", "client", c.net.Peer(), "status", "thrift", "error", err)
 	c.seat.Enter(lobby.Leaving, c.came)
-	defer c.net.End(c.side.set.Linger)
+	defer c.net.End(c.side.set.Linger, c.side.set.Stall)
 	if errors.Is(err, thrift.ErrNotThrift) {
 		_ = c.net.Write(http1.AppendResponse(nil, http1.Reply{Status: 400, Body: []byte("Thrift is spoken here\n"), Close: true}))
 		return
@@ -318,7 +319,7 @@
 	case free && c.net.Backlog() == 0:
 		c.net.Close()
 	case free:
-		c.net.End(c.side.set.Linger)
+		c.net.End(c.side.set.Linger, c.side.set.Stall)
 	}
 	return free
 }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -109,7 +109,8 @@
 	BodyWhole Size `toml:"body_whole" default:"256KiB" min:"64KiB" max:"16MiB"`
 	// BodyRate is how many bytes a second of a body let its request take longer than the limits above.
 	BodyRate Size `toml:"body_rate" default:"32KiB" min:"1KiB" max:"1GiB" reload:"now"`
-	// Stall is how long a long answer may stand still on its way, because its host gives or its client takes nothing.
+	// Stall is how long an answer may stand still on its way, because its host gives or its client takes nothing; to clients that
+	// speak Thrift, too.
 	Stall Duration `toml:"stall" default:"15s" min:"1s" max:"1h" reload:"now"`
 	// PipelineMost is how much is kept of what comes behind a request that is being handled; with more, that request's
 	// answer is the connection's last.
--- a/node/thrift.go
+++ b/node/thrift.go
@@ -87,7 +87,7 @@
 		return nil
 	}
 	fs := thriftfront.Settings{Methods: map[string]thriftfront.Method{}, Tenants: map[string]int{}, Messages: messageLimits(o), Open: front.Open,
-		Pipeline: front.PipelineMost.Bytes, Backlog: front.BacklogMost.Bytes, Linger: front.Linger.Ms,
+		Pipeline: front.PipelineMost.Bytes, Backlog: front.BacklogMost.Bytes, Linger: front.Linger.Ms, Stall: o.North.HTTP.Stall.Ms,
 		Lobby: lobby.Settings{Connections: room.Thrift, Crowded: room.Thrift, Limits: lobby.Limits{Idle: front.IdleAfter.Ms,
 			Read: front.ReadLimit.Ms, First: front.FirstLimit.Ms, Settle: front.Settle.Ms}}}
 	for i, c := range n.conf.Settings.Classes {
