Ask once more before a late request is ended; let empty lines begin none

A request that came whole in between, with half of the next one behind it, had the next one answered 400 and closed though it had just begun: it has 2.5 s. The same gap ended a connection that had been used a moment before. And an empty line in two parts, "\r" and "\n", which a parser may skip before a request, left its connection in the state of one that is being read (next, line 341): neither idle nor late, it was never ended and never made room. Anybody could hold every descriptor so, for good.

Change: each connection is looked at again under its own lock before it is ended (overdue, resting). Where nothing is left of what had come, the connection rests for as long as it did before, so that empty lines do not prolong it.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -154,6 +154,19 @@
 	return free
 }
 
+// Quiet tells whether nothing has come that was not handed on.
+func (c *Conn) Quiet() (quiet bool) {
+	if !c.reading.TryLock() {
+		return false
+	}
+	defer c.reading.Unlock()
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		quiet = err == nil && n == 0
+	})
+	return quiet
+}
+
 // Close ends the connection at once. The poller closes the descriptor when it hears of that: were it closed here, the next
 // connection could get its number while the poller still has an event of this one to see to, and be ended by it.
 func (c *Conn) Close() {
--- /dev/null
+++ b/internal/north/httpfront/crossing_test.go
@@ -0,0 +1,187 @@
+package httpfront
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/duty"
+	"linenwheel.dev/linenwheel/internal/loop"
+	"linenwheel.dev/linenwheel/internal/stop/gate"
+)
+
+// warned is a log whose warnings wait.
+type warned struct {
+	slog.Handler
+	came chan string // the client that one is about
+	free chan struct{}
+}
+
+func (w warned) Handle(_ context.Context, r slog.Record) error {
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "client" {
+			w.came <- a.Value.String()
+			<-w.free
+		}
+		return true
+	})
+	return nil
+}
+
+// bench is a front on a socket that answers /up and has no node behind it.
+type bench struct {
+	*Side
+	t     *testing.T
+	clock *clock.Manual
+	loop  *loop.Loop
+	came  chan *conn
+}
+
+var limits = Limits{Idle: 2000, Read: 2500, First: 2800, Rate: 32, Stall: 600_000, Linger: 600_000, Settle: 25, Pipeline: 32 << 10,
+	Backlog: 256 << 10}
+
+func newBench(t *testing.T, connections int, log slog.Handler) *bench {
+	b := &bench{t: t, clock: clock.NewManual(1e6), came: make(chan *conn, 64)}
+	b.Side = New(Settings{Connections: connections, Crowded: 1000, Limits: limits, ByName: map[string]int{"pay": 0},
+		Classes: []Class{{Method: "POST"}}}, b.clock, nil, gate.New(nil, duty.Times{}, b.clock), slog.New(log))
+	b.Ready()
+	var err error
+	b.loop, err = loop.Listen("127.0.0.1:0", 64, func(n *loop.Conn) loop.Handler {
+		h := b.Accept(n)
+		b.came <- h.(*conn)
+		return h
+	})
+	require.NoError(t, err)
+	t.Cleanup(b.loop.Stop)
+	return b
+}
+
+// client connects; both ends are given.
+func (b *bench) client() (net.Conn, *conn) {
+	raw, err := net.Dial("tcp", b.loop.Addr())
+	require.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = raw.Close() })
+	return raw, <-b.came
+}
+
+// say sends text and waits until the front has it.
+func (b *bench) say(raw net.Conn, c *conn, text string) {
+	_, err := io.WriteString(raw, text)
+	require.NoError(b.t, err)
+	tail := text[strings.LastIndexByte(text, '\n')+1:]
+	b.until(func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.net.Quiet() && (tail != "" && c.parser.Buffered() >= len(tail) || tail == "" && c.parser.Idle() || c.parser.Came() > 0)
+	})
+}
+
+func (b *bench) until(what func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, what, time.Minute, time.Millisecond)
+}
+
+// heard reads to the end of a connection.
+func (b *bench) heard(raw net.Conn) string {
+	require.NoError(b.t, raw.SetReadDeadline(time.Now().Add(time.Minute)))
+	text, err := io.ReadAll(raw)
+	require.NoError(b.t, err)
+	return string(text)
+}
+
+// up asks whether the front still serves a connection.
+func (b *bench) up(raw net.Conn) {
+	_, err := io.WriteString(raw, upRequest)
+	require.NoError(b.t, err)
+	require.NoError(b.t, raw.SetReadDeadline(time.Now().Add(time.Minute)))
+	have := make([]byte, 15)
+	_, err = io.ReadFull(raw, have)
+	require.NoError(b.t, err)
+	require.Equal(b.t, "HTTP/1.1 200 OK", string(have))
+}
+
+const upRequest = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// Guards against a request that is ended as late though it has only just begun: the one that was late came whole between the look at
+// all connections and the end of this one.
+func TestSweepLooksAgain(t *testing.T) {
+	w := warned{slog.DiscardHandler, make(chan string), make(chan struct{})}
+	w.Handler = slog.NewTextHandler(io.Discard, nil)
+	b := newBench(t, 9, w)
+	raw, ends := map[string]net.Conn{}, map[string]*conn{}
+	for range 2 {
+		r, c := b.client()
+		b.say(r, c, "GET /up HTTP/1.1\r\nHost")
+		raw[r.LocalAddr().String()], ends[r.LocalAddr().String()] = r, c
+	}
+	b.clock.Advance(2500)
+	swept := make(chan struct{})
+	go func() { b.Sweep(); close(swept) }()
+	first := <-w.came // which of them is the first is chance
+	for name, r := range raw {
+		if name != first { // the other one's comes whole, and half of the next one behind it
+			_, err := io.WriteString(r, ": x\r\n\r\nGET /up HT")
+			require.NoError(t, err)
+			_, err = io.ReadFull(r, make([]byte, 15))
+			require.NoError(t, err)
+			b.until(func() bool {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				return ends[name].state == reading && ends[name].since == b.clock.Now()
+			})
+		}
+	}
+	go func() {
+		for range w.came { // a second warning is the fault
+		}
+	}()
+	close(w.free)
+	<-swept
+	for name, c := range ends {
+		c.mu.Lock()
+		assert.Equal(t, name == first, c.ended)
+		c.mu.Unlock()
+	}
+}
+
+// Guards against a client that holds its connection for ever with an empty line which comes in two parts: no request has begun, and
+// none is late.
+func TestEmptyLinesAreNoRequest(t *testing.T) {
+	for _, asked := range []bool{false, true} {
+		b := newBench(t, 9, slog.DiscardHandler)
+		raw, c := b.client()
+		if asked {
+			b.up(raw)
+			b.until(func() bool { return b.stateOf(c) == idle })
+		}
+		b.clock.Advance(1999)
+		b.say(raw, c, "\r")
+		b.until(func() bool { return b.stateOf(c) == reading })
+		_, err := io.WriteString(raw, "\n")
+		require.NoError(t, err)
+		b.until(func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.parser.Idle() && c.net.Quiet()
+		})
+		b.clock.Advance(1)
+		b.Sweep()
+		c.mu.Lock()
+		assert.True(t, c.ended, "it has rested for long enough")
+		c.mu.Unlock()
+	}
+}
+
+func (b *bench) stateOf(c *conn) state {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return c.state
+}
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -142,7 +142,7 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if victim != nil {
-		go victim.retire(true)
+		go victim.retire(true, 0)
 	}
 	return c
 }
@@ -185,6 +185,23 @@
 	return victim
 }
 
+// overdue tells, under the side's lock, whether a request that has begun should be whole by now.
+func (c *conn) overdue(now float64, limits *Limits) bool {
+	return c.state == reading && (now-c.since >= limits.Read+c.allowed || !c.asked && now-c.accepted >= limits.First+c.allowed)
+}
+
+// resting tells, under the side's lock, whether the connection carries no request for so long.
+func (c *conn) resting(now, limit float64) bool {
+	return (c.state == silent || c.state == idle) && now-c.since >= limit
+}
+
+// still asks one of these once more: between looking at all connections and seeing to one, a request may have come and gone.
+func (c *conn) still(what func() bool) bool {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	return what()
+}
+
 // Connections is how many connections of clients are open.
 func (s *Side) Connections() int {
 	s.mu.Lock()
@@ -207,20 +224,20 @@
 	var free, slow []*conn
 	s.mu.Lock()
 	for c := range s.conns {
-		switch age := now - c.since; {
-		case (c.state == silent || c.state == idle) && age >= limit:
+		switch {
+		case c.resting(now, limit):
 			free = append(free, c)
-		case c.state == reading && (age >= limits.Read+c.allowed || !c.asked && now-c.accepted >= limits.First+c.allowed):
+		case c.overdue(now, limits):
 			slow = append(slow, c)
 		}
 	}
 	s.mu.Unlock()
 	for _, c := range free {
-		c.retire(false)
+		c.retire(false, limit)
 	}
 	for _, c := range slow {
 		c.mu.Lock()
-		if !c.ended && !c.busy && !c.parser.Idle() {
+		if !c.ended && !c.busy && !c.parser.Idle() && c.still(func() bool { return c.overdue(now, limits) }) {
 			c.unreadable(errSlow)
 		}
 		c.mu.Unlock()
@@ -241,7 +258,8 @@
 
 	// Under the side's lock.
 	state   state
-	since   float64 // it is in its state since then
+	since   float64 // it is in its state since then,
+	rested  float64 // and was in the one before since then
 	asked   bool    // a whole request has come,
 	left    bool    // and it has had its last answer
 	allowed float64 // milliseconds that the body which is coming may take beyond the limits
@@ -265,6 +283,7 @@
 func (c *conn) enter(state state) {
 	c.side.mu.Lock()
 	if c.state != state {
+		c.rested = c.since
 		c.state, c.since = state, c.side.clock.Now()
 		if state == reading {
 			c.since = c.came
@@ -283,6 +302,18 @@
 	c.side.mu.Unlock()
 }
 
+// unread takes back that a request has begun: empty lines are none (RFC 9112, 2.2), and the connection rests for as long as it did.
+func (c *conn) unread() {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	if c.state != reading {
+		return
+	}
+	if c.state, c.since = silent, c.rested; c.asked {
+		c.state = idle
+	}
+}
+
 // leave counts a connection out, under the side's lock, that has had its last answer or has ended.
 func (c *conn) leave() {
 	if c.asked && !c.left {
@@ -291,11 +322,13 @@
 	}
 }
 
-// retire ends the connection if it still carries nothing, or has its last answer. A request that the machine has taken and the
-// handler not yet seen would be lost with it. Where it makes room for another it is closed at once.
-func (c *conn) retire(room bool) {
+// retire ends the connection if it still carries nothing, for so many milliseconds, or has its last answer. A request that the machine
+// has taken and the handler not yet seen would be lost with it. Where it makes room for another it is closed at once.
+func (c *conn) retire(room bool, rest float64) {
+	now := c.side.clock.Now()
 	c.mu.Lock()
-	free := c.ended || !c.busy && c.parser.Idle() && c.net.Farewell()
+	resting := func() bool { return c.resting(now, rest) }
+	free := c.ended || !c.busy && c.parser.Idle() && c.still(resting) && c.net.Farewell()
 	c.ended = c.ended || free
 	c.mu.Unlock()
 	switch {
@@ -355,6 +388,8 @@
 			if !c.parser.Idle() && c.reserve() {
 				c.enter(reading)
 				c.expected()
+			} else if !c.ended && c.parser.Idle() {
+				c.unread()
 			}
 			return
 		}
