Ask once more before a late Thrift call is ended

A call that came whole in between and was answered, with part of the next one behind it, had the next one ended as not whole in time though it had just begun.

Change: the guest asks its seat once more under its own lock (Seat.Overdue).

Without the mend it was seen to fail; with it 200 runs under the race detector passed with GOMAXPROCS 1 and 200 with 6.

--- a/internal/north/lobby/lobby.go
+++ b/internal/north/lobby/lobby.go
@@ -181,6 +181,19 @@
 	}
 }
 
+// Overdue tells whether a request that has begun should be whole by now. A guest asks it before it ends one as slow: since the lobby has
+// looked, that one may have come and another begun.
+func (s *Seat) Overdue() bool {
+	s.lobby.mu.Lock()
+	defer s.lobby.mu.Unlock()
+	return s.overdue(s.lobby.clock.Now(), s.lobby.limits.Load())
+}
+
+// overdue is Overdue under the lock.
+func (s *Seat) overdue(now float64, limits *Limits) bool {
+	return s.state == Reading && (now-s.since >= limits.Read || !s.asked && now-s.accepted >= limits.First)
+}
+
 // leave counts a seat out, under the lock, that has had its last answer or has ended.
 func (s *Seat) leave() {
 	if s.asked && !s.left {
@@ -226,7 +239,7 @@
 		switch age := now - s.since; {
 		case (s.state == Silent || s.state == Idle) && age >= idle:
 			free = append(free, s)
-		case s.state == Reading && (age >= limits.Read || !s.asked && now-s.accepted >= limits.First):
+		case s.overdue(now, limits):
 			slow = append(slow, s)
 		}
 	}
--- a/internal/north/thriftfront/front.go
+++ b/internal/north/thriftfront/front.go
@@ -333,7 +333,7 @@
 func (c *conn) Slow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ended && len(c.open) == 0 && !c.reader.Idle() {
+	if !c.ended && len(c.open) == 0 && !c.reader.Idle() && c.seat.Overdue() {
 		c.unreadable(errSlow)
 	}
 }
