Count the part from which a client's connection is crowded without the operators' door

Need: the door at control takes 10 descriptors, which left clients 13 of 64, while a crowd was counted from 16 on, a quarter of all: no answer ever ended a connection in a crowd. An options file that touched one of the shares did not start at all, whatever it said: with connections_part = 0.44 `linenwheel check` gave "crowded_part of limits.sockets, 16 of 64, is more than the 13 that clients may hold", status 2. Ruled out: the node without a file, which started with 64 beside control before, too.

Change: crowded_part is that of the descriptors without the door's.

--- a/cmd/linenwheel/room_test.go
+++ b/cmd/linenwheel/room_test.go
@@ -159,13 +159,17 @@
 // Guards against idle clients that fill the descriptors while discovery is down, so that the node cannot ask discovery,
 // reach a rater, hear its operators, or take a client who has something to ask; and against a process over its limit.
 func TestIdleClientsFillTheDescriptors(t *testing.T) {
-	for name, goDown := range map[string]func(*agent){"silent": (*agent).silent, "refusing": (*agent).refuse} {
-		t.Run(name, func(t *testing.T) { fillDescriptors(t, goDown) })
+	for name, c := range map[string]struct {
+		goDown                     func(*agent)
+		sockets, clients, requests int // see options.Room
+	}{"silent": {(*agent).silent, 80, 22, 15}, "refusing": {(*agent).refuse, 80, 22, 15},
+		"the least that there may be": {(*agent).silent, 64, 13, 10}} {
+		t.Run(name, func(t *testing.T) { fillDescriptors(t, c.goDown, c.sockets, c.clients, c.requests) })
 	}
 }
 
-func fillDescriptors(t *testing.T, goDown func(*agent)) {
-	const sockets, most, waiting, requests = 80, 22 + 4, 100, 15 // most clients: see options.Room
+func fillDescriptors(t *testing.T, goDown func(*agent), sockets, clients, requests int) {
+	const waiting, spare = 100, 4
 	came, release := make(chan struct{}, requests), make(chan struct{})
 	rater := func(name string) string {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -242,7 +246,7 @@
 	require.Equal(t, "200 ready", operator.heard())
 	full := p.held()
 	require.LessOrEqual(t, full, sockets)
-	require.GreaterOrEqual(t, full, begin+22+requests, "the descriptors are in use")
+	require.GreaterOrEqual(t, full, begin+clients+requests, "the descriptors are in use")
 
 	close(release)
 	for i, c := range held {
@@ -264,7 +268,7 @@
 	close(done)
 	<-ended
 	assert.LessOrEqual(t, seen.Load(), int64(sockets))
-	assert.LessOrEqual(t, s.clients(p), most)
+	assert.LessOrEqual(t, s.clients(p), clients+spare)
 	p.signal(syscall.SIGKILL)
 	p.end()
 }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -118,7 +118,7 @@
 	// BacklogMost is how much of answers is kept for a client that does not read them; with more, its connection ends.
 	// The largest answer must fit.
 	BacklogMost Size `toml:"backlog_most" default:"256KiB" min:"80KiB" max:"16MiB" reload:"now"`
-	// CrowdedPart is the part of the descriptors from which on, held by clients that have asked, an answer ends its
+	// CrowdedPart is the part of the descriptors, without the operators' door's, from which on, held by clients that have asked, an answer ends its
 	// connection. 1 is never.
 	CrowdedPart float64 `toml:"crowded_part" default:"0.25" min:"0.01" max:"1"`
 	// SpareConnections are those over the cap on clients' connections that are answered once and closed.
@@ -236,17 +236,18 @@
 
 // Room divides the platform's limits.sockets.
 func (o *Options) Room(c *config.Config) Room {
-	left := max(0, c.Sockets-o.Service.Reserve)
-	if c.Control != "" {
-		left = max(0, left-admin.Descriptors)
+	sockets := c.Sockets
+	if c.Control != "" { // the door's are for no client
+		sockets -= admin.Descriptors
 	}
+	left := max(0, sockets-o.Service.Reserve)
 	r := Room{Hosts: int(math.Floor(o.South.ConnectionsPart*float64(left) + 1e-6)), Spare: o.North.HTTP.SpareConnections}
 	r.Clients = left - r.Hosts - r.Spare
 	if t := &o.North.Thrift; t.Listen != "" {
 		r.Thrift = max(1, int(t.ConnectionsPart*float64(r.Clients)))
 		r.Clients -= r.Thrift
 	}
-	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(c.Sockets)))
+	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(sockets)))
 	return r
 }
 
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -131,6 +131,22 @@
 	}
 }
 
+// Guards against a node whose operators' door leaves clients so few connections that no answer ends one in a crowd, or that does not
+// start because of it.
+func TestRoomBesideTheDoor(t *testing.T) {
+	o := Default()
+	for sockets := 64; sockets < 1<<16; sockets++ {
+		c := &config.Config{Sockets: sockets, Control: "127.0.0.1:7", MemoryMB: 1e6, ConnIdle: 30000}
+		r := o.Room(c)
+		if r.Hosts < 1 || r.Clients < 1 || r.Crowded > r.Clients {
+			require.Fail(t, "no room", "%d: %+v", sockets, r)
+		}
+	}
+	o.Against(&config.Config{Sockets: 64, Control: "127.0.0.1:7", MemoryMB: 192, ConnIdle: 30000}, func(reason string, fields ...string) {
+		require.Fail(t, reason, fields)
+	})
+}
+
 // Guards against a time or a size that is shown as something else than it is.
 func TestValuesAreWrittenAsTheyAreRead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
