Show that a full table makes room while the node stops

Need: what a signal to end does to a client that waits while idle ones hold every place was forced in no test.

--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -202,3 +202,28 @@
 		s.Run("a send GET /up\n a expect 200")
 	}
 }
+
+// Guards against a client that waits for a place, while the node stops, until those who hold all of them and ask nothing are ended: it
+// would be refused then.
+func TestFullTableMakesRoomWhileTheNodeStops(t *testing.T) {
+	s, n := startNode(t, Extras{}, 1024, []string{"h1"})
+	n.loop.Resize(3)
+	s.Run(begin("h1") + `
+		a send GET /up
+		a expect 200
+		b send GET /up
+		b expect 200
+		c send GET /up
+		c expect 200
+		node close
+		e send POST /pay/1 id=q deadline=900`)
+	require.Eventually(t, n.loop.Full, time.Minute, time.Millisecond)
+	pulse, err := n.loop.Pulse()
+	require.NoError(t, err)
+	pulse.Beat(t.Context()) // the poller has left the others
+	s.Run(`
+		wait 100
+		r expect POST /pay/1
+		r send 200 body=ok
+		e expect 200 body=ok Connection=`)
+}
