Let an answer that comes late leave the last one alone

Need: where the rest of a request cannot be read while its answer is on its way from the host, the client gets a 400 and its connection ends. If the answer came to the front before the call was told that it is over, and its body flows, the front broke the connection off (flow.go 14-25 before), as it does with an answer that breaks: the 400, or what was still to be written before it, was lost to the reset.

Change: an answer that finds its connection ended is dropped, and that is all.

Result: TestLateAnswerLeavesTheLastOneAlone.

--- a/internal/north/httpfront/crossing_test.go
+++ b/internal/north/httpfront/crossing_test.go
@@ -13,7 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/core"
 	"linenwheel.dev/linenwheel/internal/duty"
+	"linenwheel.dev/linenwheel/internal/flow"
+	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/stop/gate"
 )
@@ -50,8 +53,9 @@
 
 func newBench(t *testing.T, connections int, log slog.Handler) *bench {
 	b := &bench{t: t, clock: clock.NewManual(1e6), came: make(chan *conn, 64)}
+	to := core.New(core.Settings{}, nil, nil, slog.New(log)) // which nothing is given to serve
 	b.Side = New(Settings{Connections: connections, Crowded: 1000, Limits: limits, ByName: map[string]int{"pay": 0},
-		Classes: []Class{{Method: "POST"}}}, b.clock, nil, gate.New(nil, duty.Times{}, b.clock), slog.New(log))
+		Classes: []Class{{Method: "POST"}}}, b.clock, to, gate.New(nil, duty.Times{}, b.clock), slog.New(log))
 	b.Ready()
 	var err error
 	b.loop, err = loop.Listen("127.0.0.1:0", 64, func(n *loop.Conn) loop.Handler {
@@ -236,3 +240,24 @@
 	assert.False(t, c3.ended, "it keeps its pace")
 	c3.mu.Unlock()
 }
+
+// Guards against a last answer that is broken off by another one: the rest of a request could not be read while its answer was on its
+// way to the front.
+func TestLateAnswerLeavesTheLastOneAlone(t *testing.T) {
+	b := newBench(t, 9, slog.DiscardHandler)
+	raw, c := b.client()
+	before := make([]byte, 6<<20) // answers that it has not read yet
+	require.NoError(t, c.net.Write(before))
+	_, err := io.WriteString(raw, "GET /up HTTP/x\r\n\r\n")
+	require.NoError(t, err)
+	b.until(func() bool { return b.stateOf(c) == leaving })
+	dropped := false
+	rest := flow.New(flow.NewBudget(1<<20), func(bool) {}, func() { dropped = true })
+	c.mu.Lock()
+	c.flow(&http1.Message{}, &core.Call{}, &http1.Message{Status: 200, Rest: rest})
+	c.mu.Unlock()
+	assert.True(t, dropped)
+	have := b.heard(raw)
+	require.Greater(t, len(have), len(before))
+	assert.Regexp(t, "^HTTP/1.1 400 (?s:.*)Connection: close\r\n", have[len(before):])
+}
--- a/internal/north/httpfront/flow.go
+++ b/internal/north/httpfront/flow.go
@@ -10,12 +10,13 @@
 
 // flow passes on an answer whose body is still coming, under the lock, which it gives up meanwhile.
 func (c *conn) flow(m *http1.Message, call *core.Call, answer *http1.Message) {
-	kind := core.Left
-	if c.ended {
+	if c.ended { // its client has gone, or has its last answer, which is not to be broken off
 		answer.Rest.Drop()
-	} else {
-		kind = c.passOn(m, answer)
+		c.side.core.Flowed(call, core.Left)
+		c.call, c.busy = nil, false
+		return
 	}
+	kind := c.passOn(m, answer)
 	c.side.core.Flowed(call, kind)
 	c.call, c.busy = nil, false
 	switch {
