--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -109,7 +109,8 @@
 	BodyWhole Size `toml:"body_whole" default:"256KiB" min:"64KiB" max:"16MiB"`
 	// BodyRate is how many bytes a second of a body let its request take longer than the limits above.
 	BodyRate Size `toml:"body_rate" default:"32KiB" min:"1KiB" max:"1GiB" reload:"now"`
-	// Stall is how long a long answer may stand still on its way, because its host gives or its client takes nothing.
+	// Stall is how long an answer may stand still on its way, because its host gives or its client takes nothing; to clients that
+	// speak Thrift, too.
 	Stall Duration `toml:"stall" default:"15s" min:"1s" max:"1h" reload:"now"`
 	// PipelineMost is how much is kept of what comes behind a request that is being handled; with more, that request's
 	// answer is the connection's last.
@@ -117,7 +118,7 @@
 	// BacklogMost is how much of answers is kept for a client that does not read them; with more, its connection ends.
 	// The largest answer must fit.
 	BacklogMost Size `toml:"backlog_most" default:"256KiB" min:"80KiB" max:"16MiB" reload:"now"`
-	// CrowdedPart is the part of the descriptors from which on, held by clients that have asked, an answer ends its
+	// CrowdedPart is the part of the descriptors, without the operators' door's, from which on, held by clients that have asked, an answer ends its
 	// connection. 1 is never.
 	CrowdedPart float64 `toml:"crowded_part" default:"0.25" min:"0.01" max:"1"`
 	// SpareConnections are those over the cap on clients' connections that are answered once and closed.
@@ -235,17 +236,18 @@
 
 // Room divides the platform's limits.sockets.
 func (o *Options) Room(c *config.Config) Room {
-	left := max(0, c.Sockets-o.Service.Reserve)
-	if c.Control != "" {
-		left = max(0, left-admin.Descriptors)
+	sockets := c.Sockets
+	if c.Control != "" { // the door's are for no client
+		sockets -= admin.Descriptors
 	}
+	left := max(0, sockets-o.Service.Reserve)
 	r := Room{Hosts: int(math.Floor(o.South.ConnectionsPart*float64(left) + 1e-6)), Spare: o.North.HTTP.SpareConnections}
 	r.Clients = left - r.Hosts - r.Spare
 	if t := &o.North.Thrift; t.Listen != "" {
 		r.Thrift = max(1, int(t.ConnectionsPart*float64(r.Clients)))
 		r.Clients -= r.Thrift
 	}
-	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(c.Sockets)))
+	r.Crowded = max(1, int(o.North.HTTP.CrowdedPart*float64(sockets)))
 	return r
 }
 
