Tell by count whether a body's last byte went out; heed an answer that comes before it

What was seen, each forced on real sockets: - A body of known length that flows counted as whole only once the pipe had told its end (pool.go, `all = more > 0`). Where the host reset, or the time was up, after the socket had the last byte and before that, the outcome was "could not connect": the client would be told that trying again is harmless. - What the engine has written and not yet counted when a connection is given up was taken for unsent: Written reads a number that the poller raises after its write. A one-way call was even judged before its connection was closed. - A host that answers early and takes no more of the request had its answer wait for the call's time: Room heard of no answer (upload.go). An answer that ended its connection under the upload was dropped for "could not connect". - A long answer that was over before the relay looked put its connection back for the next relay with half a request on it.

Now a connection knows how many bytes its relay's request is, a write under way is waited for after a close (Conn.Taken), the answer wakes the upload, and a connection that has answered before it has the request is never used again.

The one-way call's order has no test: between its two looks there is no seam.

--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
@@ -195,3 +197,35 @@
 	assert.False(t, fit)
 	close(h.free)
 }
+
+// Guards against a last byte that the socket has taken, but that is not counted yet when its connection is given up: what may have run
+// would be told not to have.
+func TestTakenWaitsForTheWriteUnderWay(t *testing.T) {
+	conns := make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	taken, free := make(chan struct{}), make(chan struct{})
+	l.engine.OnWrittenSize(func(nb *nbio.Conn, b []byte, n int) {
+		close(taken)
+		<-free
+		l.wrote(nb, b, n)
+	})
+	client, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	c := <-conns
+	wrote := make(chan error, 1)
+	go func() { wrote <- c.Write([]byte("last")) }()
+	<-taken
+	c.Close()
+	told := make(chan int64, 1)
+	go func() { told <- c.Taken() }()
+	for range 1000 {
+		runtime.Gosched()
+		require.Empty(t, told, "the socket has them")
+	}
+	close(free)
+	assert.EqualValues(t, 4, <-told)
+	require.NoError(t, <-wrote)
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -125,6 +125,13 @@
 // Written is the number of bytes that the socket has taken.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
+// Taken is Written once a write that is under way has been counted: after Close it stays as it is. It waits for what the engine does
+// with the connection, so no lock may be held that a handler takes.
+func (c *Conn) Taken() int64 {
+	_, _ = c.nb.Write(nil) // writes are one after another
+	return c.written.Load()
+}
+
 // Backlog is the number of bytes written that the socket has not taken yet.
 func (c *Conn) Backlog() int64 {
 	c.mu.Lock()
@@ -291,15 +298,7 @@
 			c.handler.Closed(c.endedBy(err))
 		}
 	})
-	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c := l.conn(nb); c != nil {
-			done := c.written.Add(int64(n))
-			if end := c.ending.Load(); end > 0 && done >= end {
-				go c.endSending() // the engine holds its lock here
-			}
-			c.wake()
-		}
-	})
+	l.engine.OnWrittenSize(l.wrote)
 	if err := l.engine.Start(); err != nil {
 		_ = inner.Close()
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
@@ -307,6 +306,17 @@
 	return l, nil
 }
 
+// wrote counts what a socket has taken. The engine holds its lock here.
+func (l *Loop) wrote(nb *nbio.Conn, _ []byte, n int) {
+	if c := l.conn(nb); c != nil {
+		done := c.written.Add(int64(n))
+		if end := c.ending.Load(); end > 0 && done >= end {
+			go c.endSending()
+		}
+		c.wake()
+	}
+}
+
 // Open is how many connections that came in are open.
 func (l *Loop) Open() int { return l.slots.inUse() }
 
--- /dev/null
+++ b/internal/south/carrier/body_test.go
@@ -0,0 +1,113 @@
+package carrier_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
+	"linenwheel.dev/linenwheel/internal/http1"
+	"linenwheel.dev/linenwheel/internal/pilot"
+	"linenwheel.dev/linenwheel/internal/south/carrier"
+	"linenwheel.dev/linenwheel/internal/south/httphost"
+)
+
+// post is a call whose body flows: first is there, rest is still to come of length bytes in all, -1 = in chunks.
+func post(first string, rest *flow.Pipe, length int) *core.Call {
+	return &core.Call{ID: "q", Tenant: -1, Deadline: 1e9, Payload: &http1.Message{Method: []byte("POST"), Target: []byte("/pay/q"),
+		Body: []byte(first), Rest: rest, Length: length}}
+}
+
+// Guards against "could not connect" of a request whose last byte has gone out, the relay not having heard yet that it was the last:
+// the client would be told that trying again is harmless.
+func TestLastByteOfABodyThatFlows(t *testing.T) {
+	const size = 20 << 10
+	body := strings.Repeat("x", size)
+	for name, c := range map[string]struct {
+		came int // bytes of it
+		end  func(b *bench, host net.Conn, off chan struct{})
+		want pilot.Outcome
+	}{
+		"reset":                 {size, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.Reset},
+		"called off":            {size, func(_ *bench, _ net.Conn, off chan struct{}) { close(off) }, pilot.CalledOff},
+		"out of time":           {size, func(b *bench, _ net.Conn, _ chan struct{}) { b.clock.Advance(1e9) }, pilot.Late},
+		"reset before the last": {size - 1, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.NoConnect},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			rest := flow.New(b.budget, func(bool) {}, func() {})
+			rest.Put([]byte(body[1:c.came]))
+			off := make(chan struct{})
+			ended := b.relay(post(body[:1], rest, size), off) // nobody has told the end of rest
+			host := b.accept()
+			in := bufio.NewReader(host)
+			r, err := http.ReadRequest(in)
+			require.NoError(t, err)
+			_, err = io.ReadFull(r.Body, make([]byte, c.came))
+			require.NoError(t, err)
+			c.end(b, host, off)
+			assert.Equal(t, c.want, (<-ended).outcome)
+		})
+	}
+}
+
+// reset ends a connection so that the other side is told.
+func reset(t *testing.T, c net.Conn) {
+	require.NoError(t, c.(*net.TCPConn).SetLinger(0))
+	require.NoError(t, c.Close())
+}
+
+// Guards against an answer that waits for its host to take the rest of the request, which it does not want, and against a connection that
+// is used again with half a request on it.
+func TestAnswerBeforeTheRequest(t *testing.T) {
+	long := strings.Repeat("y", 100<<10) // flows, and fits a pipe
+	for name, c := range map[string]struct {
+		length int // of the request's body
+		answer string
+		want   pilot.Outcome
+	}{
+		"declined":           {32 << 20, "503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", pilot.Declined},
+		"declined in chunks": {-1, "503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", pilot.Declined},
+		"long":               {32 << 20, "200 OK\r\nContent-Length: " + strconv.Itoa(len(long)) + "\r\n\r\n" + long, pilot.Served},
+		"long, for chunks":   {-1, "200 OK\r\nContent-Length: " + strconv.Itoa(len(long)) + "\r\n\r\n" + long, pilot.Served},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.protocol = httphost.Protocol{Flows: true, Most: 1 << 20}
+			taken := make(chan struct{}, 1)
+			rest := flow.New(flow.NewBudget(1), func(on bool) {
+				if !on {
+					taken <- struct{}{}
+				}
+			}, func() {})
+			rest.Put(make([]byte, flow.Piece))
+			ended := b.relay(post(strings.Repeat("x", 6<<20), rest, c.length), make(chan struct{}))
+			host := b.accept()
+			_, err := http.ReadRequest(bufio.NewReader(host)) // and no more
+			require.NoError(t, err)
+			<-taken // there is no room for it
+			_, err = host.Write([]byte("HTTP/1.1 " + c.answer))
+			require.NoError(t, err)
+			select {
+			case r := <-ended:
+				assert.Equal(t, c.want, r.outcome)
+			case <-time.After(time.Minute):
+				t.Error("no answer")
+			}
+			require.Eventually(t, func() bool { return len(b.pool.Uses()) == 0 }, time.Minute, time.Millisecond, "it is closed")
+			_, ended = b.attempt("2", nil)
+			b.serve(b.accept())
+			assert.Equal(t, result{pilot.Served, "/look/2"}, <-ended)
+			assert.Equal(t, map[string]carrier.Use{"h": {Open: 1, Idle: 1}}, b.pool.Uses())
+		})
+	}
+}
--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -18,6 +18,7 @@
 	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
@@ -35,6 +36,8 @@
 	conns      chan *loop.Conn // of clients
 	came, free chan struct{}   // what clients send holds the poller until free is closed
 	dialling   func()          // called before a connection is opened
+	protocol   httphost.Protocol
+	budget     *flow.Budget
 }
 
 func (b *bench) Data([]byte)  { b.came <- struct{}{}; <-b.free }
@@ -42,7 +45,7 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{}),
-		dialling: func() {}}
+		dialling: func() {}, budget: flow.NewBudget(1 << 20)}
 	l, err := loop.Listen("127.0.0.1:0", 8, func(c *loop.Conn) loop.Handler { b.conns <- c; return b })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
@@ -50,8 +53,8 @@
 	b.rater, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = b.rater.Close() })
-	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000},
-		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return httphost.Protocol{} }}, b.clock, l, slog.New(slog.DiscardHandler))
+	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000}, Budget: b.budget,
+		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return b.protocol }}, b.clock, l, slog.New(slog.DiscardHandler))
 	return b
 }
 
@@ -80,16 +83,21 @@
 func (b *bench) attempt(id string, client any) (*core.Call, chan result) {
 	call := &core.Call{ID: id, Tenant: -1, Deadline: 1e9, Client: client,
 		Payload: &http1.Message{Method: []byte("GET"), Target: []byte("/look/" + id)}}
+	return call, b.relay(call, make(chan struct{}))
+}
+
+// relay has a call carried until off is closed or the clock stands at 1e9, and gives its end.
+func (b *bench) relay(call *core.Call, off chan struct{}) chan result {
 	ended := make(chan result, 1)
 	go func() {
-		o, payload := b.pool.Relay(core.Host{Name: "h", Address: b.rater.Addr().String()}, call, 1e9, make(chan struct{}))
+		o, payload := b.pool.Relay(core.Host{Name: "h", Address: b.rater.Addr().String()}, call, 1e9, off)
 		r := result{outcome: o}
 		if m, ok := payload.(*http1.Message); ok {
 			r.body = string(m.Body)
 		}
 		ended <- r
 	}()
-	return call, ended
+	return ended
 }
 
 func (b *bench) accept() net.Conn {
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -61,7 +61,8 @@
 type Body struct {
 	First   []byte
 	Rest    *flow.Pipe // which only one relay can take; nil = First is all
-	Chunked bool
+	Left    int        // bytes of Rest, if not Chunked
+	Chunked bool       // nobody knows how many those are
 }
 
 // Settings describe the south side, times in milliseconds.
@@ -139,10 +140,11 @@
 	mu     sync.Mutex
 	speaks Protocol
 	reader Answers
-	done   chan end   // of the relay that it carries, nil while idle
-	asked  bool       // that relay is being written: what comes may be its answer
-	body   *flow.Pipe // the rest of its answer, which goes on after its end
-	last   bool       // the host ends the connection after that
+	done   chan end     // of the relay that it carries, nil while idle
+	asked  bool         // that relay is being written: what comes may be its answer
+	need   atomic.Int64 // bytes written once all of that relay's request is
+	body   *flow.Pipe   // the rest of its answer, which goes on after its end
+	last   bool         // the host ends the connection after that
 	broken bool
 	freed  sync.Once
 }
@@ -256,7 +258,8 @@
 		return flowing
 	}
 	c.body = nil
-	if c.broken = c.broken || err != nil || c.last || !c.reader.Idle(); c.broken {
+	early := c.net.Written() < c.need.Load() // it has answered before it has the request
+	if c.broken = c.broken || err != nil || c.last || early || !c.reader.Idle(); c.broken {
 		return spent
 	}
 	return free
@@ -344,17 +347,23 @@
 	}
 	sent, broke := p.clock.Now(), false
 	defer func() { p.note(c.band, broke) }()
-	start := c.net.Written()
 	stop := p.clock.At(until, func() { close(late) })
 	defer stop()
-	c.ask(about)
 	body, _ := about.(*Body)
-	size, all := int64(len(out)), true // of what is to be written, and whether that is known
+	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
+		out = http1.AppendChunkHead(out, len(body.First))
+	}
+	size := c.net.Written() + int64(len(out))
 	if body != nil {
-		size += int64(len(body.First))
-		all = body.Rest == nil
+		size += int64(len(body.First) + body.Left)
 	}
-	whole := func() bool { return all && c.net.Written()-start >= size }
+	need := size // bytes that the socket has taken once the last of this request has gone out
+	if body != nil && body.Chunked {
+		need = math.MaxInt64 // until that is known
+	}
+	c.need.Store(need)
+	whole := func() bool { return c.net.Written() >= need || c.net.Taken() >= need }
+	c.ask(about)
 	counted := false
 	count := func() {
 		if !counted && p.set.Sent != nil && whole() {
@@ -363,11 +372,6 @@
 		}
 	}
 	defer count()
-	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
-		was := len(out)
-		out = http1.AppendChunkHead(out, len(body.First))
-		size += int64(len(out) - was)
-	}
 	err := c.net.Send(out)
 	if err == nil && body != nil && len(body.First) > 0 {
 		err = c.net.Write(body.First)
@@ -383,25 +387,30 @@
 	}
 	if s, ok := about.(Silent); ok && s.Silent() {
 		c.disarm()
-		if !whole() { // closed, its last byte never goes out
-			c.net.Close()
+		now := whole()
+		if p.put(c, now); !now && !whole() { // closed, its last byte never goes out
 			return pilot.NoConnect, nil
 		}
-		p.put(c, true)
 		return pilot.Served, nil
 	}
 	var e end
 	if body != nil && body.Rest != nil {
 		more, err := p.upload(c, body, done, off, late)
-		if err != nil { // its last byte never went out
-			c.giveUp(done)
-			if errors.Is(err, errHost) {
+		if err != nil {
+			e = c.giveUp(done)
+			switch {
+			case e.whole: // it ended the connection after an answer
+				done <- e
+			case errors.Is(err, errHost): // the last byte never went out
 				return pilot.NoConnect, nil
+			default:
+				return pilot.Unsent, nil
 			}
-			return pilot.Unsent, nil
 		}
-		size += more
-		all = more > 0
+		if more > 0 {
+			need = size + more
+			c.need.Store(need)
+		}
 		count()
 	}
 	select {
@@ -432,10 +441,6 @@
 	}
 	if e.answer.Attach == nil {
 		p.put(c, whole())
-	} else if !whole() { // it answers before it has the request: it is not used again
-		c.mu.Lock()
-		c.broken = true
-		c.mu.Unlock()
 	}
 	return e.answer.Outcome, e.answer.Payload
 }
--- a/internal/south/carrier/upload.go
+++ b/internal/south/carrier/upload.go
@@ -13,8 +13,8 @@
 )
 
 // upload writes the rest of a request's body as it comes, no faster than the host takes it. It gives how many bytes that were;
-// 0 if the relay ended before the last of them, of which the caller hears by the same channels. errHost is the host's fault; any
-// other error tells that there is no rest to be had.
+// 0 if the relay ended before it knew of the last of them, of which the caller hears by the same channels. errHost is the host's
+// fault; any other error tells that there is no rest to be had. After an error the last byte has not gone out.
 func (p *Pool) upload(c *conn, body *Body, done chan end, off, late <-chan struct{}) (written int64, err error) {
 	if !body.Rest.Claim() {
 		return 0, errTaken
@@ -28,12 +28,14 @@
 	}
 	stop := make(chan struct{})
 	watched := make(chan struct{})
-	defer func() { close(watched) }()
+	defer func() { close(watched); <-stop }()
 	go func() { // Room waits for one thing only
 		defer close(stop)
 		select {
 		case <-off:
 		case <-late:
+		case e := <-done: // a host may answer early and take no more
+			done <- e // for the caller
 		case <-watched:
 		}
 	}()
--- a/internal/south/httphost/httphost.go
+++ b/internal/south/httphost/httphost.go
@@ -46,7 +46,7 @@
 		}
 		return http1.AppendRequest(dst, m, host.Address, http1.DeadlineField, left), nil, nil
 	}
-	body := &carrier.Body{First: m.Body, Rest: m.Rest, Chunked: m.Rest != nil && m.Length < 0}
+	body := &carrier.Body{First: m.Body, Rest: m.Rest, Left: max(0, m.Length-len(m.Body)), Chunked: m.Rest != nil && m.Length < 0}
 	return http1.AppendRequestHead(dst, m, host.Address, http1.DeadlineField, left), body, nil
 }
 
