Report an attempt that was called off before its last byte as not sent

What was seen: a client that left while an attempt's connection came up, or before its first byte, had the attempt reported as called off, which the module and the pilot take for one that may have run (decide.Cancelled, Ticket.ran; pool.go in ready, unsent and Relay). The call's end then said Ran, so that its name stayed in doubt for a client that asks again (internal/repeats/edge) and its tenant's room was not given back (internal/quota/edge), though no byte had gone out. The same of a body given up before its last byte.

CalledOff now means that the last byte went out; before that it is Unsent. Three tests had the old outcome for attempts that never began (TestBlameForNoConnection, TestNothingGoesOutAfterTheAnswer, TestNothingBeginsForAClientThatHasGone): it was wrong, since it says that the attempt may have run; they now ask for Unsent alone, which is as strict.

--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -28,8 +28,8 @@
 	Late                     // no answer in time; it may have run
 	NoConnect                // its last byte never went out
 	Reset                    // the connection broke after that; it may have run
-	CalledOff                // given up because it was called off
-	Unsent                   // no byte went out, through no fault of the host: its time was up or no room was left
+	CalledOff                // given up because it was called off; it may have run
+	Unsent                   // its last byte never went out, through no fault of the host: called off, out of time or no room left
 	Rejected                 // the host finds fault with the request itself; it may have run
 )
 
--- a/internal/south/carrier/body_test.go
+++ b/internal/south/carrier/body_test.go
@@ -37,10 +37,11 @@
 		end  func(b *bench, host net.Conn, off chan struct{})
 		want pilot.Outcome
 	}{
-		"reset":                 {size, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.Reset},
-		"called off":            {size, func(_ *bench, _ net.Conn, off chan struct{}) { close(off) }, pilot.CalledOff},
-		"out of time":           {size, func(b *bench, _ net.Conn, _ chan struct{}) { b.clock.Advance(1e9) }, pilot.Late},
-		"reset before the last": {size - 1, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.NoConnect},
+		"reset":                      {size, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.Reset},
+		"called off":                 {size, func(_ *bench, _ net.Conn, off chan struct{}) { close(off) }, pilot.CalledOff},
+		"out of time":                {size, func(b *bench, _ net.Conn, _ chan struct{}) { b.clock.Advance(1e9) }, pilot.Late},
+		"called off before the last": {size - 1, func(_ *bench, _ net.Conn, off chan struct{}) { close(off) }, pilot.Unsent},
+		"reset before the last":      {size - 1, func(_ *bench, host net.Conn, _ chan struct{}) { reset(t, host) }, pilot.NoConnect},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -417,6 +417,9 @@
 	case e = <-done:
 	case <-off:
 		if e = c.giveUp(done); !e.whole {
+			if !whole() {
+				return pilot.Unsent, nil
+			}
 			return pilot.CalledOff, nil
 		}
 	case <-late:
@@ -458,7 +461,7 @@
 		select {
 		case <-off:
 			c.giveUp(done)
-			return nil, nil, nil, pilot.CalledOff
+			return nil, nil, nil, pilot.Unsent
 		default:
 		}
 		left := int(math.Ceil(until - p.clock.Now()))
@@ -466,28 +469,26 @@
 			c.giveUp(done)
 			return nil, nil, nil, pilot.Unsent
 		}
-		back := func(o pilot.Outcome) (*conn, []byte, any, pilot.Outcome) {
+		back := func() (*conn, []byte, any, pilot.Outcome) {
 			c.disarm()
 			p.put(c, true)
-			return nil, nil, nil, o
+			return nil, nil, nil, pilot.Unsent
 		}
 		if !call.Standing() { // the node stood still for longer than its claim: another may have it
-			return back(pilot.Unsent)
+			return back()
 		}
-		if owed, permitted := call.May(host.Name); !owed {
-			return back(pilot.CalledOff)
-		} else if !permitted {
-			return back(pilot.Unsent)
+		if owed, permitted := call.May(host.Name); !owed || !permitted {
+			return back()
 		}
 		out, about, err := c.speaks.Request(nil, host, call, left)
 		if err != nil {
 			p.log.Warn("a call cannot be written for a host: a relay was not sent", "host", host.Name, "error", err)
-			return back(pilot.Unsent)
+			return back()
 		}
 		fit, gone := c.net.Look(client)
 		if gone { // the poller has not heard of it yet
 			call.Leave()
-			return back(pilot.CalledOff)
+			return back()
 		}
 		if fit {
 			return c, out, about, 0
@@ -516,7 +517,7 @@
 func (p *Pool) unsent(err error, until float64, off <-chan struct{}) pilot.Outcome {
 	select {
 	case <-off:
-		return pilot.CalledOff
+		return pilot.Unsent
 	default:
 	}
 	var timeout net.Error
