Take no second answer for that to the next request: write under the look, ask what is acknowledged

What was seen: between the last look at a kept connection (pool.go, Conn.Look) and the write of the next request lay the timer, the note that an answer may come (conn.ask) and the write. What the poller read after that note, and what came before the write, was taken for the answer to a request that had not gone out.

Conn.Begin now looks, notes and writes with nothing handed on in between, and looks once more behind the write. What stands there while the other machine has not acknowledged the request was sent before the request could be read: any later segment carries the acknowledgement. The same is asked when the first bytes of an answer are read, if the request was written at once. Such an attempt ends as one that may have run, and its connection is closed. A look behind the write alone would not do: a fast host's answer may stand there.

Conn.Look has become part of Begin; its two tests ask the same of Begin.

Without the second look TestBeginTellsWhatCameBeforeTheWrite failed; without the one at the answer, and without both, TestSecondAnswerIsNotTheNextOnes was served the second answer ("another"). Two or three ioctls a relay more, no reads or writes; what they cost was not measured.

--- a/internal/loop/crossing_test.go
+++ b/internal/loop/crossing_test.go
@@ -146,9 +146,15 @@
 	}
 }
 
+// begin asks whether a request could go out.
+func begin(c, client *Conn) (fit, gone bool) {
+	fit, gone, _ = c.Begin(nil, client, func() {})
+	return fit, gone
+}
+
 // Guards against a request written to a connection on which something came, or which the other side has ended, and against one for a
 // client that has gone, while the poller has not heard of it.
-func TestLookIsAheadOfThePoller(t *testing.T) {
+func TestBeginIsAheadOfThePoller(t *testing.T) {
 	h := holding(t, 4)
 	up, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -166,34 +172,54 @@
 	ended, peer2 := dial()
 	good, _ := dial()
 	h.hold(t)
-	fit, gone := good.Look(down)
+	fit, gone := begin(good, down)
 	assert.True(t, fit)
 	assert.False(t, gone)
 	say(t, peer, "half a li")
 	polled(t, spoilt, unix.POLLIN)
-	fit, gone = spoilt.Look(down)
+	fit, gone = begin(spoilt, down)
 	assert.False(t, fit, "bytes stand in the socket")
 	assert.False(t, gone)
 	require.NoError(t, peer2.(*net.TCPConn).CloseWrite())
 	polled(t, ended, unix.POLLRDHUP)
-	fit, _ = ended.Look(nil)
+	fit, _ = begin(ended, nil)
 	assert.False(t, fit, "the other side has ended it")
 	say(t, client, "a further request") // which nobody reads
 	require.NoError(t, client.CloseWrite())
 	polled(t, down, unix.POLLRDHUP)
-	fit, gone = good.Look(down)
+	fit, gone = begin(good, down)
 	assert.True(t, fit)
 	assert.True(t, gone, "behind bytes that nobody has read")
 	close(h.free)
 }
 
+// Guards against bytes that came between the last look and the write being taken for the answer to what was written.
+func TestBeginTellsWhatCameBeforeTheWrite(t *testing.T) {
+	h := holding(t, 2)
+	h.hold(t)
+	client, c := h.connect(t)
+	fit, _, err := c.Begin([]byte("request"), nil, func() {
+		say(t, client, "stray")
+		polled(t, c, unix.POLLIN)
+		raw, err := client.SyscallConn()
+		require.NoError(t, err)
+		drop := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}} // nothing more is acknowledged
+		require.NoError(t, raw.Control(func(fd uintptr) {
+			assert.NoError(t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &drop))
+		}))
+	})
+	assert.True(t, fit, "it has gone out")
+	assert.ErrorIs(t, err, errEarly)
+	close(h.free)
+}
+
 // Guards against bytes that the poller has read and not yet handed on being taken for the next answer.
-func TestLookSeesWhatIsOnItsWay(t *testing.T) {
+func TestBeginSeesWhatIsOnItsWay(t *testing.T) {
 	h := holding(t, 1)
 	client, c := h.connect(t)
 	say(t, client, "stray")
 	<-h.came
-	fit, _ := c.Look(nil)
+	fit, _ := begin(c, nil)
 	assert.False(t, fit)
 	close(h.free)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -105,11 +105,11 @@
 	if c.ended() {
 		return fmt.Errorf("writing: %w", errEnded)
 	}
-	return c.Send(b)
+	return c.send(b)
 }
 
-// Send is Write for a connection that Look has just found fit.
-func (c *Conn) Send(b []byte) error {
+// send is Write for a connection that look has just found fit.
+func (c *Conn) send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked += int64(len(b))
@@ -197,14 +197,49 @@
 	})
 }
 
-// Look tells, in one system call, whether a request can go out on c, and whether the client that it is for has ended its own
-// connection; nil is a client that is not looked at. Nothing may have come on c that was not asked for, and the other side may not
-// have ended it: the poller hears of both some time after the machine does.
-func (c *Conn) Look(client *Conn) (fit, gone bool) {
+// Begin writes the first bytes of a request for a client if nothing has come on c that was not asked for, the other side has not ended
+// it (fit), and the client has not ended its own connection (gone): the poller hears of all that some time after the machine does. A
+// nil client is not looked at. Nothing that comes is handed on before it is written; asked is called right before that. It fails
+// where something has come that cannot be the answer.
+func (c *Conn) Begin(b []byte, client *Conn, asked func()) (fit, gone bool, err error) {
 	if !c.reading.TryLock() { // something has come
-		return false, client.looksGone()
+		return false, client.looksGone(), nil
 	}
 	defer c.reading.Unlock()
+	if fit, gone = c.look(client); !fit || gone {
+		return fit, gone, nil
+	}
+	asked()
+	if err = c.send(b); err == nil && c.stands() && c.Unheard() {
+		err = errEarly
+	}
+	return fit, gone, err
+}
+
+var errEarly = errors.New("something came before the request could be read")
+
+// stands tells whether something has come that is not read.
+func (c *Conn) stands() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// Unheard tells whether the other machine has not yet acknowledged all that the socket has taken. What has come until then was sent
+// before the last of it was there to be read: whatever is sent later carries the acknowledgement, and the machine takes note of
+// that before it lets the bytes be read.
+func (c *Conn) Unheard() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// look tells, in one system call, whether c is fit for a request, and whether the client that it is for has gone.
+func (c *Conn) look(client *Conn) (fit, gone bool) {
 	c.descriptor(func(fd int) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}, {Fd: -1}}
 		poll := func() {
--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -30,13 +30,16 @@
 type bench struct {
 	t          *testing.T
 	clock      *clock.Manual
+	loop       *loop.Loop
 	pool       *carrier.Pool
 	rater      net.Listener
 	front      string
 	conns      chan *loop.Conn // of clients
 	came, free chan struct{}   // what clients send holds the poller until free is closed
 	dialling   func()          // called before a connection is opened
-	protocol   httphost.Protocol
+	protocol   carrier.Protocol
+	asking     func() // called right before a request is written, if protocol is a hooked one
+	sent       func() // called once its last byte has gone out
 	budget     *flow.Budget
 }
 
@@ -45,15 +48,15 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{}),
-		dialling: func() {}, budget: flow.NewBudget(1 << 20)}
+		dialling: func() {}, asking: func() {}, sent: func() {}, protocol: httphost.Protocol{}, budget: flow.NewBudget(1 << 20)}
 	l, err := loop.Listen("127.0.0.1:0", 8, func(c *loop.Conn) loop.Handler { b.conns <- c; return b })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
-	b.front = l.Addr()
+	b.front, b.loop = l.Addr(), l
 	b.rater, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = b.rater.Close() })
-	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000}, Budget: b.budget,
+	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000}, Budget: b.budget, Sent: func() { b.sent() },
 		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return b.protocol }}, b.clock, l, slog.New(slog.DiscardHandler))
 	return b
 }
@@ -167,6 +170,63 @@
 	}
 }
 
+// hooked is a protocol that tells when a request is about to be written.
+type hooked struct {
+	carrier.Protocol
+	b *bench
+}
+
+func (h hooked) Answers() carrier.Answers { return hookedAnswers{h.Protocol.Answers(), h.b} }
+
+type hookedAnswers struct {
+	carrier.Answers
+	b *bench
+}
+
+func (h hookedAnswers) Expect(about any) {
+	h.b.asking()
+	h.Answers.Expect(about)
+}
+
+// deafen has the machine drop what comes on a connection from here on: nothing of it is acknowledged.
+func deafen(t *testing.T, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	drop := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}}
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		assert.NoError(t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &drop))
+	}))
+}
+
+// Guards against a second answer taken for that to the next request: it comes after the last look at the connection and before the
+// request is written, or after that and before the host can have read it.
+func TestSecondAnswerIsNotTheNextOnes(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		b := newBench(t)
+		b.protocol = hooked{b.protocol, b}
+		_, ended := b.attempt("1", nil)
+		host := b.accept()
+		b.serve(host)
+		require.Equal(t, result{pilot.Served, "/look/1"}, <-ended)
+		pulse, err := b.loop.Pulse()
+		require.NoError(t, err)
+		pulse.Beat(t.Context()) // the poller has done with the answer
+		b.clock.Advance(10)
+		again := func() {
+			_, err := host.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother"))
+			assert.NoError(t, err)
+		}
+		if before {
+			b.asking = func() { again(); b.arrived(host); deafen(t, host) }
+		} else {
+			b.asking, b.sent = func() { deafen(t, host) }, again
+		}
+		_, ended = b.attempt("2", nil)
+		assert.Equal(t, result{pilot.Reset, ""}, <-ended, "it may have run")
+		require.Eventually(t, func() bool { return len(b.pool.Uses()) == 0 }, time.Minute, time.Millisecond, "it is closed")
+	}
+}
+
 // Guards against an attempt that begins for a client whose end the poller has not seen, on a connection that has just come up and on a
 // kept one, also behind requests that nobody has read; and against the connection being lost for it.
 func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -142,7 +142,9 @@
 	reader Answers
 	done   chan end     // of the relay that it carries, nil while idle
 	asked  bool         // that relay is being written: what comes may be its answer
+	alone  bool         // its request is written at once
 	need   atomic.Int64 // bytes written once all of that relay's request is
+	known  int64        // of them, those that are known before a body in chunks is
 	body   *flow.Pipe   // the rest of its answer, which goes on after its end
 	last   bool         // the host ends the connection after that
 	broken bool
@@ -181,7 +183,8 @@
 // ask lets the next bytes be the relay's answer, unless others have come before.
 func (c *conn) ask(about any) {
 	c.mu.Lock()
-	c.asked = true
+	_, more := about.(*Body)
+	c.asked, c.alone = true, !more
 	c.reader.Expect(about)
 	c.mu.Unlock()
 }
@@ -210,6 +213,12 @@
 		c.net.Close()
 		return
 	}
+	if c.alone && c.reader.Idle() && c.net.Unheard() { // it was sent before the host had the request
+		c.broken = true
+		c.finish(end{err: errBroken})
+		c.mu.Unlock()
+		return
+	}
 	c.reader.Feed(data)
 	answer, whole, err := c.reader.Next()
 	if reader, ok := c.reader.(Flowing); ok && err == nil && reader.ToEnd() {
@@ -341,7 +350,7 @@
 func (p *Pool) Relay(host core.Host, call *core.Call, until float64, off <-chan struct{}) (pilot.Outcome, any) {
 	done := make(chan end, 1)
 	late := make(chan struct{})
-	c, out, about, o := p.ready(host, call, until, done, off)
+	c, about, err, o := p.begin(host, call, until, done, off)
 	if c == nil {
 		return o, nil
 	}
@@ -350,20 +359,8 @@
 	stop := p.clock.At(until, func() { close(late) })
 	defer stop()
 	body, _ := about.(*Body)
-	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
-		out = http1.AppendChunkHead(out, len(body.First))
-	}
-	size := c.net.Written() + int64(len(out))
-	if body != nil {
-		size += int64(len(body.First) + body.Left)
-	}
-	need := size // bytes that the socket has taken once the last of this request has gone out
-	if body != nil && body.Chunked {
-		need = math.MaxInt64 // until that is known
-	}
-	c.need.Store(need)
+	need := c.need.Load()
 	whole := func() bool { return c.net.Written() >= need || c.net.Taken() >= need }
-	c.ask(about)
 	counted := false
 	count := func() {
 		if !counted && p.set.Sent != nil && whole() {
@@ -372,7 +369,6 @@
 		}
 	}
 	defer count()
-	err := c.net.Send(out)
 	if err == nil && body != nil && len(body.First) > 0 {
 		err = c.net.Write(body.First)
 	}
@@ -408,7 +404,7 @@
 			}
 		}
 		if more > 0 {
-			need = size + more
+			need = c.known + more
 			c.need.Store(need)
 		}
 		count()
@@ -448,10 +444,11 @@
 	return e.answer.Outcome, e.answer.Payload
 }
 
-// ready finds a connection for an attempt and writes down its request, or tells why nothing is to go out. What may have changed
-// since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the final
-// answer is given, the host departs, the client is there, and nothing has come on the connection.
-func (p *Pool) ready(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (*conn, []byte, any, pilot.Outcome) {
+// begin finds a connection for an attempt and writes the first bytes of its request, or tells why nothing is to go out. What may have
+// changed since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the
+// final answer is given, the host departs, the client is there, and nothing has come on the connection. err is that of the first write.
+func (p *Pool) begin(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (c *conn, about any, err error,
+	o pilot.Outcome) {
 	client, _ := call.Client.(*loop.Conn)
 	for {
 		c, err := p.get(host, until, done, off)
@@ -469,7 +466,7 @@
 			c.giveUp(done)
 			return nil, nil, nil, pilot.Unsent
 		}
-		back := func() (*conn, []byte, any, pilot.Outcome) {
+		back := func() (*conn, any, error, pilot.Outcome) {
 			c.disarm()
 			p.put(c, true)
 			return nil, nil, nil, pilot.Unsent
@@ -485,13 +482,14 @@
 			p.log.Warn("a call cannot be written for a host: a relay was not sent", "host", host.Name, "error", err)
 			return back()
 		}
-		fit, gone := c.net.Look(client)
+		out = c.measure(out, about)
+		fit, gone, err := c.net.Begin(out, client, func() { c.ask(about) })
 		if gone { // the poller has not heard of it yet
 			call.Leave()
 			return back()
 		}
 		if fit {
-			return c, out, about, 0
+			return c, about, err, 0
 		}
 		c.giveUp(done)
 		if c.since == 0 {
@@ -500,6 +498,23 @@
 	}
 }
 
+// measure notes how much will have been written once all of a request is, of which out comes first.
+func (c *conn) measure(out []byte, about any) []byte {
+	body, _ := about.(*Body)
+	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
+		out = http1.AppendChunkHead(out, len(body.First))
+	}
+	c.known = c.net.Written() + int64(len(out))
+	if body != nil {
+		c.known += int64(len(body.First) + body.Left)
+	}
+	c.need.Store(c.known)
+	if body != nil && body.Chunked {
+		c.need.Store(math.MaxInt64) // until that is known
+	}
+	return out
+}
+
 // note tells how a connection did that was given a request.
 func (p *Pool) note(band int, broke bool) {
 	p.mu.Lock()
