Keep no connection among the idle ones that ended as it was put back

What was seen: Pool.put asked whether a connection is broken and put it among the idle ones a step later, under another lock (pool.go). One that ended in between had looked for itself there before it stood there: it stayed until it was taken or retired, and where all connections were in use it was the one closed to make room, so that one more than allowed was opened.

Both steps are now under the pool's lock, which an ending connection takes after it has marked itself.

--- a/internal/south/carrier/carrier_test.go
+++ b/internal/south/carrier/carrier_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -137,3 +138,36 @@
 	assert.Empty(t, p.to)
 	assert.Zero(t, p.open)
 }
+
+// crossing is a clock that does something when it is asked.
+type crossing struct {
+	*clock.Manual
+	do func()
+}
+
+func (c crossing) Now() float64 { c.do(); return c.Manual.Now() }
+
+// Guards against a connection that ends in the moment in which it is put back: it would stand among the idle ones for good, and count as
+// one that can make room for another.
+func TestConnectionThatEndsAsItIsPutBack(t *testing.T) {
+	c := crossing{clock.NewManual(1000), func() {}}
+	p, h := silent(t, nil)
+	p.clock = &c
+	host, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h.Address = host.Addr().String()
+	done := make(chan end, 1)
+	kept, err := p.get(h, 2000, done, nil)
+	require.NoError(t, err)
+	kept.disarm()
+	peer, err := host.Accept()
+	require.NoError(t, err)
+	c.do = func() {
+		require.NoError(t, peer.Close())
+		require.Eventually(t, func() bool { return p.Open() == 0 }, time.Minute, time.Millisecond)
+	}
+	p.put(kept, true)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Empty(t, p.idle[h])
+}
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -632,17 +632,19 @@
 
 // put takes a connection back if it can carry another relay.
 func (p *Pool) put(c *conn, whole bool) {
+	now := p.clock.Now()
+	p.mu.Lock()
 	c.mu.Lock()
-	fit := !c.broken && whole
+	fit := !c.broken && whole // one that ends from here on finds itself among the idle ones
 	c.mu.Unlock()
+	if fit {
+		c.since = now
+		p.idle[c.host] = append(p.idle[c.host], c)
+	}
+	p.mu.Unlock()
 	if !fit {
 		c.net.Close()
-		return
 	}
-	c.since = p.clock.Now()
-	p.mu.Lock()
-	p.idle[c.host] = append(p.idle[c.host], c)
-	p.mu.Unlock()
 }
 
 // Use is how many connections to a host there are, and how many of them carry no relay.
