--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -227,6 +227,19 @@
 	}
 }
 
+// Guards against a host that is told of more time than there is left when its request is written, as after a connection that took long.
+func TestTimeToldIsLeft(t *testing.T) {
+	b := newBench(t)
+	b.dialling = func() { b.clock.Advance(1000.5) }
+	_, ended := b.attempt("1", nil)
+	host := b.accept()
+	r, err := http.ReadRequest(bufio.NewReader(host))
+	require.NoError(t, err)
+	assert.Equal(t, "999997999", r.Header.Get(http1.DeadlineField), "of 1e9 - 2000.5")
+	require.NoError(t, host.Close())
+	assert.Equal(t, pilot.Reset, (<-ended).outcome)
+}
+
 // Guards against an attempt that begins for a client whose end the poller has not seen, on a connection that has just come up and on a
 // kept one, also behind requests that nobody has read; and against the connection being lost for it.
 func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -461,7 +461,7 @@
 			return nil, nil, nil, pilot.Unsent
 		default:
 		}
-		left := int(math.Ceil(until - p.clock.Now()))
+		left := int(until - p.clock.Now()) // never more than there is
 		if left <= 0 {
 			c.giveUp(done)
 			return nil, nil, nil, pilot.Unsent
