Send nothing to the old address of a host that has moved while an attempt's connection came up

What was seen: a host that is told to be at another address departs from the old one (docs/operate/inventory.md), but the last question before an attempt's first byte (Ticket.May, pilot.go) looked at its name alone: an attempt whose connection to the old address came up late went out there, at any time. May now asks for the address too. Drains and ends told meanwhile were heeded already, which no test held: with that condition taken out all tests of internal/pilot, internal/core and internal/south passed.

TestNothingNewToAHostThatDepartsMeanwhile forces a drain, an end and a move while the connection comes up, and a drain within its grace. Its case "moved" failed without the change, "draining" with the old condition out; all passed 200 runs under -race with GOMAXPROCS 1 and 6.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -109,9 +109,9 @@
 }
 
 // May tells, before the first byte of an attempt, whether the call may still get its final answer from it (owed: another may have
-// been served meanwhile, or the client may have left), and whether the rules let something new go to a host, which may be departing
-// since the attempt was decided.
-func (c *Call) May(host string) (owed, permitted bool) { return c.ticket.May(host) }
+// been served meanwhile, or the client may have left), and whether the rules let something new go to a host, which may depart, or
+// be at another address, since the attempt was decided.
+func (c *Call) May(host Host) (owed, permitted bool) { return c.ticket.May(host.Name, host.Address) }
 
 // Standing takes that look.
 func (c *Call) Standing() bool { return c.Stands == nil || c.Stands() }
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -269,10 +269,10 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
-// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host now: one that departs
-// gets nothing after its grace, and what may have run is not sent again once its repeats are not dropped any more. Since the
-// attempt was decided, its connection may have taken long to come up.
-func (t *Ticket) May(name string) (owed, permitted bool) {
+// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host at an address now: one that
+// departs gets nothing after its grace, nothing goes to where it is not any more, and what may have run is not sent again once its
+// repeats are not dropped any more. Since the attempt was decided, its connection may have taken long to come up.
+func (t *Ticket) May(name, address string) (owed, permitted bool) {
 	p := t.p
 	if p == nil {
 		return true, true
@@ -281,7 +281,7 @@
 	defer p.mu.Unlock()
 	now, id := p.clock.Now(), p.ids[name]
 	h := p.hosts[id]
-	return !t.over, h != nil && now <= h.left+p.grace && t.repeats(id, now)
+	return !t.over, h != nil && h.Address == address && now <= h.left+p.grace && t.repeats(id, now)
 }
 
 // repeats tells whether an attempt at a host may go out in view of those before it.
--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -317,3 +318,51 @@
 		assert.Equal(t, core.Answer{Kind: core.Left}, core.New(core.Settings{Calls: 1}, module, b.pool, quiet).Serve(call), cancel)
 	}
 }
+
+// Guards against an attempt whose connection comes up late going to a host that the list has meanwhile told to depart, more than its grace
+// ago, or to where it is not any more.
+func TestNothingNewToAHostThatDepartsMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		change pilot.Host
+		after  float64
+		goes   bool
+	}{"draining": {pilot.Host{Status: pilot.Draining}, 501, false}, "gone": {pilot.Host{Status: pilot.Gone}, 501, false},
+		"moved": {pilot.Host{Address: "127.0.0.1:1"}, 501, false}, "within its grace": {pilot.Host{Status: pilot.Draining}, 500, true}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			quiet := slog.New(slog.DiscardHandler)
+			module, err := pilot.New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 1},
+				Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond},
+				Classes: []decide.Class{{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1, b.clock, quiet, nil)
+			require.NoError(t, err)
+			is := pilot.Host{Name: "h", Address: b.rater.Addr().String(), Zone: "z", Kind: "k", Weight: 1}
+			module.Inventory(pilot.Whole, []pilot.Host{is})
+			b.dialling = func() {
+				is.Status = c.change.Status
+				is.Address = cmp.Or(c.change.Address, is.Address)
+				module.Inventory(pilot.Changes, []pilot.Host{is})
+				b.clock.Advance(c.after)
+			}
+			call := &core.Call{ID: "q", Tenant: -1, Deadline: 3000, Payload: &http1.Message{Method: []byte("POST"), Target: []byte("/pay/q")}}
+			answer := make(chan core.Answer, 1)
+			go func() { answer <- core.New(core.Settings{Calls: 1}, module, b.pool, quiet).Serve(call) }()
+			host := b.accept()
+			if c.goes {
+				b.serve(host)
+				require.Equal(t, core.Served, (<-answer).Kind)
+				return
+			}
+			came := make(chan []byte, 1)
+			go func() {
+				text, _ := io.ReadAll(io.LimitReader(host, 1))
+				_ = host.Close()
+				came <- text
+			}()
+			a := <-answer
+			assert.Equal(t, core.Refused, a.Kind)
+			assert.False(t, a.Ran)
+			b.pool.Resize(0)
+			assert.Empty(t, <-came)
+		})
+	}
+}
