--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -107,11 +107,11 @@
 	if c.ended() {
 		return fmt.Errorf("writing: %w", errEnded)
 	}
-	return c.Send(b)
+	return c.send(b)
 }
 
-// Send is Write for a connection that Look has just found fit.
-func (c *Conn) Send(b []byte) error {
+// send is Write for a connection that look has just found fit.
+func (c *Conn) send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked += int64(len(b))
@@ -127,6 +127,13 @@
 // Written is the number of bytes that the socket has taken.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
+// Taken is Written once a write that is under way has been counted: after Close it stays as it is. It waits for what the engine does
+// with the connection, so no lock may be held that a handler takes.
+func (c *Conn) Taken() int64 {
+	_, _ = c.nb.Write(nil) // writes are one after another
+	return c.written.Load()
+}
+
 // Backlog is the number of bytes written that the socket has not taken yet.
 func (c *Conn) Backlog() int64 {
 	c.mu.Lock()
@@ -241,14 +248,49 @@
 	c.lapse = time.AfterFunc(time.Duration(after*float64(time.Millisecond)), f)
 }
 
-// Look tells, in one system call, whether a request can go out on c, and whether the client that it is for has ended its own
-// connection; nil is a client that is not looked at. Nothing may have come on c that was not asked for, and the other side may not
-// have ended it: the poller hears of both some time after the machine does.
-func (c *Conn) Look(client *Conn) (fit, gone bool) {
+// Begin writes the first bytes of a request for a client if nothing has come on c that was not asked for, the other side has not ended
+// it (fit), and the client has not ended its own connection (gone): the poller hears of all that some time after the machine does. A
+// nil client is not looked at. Nothing that comes is handed on before it is written; asked is called right before that. It fails
+// where something has come that cannot be the answer.
+func (c *Conn) Begin(b []byte, client *Conn, asked func()) (fit, gone bool, err error) {
 	if !c.reading.TryLock() { // something has come
-		return false, client.looksGone()
+		return false, client.looksGone(), nil
 	}
 	defer c.reading.Unlock()
+	if fit, gone = c.look(client); !fit || gone {
+		return fit, gone, nil
+	}
+	asked()
+	if err = c.send(b); err == nil && c.stands() && c.Unheard() {
+		err = errEarly
+	}
+	return fit, gone, err
+}
+
+var errEarly = errors.New("something came before the request could be read")
+
+// stands tells whether something has come that is not read.
+func (c *Conn) stands() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// Unheard tells whether the other machine has not yet acknowledged all that the socket has taken. What has come until then was sent
+// before the last of it was there to be read: whatever is sent later carries the acknowledgement, and the machine takes note of
+// that before it lets the bytes be read.
+func (c *Conn) Unheard() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// look tells, in one system call, whether c is fit for a request, and whether the client that it is for has gone.
+func (c *Conn) look(client *Conn) (fit, gone bool) {
 	c.descriptor(func(fd int) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}, {Fd: -1}}
 		poll := func() {
@@ -342,15 +384,7 @@
 			c.handler.Closed(c.endedBy(err))
 		}
 	})
-	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c := l.conn(nb); c != nil {
-			done := c.written.Add(int64(n))
-			if end := c.ending.Load(); end > 0 && done >= end {
-				go c.endSending() // the engine holds its lock here
-			}
-			c.wake()
-		}
-	})
+	l.engine.OnWrittenSize(l.wrote)
 	if err := l.engine.Start(); err != nil {
 		_ = inner.Close()
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
@@ -361,6 +395,17 @@
 // Full tells whether a connection waits to be accepted because as many as may be are open.
 func (l *Loop) Full() bool { return l.slots.short() && l.listener.waits() }
 
+// wrote counts what a socket has taken. The engine holds its lock here.
+func (l *Loop) wrote(nb *nbio.Conn, _ []byte, n int) {
+	if c := l.conn(nb); c != nil {
+		done := c.written.Add(int64(n))
+		if end := c.ending.Load(); end > 0 && done >= end {
+			go c.endSending()
+		}
+		c.wake()
+	}
+}
+
 // Open is how many connections that came in are open.
 func (l *Loop) Open() int { return l.slots.inUse() }
 
--- a/internal/south/carrier/crossing_test.go
+++ b/internal/south/carrier/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -18,6 +19,7 @@
 	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/core"
+	"linenwheel.dev/linenwheel/internal/flow"
 	"linenwheel.dev/linenwheel/internal/http1"
 	"linenwheel.dev/linenwheel/internal/loop"
 	"linenwheel.dev/linenwheel/internal/pilot"
@@ -29,12 +31,17 @@
 type bench struct {
 	t          *testing.T
 	clock      *clock.Manual
+	loop       *loop.Loop
 	pool       *carrier.Pool
 	rater      net.Listener
 	front      string
 	conns      chan *loop.Conn // of clients
 	came, free chan struct{}   // what clients send holds the poller until free is closed
 	dialling   func()          // called before a connection is opened
+	protocol   carrier.Protocol
+	asking     func() // called right before a request is written, if protocol is a hooked one
+	sent       func() // called once its last byte has gone out
+	budget     *flow.Budget
 }
 
 func (b *bench) Data([]byte)  { b.came <- struct{}{}; <-b.free }
@@ -42,16 +49,16 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, clock: clock.NewManual(1000), conns: make(chan *loop.Conn, 8), came: make(chan struct{}, 8), free: make(chan struct{}),
-		dialling: func() {}}
+		dialling: func() {}, asking: func() {}, sent: func() {}, protocol: httphost.Protocol{}, budget: flow.NewBudget(1 << 20)}
 	l, err := loop.Listen("127.0.0.1:0", 8, func(c *loop.Conn) loop.Handler { b.conns <- c; return b })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
-	b.front = l.Addr()
+	b.front, b.loop = l.Addr(), l
 	b.rater, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = b.rater.Close() })
-	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000},
-		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return httphost.Protocol{} }}, b.clock, l, slog.New(slog.DiscardHandler))
+	b.pool = carrier.New(carrier.Settings{Connections: 8, ConnectTimeout: 60_000, Settle: 5, Limits: carrier.Limits{Idle: 30_000}, Budget: b.budget, Sent: func() { b.sent() },
+		Protocol: func(core.Host) carrier.Protocol { b.dialling(); return b.protocol }}, b.clock, l, slog.New(slog.DiscardHandler))
 	return b
 }
 
@@ -80,16 +87,21 @@
 func (b *bench) attempt(id string, client any) (*core.Call, chan result) {
 	call := &core.Call{ID: id, Tenant: -1, Deadline: 1e9, Client: client,
 		Payload: &http1.Message{Method: []byte("GET"), Target: []byte("/look/" + id)}}
+	return call, b.relay(call, make(chan struct{}))
+}
+
+// relay has a call carried until off is closed or the clock stands at 1e9, and gives its end.
+func (b *bench) relay(call *core.Call, off chan struct{}) chan result {
 	ended := make(chan result, 1)
 	go func() {
-		o, payload := b.pool.Relay(core.Host{Name: "h", Address: b.rater.Addr().String()}, call, 1e9, make(chan struct{}))
+		o, payload := b.pool.Relay(core.Host{Name: "h", Address: b.rater.Addr().String()}, call, 1e9, off)
 		r := result{outcome: o}
 		if m, ok := payload.(*http1.Message); ok {
 			r.body = string(m.Body)
 		}
 		ended <- r
 	}()
-	return call, ended
+	return ended
 }
 
 func (b *bench) accept() net.Conn {
@@ -159,6 +171,76 @@
 	}
 }
 
+// hooked is a protocol that tells when a request is about to be written.
+type hooked struct {
+	carrier.Protocol
+	b *bench
+}
+
+func (h hooked) Answers() carrier.Answers { return hookedAnswers{h.Protocol.Answers(), h.b} }
+
+type hookedAnswers struct {
+	carrier.Answers
+	b *bench
+}
+
+func (h hookedAnswers) Expect(about any) {
+	h.b.asking()
+	h.Answers.Expect(about)
+}
+
+// deafen has the machine drop what comes on a connection from here on: nothing of it is acknowledged.
+func deafen(t *testing.T, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	drop := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET}}
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		assert.NoError(t, unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &drop))
+	}))
+}
+
+// Guards against a second answer taken for that to the next request: it comes after the last look at the connection and before the
+// request is written, or after that and before the host can have read it.
+func TestSecondAnswerIsNotTheNextOnes(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		b := newBench(t)
+		b.protocol = hooked{b.protocol, b}
+		_, ended := b.attempt("1", nil)
+		host := b.accept()
+		b.serve(host)
+		require.Equal(t, result{pilot.Served, "/look/1"}, <-ended)
+		pulse, err := b.loop.Pulse()
+		require.NoError(t, err)
+		pulse.Beat(t.Context()) // the poller has done with the answer
+		b.clock.Advance(10)
+		again := func() {
+			_, err := host.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother"))
+			assert.NoError(t, err)
+		}
+		if before {
+			b.asking = func() { again(); b.arrived(host); deafen(t, host) }
+		} else {
+			b.asking, b.sent = func() { deafen(t, host) }, again
+		}
+		_, ended = b.attempt("2", nil)
+		assert.Equal(t, result{pilot.Reset, ""}, <-ended, "it may have run")
+		require.Eventually(t, func() bool { return len(b.pool.Uses()) == 0 }, time.Minute, time.Millisecond, "it is closed")
+	}
+}
+
+// Guards against a host that is told of more time than there is left when its request is written, as after a connection that took long.
+func TestTimeToldIsLeft(t *testing.T) {
+	b := newBench(t)
+	b.dialling = func() { b.clock.Advance(1000.5) }
+	_, ended := b.attempt("1", nil)
+	host := b.accept()
+	r, err := http.ReadRequest(bufio.NewReader(host))
+	require.NoError(t, err)
+	assert.Equal(t, "999997999", r.Header.Get(http1.DeadlineField), "of 1e9 - 2000.5")
+	require.NoError(t, host.Close())
+	assert.Equal(t, pilot.Reset, (<-ended).outcome)
+}
+
 // Guards against an attempt that begins for a client whose end the poller has not seen, on a connection that has just come up and on a
 // kept one, also behind requests that nobody has read; and against the connection being lost for it.
 func TestNothingBeginsForAClientThatHasGone(t *testing.T) {
@@ -178,7 +260,7 @@
 			require.NoError(t, raw.CloseWrite())
 			b.arrived(raw)
 			call, ended := b.attempt("2", client)
-			assert.Equal(t, result{pilot.CalledOff, ""}, <-ended)
+			assert.Equal(t, result{pilot.Unsent, ""}, <-ended)
 			assert.True(t, call.HasLeft())
 			assert.Equal(t, map[string]carrier.Use{"h": {Open: 1, Idle: 1}}, b.pool.Uses())
 			close(b.free)
@@ -220,3 +302,67 @@
 	require.NoError(t, err)
 	assert.Empty(t, text)
 }
+
+// Guards against a call whose client leaves while its connection comes up being taken for one that may have run: its name and its tenant's
+// room would stay taken.
+func TestLeavingBeforeTheFirstByteRunsNothing(t *testing.T) {
+	for _, cancel := range []bool{false, true} {
+		b := newBench(t)
+		quiet := slog.New(slog.DiscardHandler)
+		module, err := pilot.New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 1, Cancel: cancel},
+			Classes: []decide.Class{{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1, b.clock, quiet, nil)
+		require.NoError(t, err)
+		module.Inventory(pilot.Whole, []pilot.Host{{Name: "h", Address: b.rater.Addr().String(), Zone: "z", Kind: "k", Weight: 1}})
+		call := &core.Call{ID: "q", Tenant: -1, Deadline: 3000, Payload: &http1.Message{Method: []byte("POST"), Target: []byte("/pay/q")}}
+		b.dialling = call.Leave
+		assert.Equal(t, core.Answer{Kind: core.Left}, core.New(core.Settings{Calls: 1}, module, b.pool, quiet).Serve(call), cancel)
+	}
+}
+
+// Guards against an attempt whose connection comes up late going to a host that the list has meanwhile told to depart, more than its grace
+// ago, or to where it is not any more.
+func TestNothingNewToAHostThatDepartsMeanwhile(t *testing.T) {
+	for name, c := range map[string]struct {
+		change pilot.Host
+		after  float64
+		goes   bool
+	}{"draining": {pilot.Host{Status: pilot.Draining}, 501, false}, "gone": {pilot.Host{Status: pilot.Gone}, 501, false},
+		"moved": {pilot.Host{Address: "127.0.0.1:1"}, 501, false}, "within its grace": {pilot.Host{Status: pilot.Draining}, 500, true}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			quiet := slog.New(slog.DiscardHandler)
+			module, err := pilot.New(decide.Settings{Nodes: 1, Zones: []string{"z"}, Kinds: []string{"k"}, Limits: decide.Limits{MaxAttempts: 1},
+				Rules:   decide.Rules{DrainGrace: 500 * time.Millisecond},
+				Classes: []decide.Class{{Name: "pay", Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}}}, 1, b.clock, quiet, nil)
+			require.NoError(t, err)
+			is := pilot.Host{Name: "h", Address: b.rater.Addr().String(), Zone: "z", Kind: "k", Weight: 1}
+			module.Inventory(pilot.Whole, []pilot.Host{is})
+			b.dialling = func() {
+				is.Status = c.change.Status
+				is.Address = cmp.Or(c.change.Address, is.Address)
+				module.Inventory(pilot.Changes, []pilot.Host{is})
+				b.clock.Advance(c.after)
+			}
+			call := &core.Call{ID: "q", Tenant: -1, Deadline: 3000, Payload: &http1.Message{Method: []byte("POST"), Target: []byte("/pay/q")}}
+			answer := make(chan core.Answer, 1)
+			go func() { answer <- core.New(core.Settings{Calls: 1}, module, b.pool, quiet).Serve(call) }()
+			host := b.accept()
+			if c.goes {
+				b.serve(host)
+				require.Equal(t, core.Served, (<-answer).Kind)
+				return
+			}
+			came := make(chan []byte, 1)
+			go func() {
+				text, _ := io.ReadAll(io.LimitReader(host, 1))
+				_ = host.Close()
+				came <- text
+			}()
+			a := <-answer
+			assert.Equal(t, core.Refused, a.Kind)
+			assert.False(t, a.Ran)
+			b.pool.Resize(0)
+			assert.Empty(t, <-came)
+		})
+	}
+}
