Give a slow writer that makes room the time to read its 503 over what it goes on sending

Need: a request that is furthest behind its pace is refused to make room, and its connection was closed at once. Its client goes on sending, so that the close came over unread bytes, and the reset could take the 503 with it.

Change: it ends as behind every last answer: sending first, then it is read on for north.http.linger.

--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -357,7 +357,7 @@
 	resting := func() bool { return c.resting(now, rest) }
 	free := c.ended || !c.busy && c.parser.Idle() && c.still(resting) && c.net.Farewell()
 	if room && !free && !c.busy && c.still(func() bool { return c.behind(now, limits) >= 0 }) && c.net.Quiet() {
-		c.refuse(c.parser.Head(), text(503, "", core.ReasonBusy), 0)
+		c.last(c.parser.Head(), text(503, "", core.ReasonBusy)) // which it may go on sending over
 	}
 	c.ended = c.ended || free
 	c.mu.Unlock()
@@ -514,16 +514,13 @@
 }
 
 // last answers a client that may go on sending, under the lock, and ends the connection.
-func (c *conn) last(m *http1.Message, r http1.Reply) { c.refuse(m, r, c.side.limits.Load().Linger) }
-
-// refuse is last where the client has so many milliseconds to read the answer before the connection closes.
-func (c *conn) refuse(m *http1.Message, r http1.Reply, linger float64) {
+func (c *conn) last(m *http1.Message, r http1.Reply) {
 	c.ended = true
 	c.enter(leaving)
 	now := c.side.clock.Now()
 	r.Date, r.Close, r.Head = c.side.dates.at(now), true, m != nil && string(m.Method) == "HEAD"
 	_ = c.net.Write(http1.AppendResponse(nil, r))
-	c.net.End(linger, c.side.limits.Load().Stall)
+	c.end()
 }
 
 // request handles one request under the lock.
