Have the play of a dying leader say that a newcomer votes too soon, not wait for ever

Need: the play waited to see a stopped newcomer learn. The newcomer also stayed stopped on every way out but one. Lines to blame: the loop in orphan (play.go), which looked for one role alone. Line to blame: Pause, which sent SIGSTOP and went on. Change: a newcomer that is found in any role but that of one that learns breaks the play at once; it goes on again on every way out; Pause returns once the kernel reports the process stopped. TestBrokenPlayTells names the founders of its two keepers, which else end for their options, whether stopped before or not.

--- a/lab/circle/circle.go
+++ b/lab/circle/circle.go
@@ -403,9 +403,12 @@
 	if on {
 		s = syscall.SIGSTOP
 	}
-	if k.process.Signal(s) == nil {
-		k.stopped = on
+	if k.process.Signal(s) != nil {
+		return
 	}
+	k.stopped = on
+	for on && errors.Is(unix.Waitid(unix.P_PID, k.process.PID(), nil, unix.WSTOPPED|unix.WNOWAIT, nil), unix.EINTR) {
+	} // until all its threads stand still: until then it may answer
 }
 
 // Wipe deletes what a keeper that is down had on its disk.
--- a/lab/circle/circle_test.go
+++ b/lab/circle/circle_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/peers/talk"
 	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
@@ -84,6 +85,7 @@
 	c, err := New([]string{"still", "ended"}, Options{Program: program, Dir: t.TempDir()})
 	require.NoError(t, err)
 	defer c.Close()
+	c.founders = []string{"still", "ended"}
 	for _, k := range c.keepers {
 		require.NoError(t, c.Start(k.name))
 	}
@@ -96,3 +98,42 @@
 	require.ErrorContains(t, err, "k0: ")
 	assert.Len(t, r.States, 4)
 }
+
+// Guards against a play that waits for ever for a newcomer to learn that has its vote already.
+func TestOrphanThatVotes(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), most)
+	defer stop()
+	s := &Schedule{Keepers: 3, Clients: 1, Faults: []Fault{{Kind: "orphan", On: "k0"}}}
+	r, err := Play(ctx, s, Options{Program: program, Dir: t.TempDir()})
+	require.NoError(t, err)
+	require.Len(t, r.Broken, 1, "it goes on after that")
+	assert.Contains(t, r.Broken[0], `k0 stands still and has learnt nothing, and its role is "voter"`)
+}
+
+// Guards against a keeper that is taken to stand still and has threads that go on: it may answer.
+func TestPause(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), most)
+	defer stop()
+	c, err := New([]string{"k0"}, Options{Program: program, Dir: t.TempDir()})
+	require.NoError(t, err)
+	defer c.Close()
+	c.founders = []string{"k0"}
+	require.NoError(t, c.Start("k0"))
+	_, err = c.until(ctx, "k0", func(*talk.State) bool { return true })
+	require.NoError(t, err)
+	threads := fmt.Sprintf("/proc/%d/task/*/stat", c.find("k0").process.PID())
+	for range 20 {
+		c.Pause("k0", true)
+		files, err := filepath.Glob(threads)
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, f := range files {
+			text, err := os.ReadFile(f)
+			require.NoError(t, err)
+			require.Regexp(t, `\) T `, string(text))
+		}
+		c.Pause("k0", false)
+		_, err = c.until(ctx, "k0", func(*talk.State) bool { return true })
+		require.NoError(t, err)
+	}
+}
--- a/lab/circle/play.go
+++ b/lab/circle/play.go
@@ -405,17 +405,24 @@
 		return err
 	}
 	p.Pause(n, true)
+	defer p.Pause(n, false)
 	m := ledger.Member{ID: fresh.ID, Name: n, Address: p.find(n).address}
 	for {
 		lead, err := p.lead(p.ctx)
 		if err != nil {
-			return err
+			return fmt.Errorf("%s is not taken in: %w", n, err)
 		}
-		if slices.ContainsFunc(lead.Members, func(have talk.Member) bool { return have.ID == m.ID && have.Role == ledger.Learner }) {
+		have := slices.IndexFunc(lead.Members, func(have talk.Member) bool { return have.ID == m.ID })
+		switch {
+		case have < 0:
+			_, _ = client.Ask(p.ctx, p.settings("rig"), client.Keeper{Name: lead.Name, Address: p.find(lead.Name).address},
+				talk.Request{Want: talk.Learn, Members: []ledger.Member{m}}) // it is tried again
+		case lead.Members[have].Role != ledger.Learner: // to wait on would be for ever
+			return fmt.Errorf("%s stands still and has learnt nothing, and its role is %q", n, lead.Members[have].Role)
+		default:
 			p.counts.add("met: a leader that died with a change of members under way")
 			p.Kill(lead.Name)
 			p.lost[lead.Name] = true
-			p.Pause(n, false)
 			p.later(f, func() error {
 				if err := p.back([]string{lead.Name}); err != nil {
 					return err
@@ -424,8 +431,6 @@
 			})
 			return nil
 		}
-		_, _ = client.Ask(p.ctx, p.settings("rig"), client.Keeper{Name: lead.Name, Address: p.find(lead.Name).address},
-			talk.Request{Want: talk.Learn, Members: []ledger.Member{m}}) // it is tried again
 	}
 }
 
