--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -350,7 +350,7 @@
 func (p *Pool) Relay(host core.Host, call *core.Call, until float64, off <-chan struct{}) (pilot.Outcome, any) {
 	done := make(chan end, 1)
 	late := make(chan struct{})
-	c, about, err, o := p.begin(host, call, until, done, off)
+	c, about, o, err := p.begin(host, call, until, done, off)
 	if c == nil {
 		return o, nil
 	}
@@ -447,29 +447,29 @@
 // begin finds a connection for an attempt and writes the first bytes of its request, or tells why nothing is to go out. What may have
 // changed since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the
 // final answer is given, the host departs, the client is there, and nothing has come on the connection. err is that of the first write.
-func (p *Pool) begin(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (c *conn, about any, err error,
-	o pilot.Outcome) {
+func (p *Pool) begin(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (c *conn, about any, o pilot.Outcome,
+	err error) {
 	client, _ := call.Client.(*loop.Conn)
 	for {
 		c, err := p.get(host, until, done, off)
 		if err != nil {
-			return nil, nil, nil, p.unsent(err, until, off)
+			return nil, nil, p.unsent(err, until, off), nil
 		}
 		select {
 		case <-off:
 			c.giveUp(done)
-			return nil, nil, nil, pilot.Unsent
+			return nil, nil, pilot.Unsent, nil
 		default:
 		}
 		left := int(until - p.clock.Now()) // never more than there is
 		if left <= 0 {
 			c.giveUp(done)
-			return nil, nil, nil, pilot.Unsent
+			return nil, nil, pilot.Unsent, nil
 		}
-		back := func() (*conn, any, error, pilot.Outcome) {
+		back := func() (*conn, any, pilot.Outcome, error) {
 			c.disarm()
 			p.put(c, true)
-			return nil, nil, nil, pilot.Unsent
+			return nil, nil, pilot.Unsent, nil
 		}
 		if !call.Standing() { // the node stood still for longer than its claim: another may have it
 			return back()
@@ -489,11 +489,11 @@
 			return back()
 		}
 		if fit {
-			return c, about, err, 0
+			return c, about, 0, err
 		}
 		c.giveUp(done)
 		if c.since == 0 {
-			return nil, nil, nil, pilot.NoConnect
+			return nil, nil, pilot.NoConnect, nil
 		}
 	}
 }
