--- a/internal/loop/flow.go
+++ b/internal/loop/flow.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -42,7 +43,7 @@
 func (c *Conn) read(buffer []byte) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	for total := 0; ; {
+	for total := 0; !c.heard; {
 		if (c.paused.Load() || total > turnMost) && !c.hungUp() {
 			if !c.paused.Load() {
 				go c.catchUp()
@@ -55,7 +56,8 @@
 		}
 		if n <= 0 || err != nil {
 			if !errors.Is(err, syscall.EAGAIN) { // the engine hears of it, too, and closes the socket next
-				c.finished.Store(c.finished.Load() || err == nil)
+				c.heard = true // the system tells of a reset once: a further read would find an end in its place
+				c.finished.Store(err == nil)
 				c.over()
 			}
 			return
@@ -128,10 +130,13 @@
 	return c.closed
 }
 
-// Abort ends the connection at once, so that the other side sees that something is missing.
+// Abort resets the connection at once, so that the other side sees that something is missing. An end would not do: to one that was told
+// no length it means that it has all. The descriptor stays the poller's to close (see Close).
 func (c *Conn) Abort() {
 	c.descriptor(func(fd int) {
 		_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+		nobody := unix.RawSockaddr{Family: unix.AF_UNSPEC} // connecting to that breaks a connection off
+		_, _, _ = unix.Syscall(unix.SYS_CONNECT, uintptr(fd), uintptr(unsafe.Pointer(&nobody)), unsafe.Sizeof(nobody))
 	})
-	c.Close()
+	c.Close() // where the system does not reset it so
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -53,13 +53,15 @@
 
 	reading         sync.Mutex    // held by who reads: the poller, or a goroutine that catches up
 	dropped         int           // bytes that nobody was handed, by who reads
+	heard           bool          // how the other side ended it, by who reads
 	paused          atomic.Bool   // nothing more is to be read for now
 	toEnd, finished atomic.Bool   // the end is waited for; it has come
 	room            chan struct{} // something was taken of what was written, or the connection has ended
 
 	last   sync.Mutex  // orders what is done to the descriptor with its end
 	closed bool        // the engine closes it; its number is another connection's then
-	lapse  *time.Timer // closes it once the other side has had its time to end it too
+	sent   bool        // all that was to be written before its end is
+	lapse  *time.Timer // closes it once the other side has had its time to take what is written, or to end it too
 }
 
 // descriptor lets f see the descriptor, unless it is closed.
@@ -105,11 +107,11 @@
 	if c.ended() {
 		return fmt.Errorf("writing: %w", errEnded)
 	}
-	return c.Send(b)
+	return c.send(b)
 }
 
-// Send is Write for a connection that Look has just found fit.
-func (c *Conn) Send(b []byte) error {
+// send is Write for a connection that look has just found fit.
+func (c *Conn) send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.asked += int64(len(b))
@@ -125,6 +127,13 @@
 // Written is the number of bytes that the socket has taken.
 func (c *Conn) Written() int64 { return c.written.Load() }
 
+// Taken is Written once a write that is under way has been counted: after Close it stays as it is. It waits for what the engine does
+// with the connection, so no lock may be held that a handler takes.
+func (c *Conn) Taken() int64 {
+	_, _ = c.nb.Write(nil) // writes are one after another
+	return c.written.Load()
+}
+
 // Backlog is the number of bytes written that the socket has not taken yet.
 func (c *Conn) Backlog() int64 {
 	c.mu.Lock()
@@ -153,6 +162,19 @@
 	return free
 }
 
+// Quiet tells whether nothing has come that was not handed on.
+func (c *Conn) Quiet() (quiet bool) {
+	if !c.reading.TryLock() {
+		return false
+	}
+	defer c.reading.Unlock()
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		quiet = err == nil && n == 0
+	})
+	return quiet
+}
+
 // Close ends the connection at once. The poller closes the descriptor when it hears of that: were it closed here, the next
 // connection could get its number while the poller still has an event of this one to see to, and be ended by it.
 func (c *Conn) Close() {
@@ -162,9 +184,10 @@
 }
 
 // End tells the other side that nothing more comes once all that was to be written is, and closes the connection when the other side
-// ends it too, after so many milliseconds at the latest. What still comes is read and dropped: a close over bytes that nobody has
-// read resets the connection, and the last answer may be lost with it.
-func (c *Conn) End(linger float64) {
+// ends it too, after so many milliseconds at the latest (linger). What still comes is read and dropped: a close over bytes that nobody
+// has read resets the connection, and the last answer may be lost with it. Where the other side takes nothing of what is still to be
+// written for so many milliseconds (stall), the connection is closed as it is: it would be held for ever.
+func (c *Conn) End(linger, stall float64) {
 	c.deaf.Store(true)
 	c.Resume()
 	c.mu.Lock()
@@ -174,6 +197,8 @@
 	c.mu.Unlock()
 	if done {
 		c.endSending()
+	} else {
+		c.limitStall(stall)
 	}
 }
 
@@ -184,20 +209,88 @@
 	c.mu.Unlock()
 	c.descriptor(func(fd int) {
 		_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the connection has ended, of which the poller hears too
-		if c.lapse == nil {
-			c.lapse = time.AfterFunc(time.Duration(linger*float64(time.Millisecond)), c.Close)
+		if !c.sent {
+			c.sent = true
+			c.expire(linger, c.Close)
 		}
 	})
 }
 
-// Look tells, in one system call, whether a request can go out on c, and whether the client that it is for has ended its own
-// connection; nil is a client that is not looked at. Nothing may have come on c that was not asked for, and the other side may not
-// have ended it: the poller hears of both some time after the machine does.
-func (c *Conn) Look(client *Conn) (fit, gone bool) {
+// limitStall closes the connection once the other side takes nothing for so many milliseconds, until all is written.
+func (c *Conn) limitStall(stall float64) {
+	c.last.Lock()
+	defer c.last.Unlock()
+	if c.closed || c.sent || c.lapse != nil {
+		return
+	}
+	before := c.written.Load()
+	var look func()
+	look = func() {
+		c.last.Lock()
+		now := c.written.Load()
+		stalled := !c.closed && !c.sent && now == before
+		if before = now; !c.closed && !c.sent && !stalled {
+			c.expire(stall, look)
+		}
+		c.last.Unlock()
+		if stalled {
+			c.Close()
+		}
+	}
+	c.expire(stall, look)
+}
+
+// expire has f called after so many milliseconds, under last, in place of what was to be called before.
+func (c *Conn) expire(after float64, f func()) {
+	if c.lapse != nil {
+		c.lapse.Stop()
+	}
+	c.lapse = time.AfterFunc(time.Duration(after*float64(time.Millisecond)), f)
+}
+
+// Begin writes the first bytes of a request for a client if nothing has come on c that was not asked for, the other side has not ended
+// it (fit), and the client has not ended its own connection (gone): the poller hears of all that some time after the machine does. A
+// nil client is not looked at. Nothing that comes is handed on before it is written; asked is called right before that. It fails
+// where something has come that cannot be the answer.
+func (c *Conn) Begin(b []byte, client *Conn, asked func()) (fit, gone bool, err error) {
 	if !c.reading.TryLock() { // something has come
-		return false, client.looksGone()
+		return false, client.looksGone(), nil
 	}
 	defer c.reading.Unlock()
+	if fit, gone = c.look(client); !fit || gone {
+		return fit, gone, nil
+	}
+	asked()
+	if err = c.send(b); err == nil && c.stands() && c.Unheard() {
+		err = errEarly
+	}
+	return fit, gone, err
+}
+
+var errEarly = errors.New("something came before the request could be read")
+
+// stands tells whether something has come that is not read.
+func (c *Conn) stands() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// Unheard tells whether the other machine has not yet acknowledged all that the socket has taken. What has come until then was sent
+// before the last of it was there to be read: whatever is sent later carries the acknowledgement, and the machine takes note of
+// that before it lets the bytes be read.
+func (c *Conn) Unheard() (some bool) {
+	c.descriptor(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// look tells, in one system call, whether c is fit for a request, and whether the client that it is for has gone.
+func (c *Conn) look(client *Conn) (fit, gone bool) {
 	c.descriptor(func(fd int) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}, {Fd: -1}}
 		poll := func() {
@@ -291,15 +384,7 @@
 			c.handler.Closed(c.endedBy(err))
 		}
 	})
-	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
-		if c := l.conn(nb); c != nil {
-			done := c.written.Add(int64(n))
-			if end := c.ending.Load(); end > 0 && done >= end {
-				go c.endSending() // the engine holds its lock here
-			}
-			c.wake()
-		}
-	})
+	l.engine.OnWrittenSize(l.wrote)
 	if err := l.engine.Start(); err != nil {
 		_ = inner.Close()
 		return nil, fmt.Errorf("listening on %s: %w", addr, err)
@@ -307,6 +392,20 @@
 	return l, nil
 }
 
+// Full tells whether a connection waits to be accepted because as many as may be are open.
+func (l *Loop) Full() bool { return l.slots.short() && l.listener.waits() }
+
+// wrote counts what a socket has taken. The engine holds its lock here.
+func (l *Loop) wrote(nb *nbio.Conn, _ []byte, n int) {
+	if c := l.conn(nb); c != nil {
+		done := c.written.Add(int64(n))
+		if end := c.ending.Load(); end > 0 && done >= end {
+			go c.endSending()
+		}
+		c.wake()
+	}
+}
+
 // Open is how many connections that came in are open.
 func (l *Loop) Open() int { return l.slots.inUse() }
 
--- a/internal/north/httpfront/front.go
+++ b/internal/north/httpfront/front.go
@@ -53,7 +53,7 @@
 	Read     float64 // in which a request that has begun must be whole,
 	First    float64 // the first one counted from when the client connected
 	Rate     float64 // bytes a millisecond by which a body may take longer than Read,
-	Stall    float64 // and how long a long answer may stand still on its way
+	Stall    float64 // and how long an answer may stand still on its way
 	Linger   float64 // that a client which may go on sending has to read its last answer
 	Settle   float64 // that a client which has connected has before it may have to make room
 	Pipeline int     // kept of what comes behind a request that is being handled
@@ -142,7 +142,7 @@
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
 	if victim != nil {
-		go victim.retire(true)
+		go victim.retire(true, 0)
 	}
 	return c
 }
@@ -155,15 +155,31 @@
 	return http1.NewFlowing(false, s.set.Bodies.Most, http1.Flow{Whole: s.set.Bodies.Whole})
 }
 
+// MakeRoom has a connection make room for clients who wait because all places are taken.
+func (s *Side) MakeRoom() {
+	s.mu.Lock()
+	victim := s.victim(s.clock.Now())
+	if victim != nil {
+		victim.retired = true
+		s.retired++
+	}
+	s.mu.Unlock()
+	if victim != nil {
+		victim.retire(true, 0)
+	}
+}
+
 // victim finds, under the lock, the connection that makes room: one that has its last answer, else one that has sent
 // nothing, else one that asked before, each time the one that is so for longest. Those that came just now, and those
-// that may be about to ask again, are spared as long as there are others.
+// that may be about to ask again, are spared as long as there are others. Last comes the request that is furthest behind.
 func (s *Side) victim(now float64) *conn {
 	limits := s.limits.Load()
 	rank := func(c *conn) float64 {
 		switch age := now - c.since; {
 		case c.retired:
 			return 0
+		case c.state == leaving && c.net.Backlog() > 0: // to close it would cut its answer off
+			return 0
 		case c.state == leaving:
 			return 4e12 + age
 		case c.state == silent && age >= limits.Settle:
@@ -173,7 +189,7 @@
 		case c.state == silent || c.state == idle:
 			return 1e12 + age
 		}
-		return 0
+		return max(0, c.behind(now, limits))
 	}
 	var victim *conn
 	best := 0.0
@@ -185,6 +201,33 @@
 	return victim
 }
 
+// behind is, under the side's lock, by how many milliseconds a request that has begun is later than one whose client sends at once, or
+// its body at the rate that is waited for: below 0 if it is not, or has come just now.
+func (c *conn) behind(now float64, limits *Limits) float64 {
+	late := now - c.since - c.allowed
+	if c.state != reading || late < limits.Settle {
+		return -1
+	}
+	return late
+}
+
+// overdue tells, under the side's lock, whether a request that has begun should be whole by now.
+func (c *conn) overdue(now float64, limits *Limits) bool {
+	return c.state == reading && (now-c.since >= limits.Read+c.allowed || !c.asked && now-c.accepted >= limits.First+c.allowed)
+}
+
+// resting tells, under the side's lock, whether the connection carries no request for so long.
+func (c *conn) resting(now, limit float64) bool {
+	return (c.state == silent || c.state == idle) && now-c.since >= limit
+}
+
+// still asks one of these once more: between looking at all connections and seeing to one, a request may have come and gone.
+func (c *conn) still(what func() bool) bool {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	return what()
+}
+
 // Connections is how many connections of clients are open.
 func (s *Side) Connections() int {
 	s.mu.Lock()
@@ -207,20 +250,20 @@
 	var free, slow []*conn
 	s.mu.Lock()
 	for c := range s.conns {
-		switch age := now - c.since; {
-		case (c.state == silent || c.state == idle) && age >= limit:
+		switch {
+		case c.resting(now, limit):
 			free = append(free, c)
-		case c.state == reading && (age >= limits.Read+c.allowed || !c.asked && now-c.accepted >= limits.First+c.allowed):
+		case c.overdue(now, limits):
 			slow = append(slow, c)
 		}
 	}
 	s.mu.Unlock()
 	for _, c := range free {
-		c.retire(false)
+		c.retire(false, limit)
 	}
 	for _, c := range slow {
 		c.mu.Lock()
-		if !c.ended && !c.busy && !c.parser.Idle() {
+		if !c.ended && !c.busy && !c.parser.Idle() && c.still(func() bool { return c.overdue(now, limits) }) {
 			c.unreadable(errSlow)
 		}
 		c.mu.Unlock()
@@ -241,7 +284,8 @@
 
 	// Under the side's lock.
 	state   state
-	since   float64 // it is in its state since then
+	since   float64 // it is in its state since then,
+	rested  float64 // and was in the one before since then
 	asked   bool    // a whole request has come,
 	left    bool    // and it has had its last answer
 	allowed float64 // milliseconds that the body which is coming may take beyond the limits
@@ -265,6 +309,7 @@
 func (c *conn) enter(state state) {
 	c.side.mu.Lock()
 	if c.state != state {
+		c.rested = c.since
 		c.state, c.since = state, c.side.clock.Now()
 		if state == reading {
 			c.since = c.came
@@ -283,6 +328,18 @@
 	c.side.mu.Unlock()
 }
 
+// unread takes back that a request has begun: empty lines are none (RFC 9112, 2.2), and the connection rests for as long as it did.
+func (c *conn) unread() {
+	c.side.mu.Lock()
+	defer c.side.mu.Unlock()
+	if c.state != reading {
+		return
+	}
+	if c.state, c.since = silent, c.rested; c.asked {
+		c.state = idle
+	}
+}
+
 // leave counts a connection out, under the side's lock, that has had its last answer or has ended.
 func (c *conn) leave() {
 	if c.asked && !c.left {
@@ -291,11 +348,17 @@
 	}
 }
 
-// retire ends the connection if it still carries nothing, or has its last answer. A request that the machine has taken and the
-// handler not yet seen would be lost with it. Where it makes room for another it is closed at once.
-func (c *conn) retire(room bool) {
+// retire ends the connection if it still carries nothing, for so many milliseconds, or has its last answer. A request that the machine
+// has taken and the handler not yet seen would be lost with it. Where it makes room for another it is closed at once; there a request
+// that is still behind is refused first: nothing of it has gone on.
+func (c *conn) retire(room bool, rest float64) {
+	now, limits := c.side.clock.Now(), c.side.limits.Load()
 	c.mu.Lock()
-	free := c.ended || !c.busy && c.parser.Idle() && c.net.Farewell()
+	resting := func() bool { return c.resting(now, rest) }
+	free := c.ended || !c.busy && c.parser.Idle() && c.still(resting) && c.net.Farewell()
+	if room && !free && !c.busy && c.still(func() bool { return c.behind(now, limits) >= 0 }) && c.net.Quiet() {
+		c.last(c.parser.Head(), text(503, "", core.ReasonBusy)) // which it may go on sending over
+	}
 	c.ended = c.ended || free
 	c.mu.Unlock()
 	switch {
@@ -303,7 +366,7 @@
 		c.net.Close()
 		return
 	case free:
-		c.net.End(c.side.limits.Load().Linger)
+		c.end()
 		return
 	}
 	c.side.mu.Lock()
@@ -314,6 +377,12 @@
 	c.side.mu.Unlock()
 }
 
+// end ends the connection behind its last answer.
+func (c *conn) end() {
+	limits := c.side.limits.Load()
+	c.net.End(limits.Linger, limits.Stall)
+}
+
 // Data takes bytes from the client.
 func (c *conn) Data(data []byte) {
 	c.mu.Lock()
@@ -349,6 +418,8 @@
 			if !c.parser.Idle() && c.reserve() {
 				c.enter(reading)
 				c.expected()
+			} else if !c.ended && c.parser.Idle() {
+				c.unread()
 			}
 			return
 		}
@@ -449,7 +520,7 @@
 	now := c.side.clock.Now()
 	r.Date, r.Close, r.Head = c.side.dates.at(now), true, m != nil && string(m.Method) == "HEAD"
 	_ = c.net.Write(http1.AppendResponse(nil, r))
-	c.net.End(c.side.limits.Load().Linger)
+	c.end()
 }
 
 // request handles one request under the lock.
@@ -653,7 +724,7 @@
 	}
 	switch {
 	case end:
-		c.net.End(c.side.limits.Load().Linger)
+		c.end()
 	case c.net.Backlog() > int64(c.side.limits.Load().Backlog):
 		c.ended = true
 		go c.net.Close()
--- a/internal/north/lobby/lobby.go
+++ b/internal/north/lobby/lobby.go
@@ -104,6 +104,20 @@
 	return s, once
 }
 
+// MakeRoom has a connection make room for clients who wait because all places are taken.
+func (l *Lobby) MakeRoom() {
+	l.mu.Lock()
+	victim := l.victim(l.clock.Now())
+	if victim != nil {
+		victim.retired = true
+		l.retired++
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		l.retire(victim)
+	}
+}
+
 // victim finds, under the lock, the seat that makes room: one that has its last answer, else one that has sent nothing, else
 // one that asked before, each time the one that is so for longest. Those that came just now, and those that may be about to
 // ask again, are spared as long as there are others.
@@ -167,6 +181,19 @@
 	}
 }
 
+// Overdue tells whether a request that has begun should be whole by now. A guest asks it before it ends one as slow: since the lobby has
+// looked, that one may have come and another begun.
+func (s *Seat) Overdue() bool {
+	s.lobby.mu.Lock()
+	defer s.lobby.mu.Unlock()
+	return s.overdue(s.lobby.clock.Now(), s.lobby.limits.Load())
+}
+
+// overdue is Overdue under the lock.
+func (s *Seat) overdue(now float64, limits *Limits) bool {
+	return s.state == Reading && (now-s.since >= limits.Read || !s.asked && now-s.accepted >= limits.First)
+}
+
 // leave counts a seat out, under the lock, that has had its last answer or has ended.
 func (s *Seat) leave() {
 	if s.asked && !s.left {
@@ -212,7 +239,7 @@
 		switch age := now - s.since; {
 		case (s.state == Silent || s.state == Idle) && age >= idle:
 			free = append(free, s)
-		case s.state == Reading && (age >= limits.Read || !s.asked && now-s.accepted >= limits.First):
+		case s.overdue(now, limits):
 			slow = append(slow, s)
 		}
 	}
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -28,8 +28,8 @@
 	Late                     // no answer in time; it may have run
 	NoConnect                // its last byte never went out
 	Reset                    // the connection broke after that; it may have run
-	CalledOff                // given up because it was called off
-	Unsent                   // no byte went out, through no fault of the host: its time was up or no room was left
+	CalledOff                // given up because it was called off; it may have run
+	Unsent                   // its last byte never went out, through no fault of the host: called off, out of time or no room left
 	Rejected                 // the host finds fault with the request itself; it may have run
 )
 
@@ -269,10 +269,10 @@
 	return t.over && t.out == 0 && len(t.queue) == 0
 }
 
-// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host now: one that departs
-// gets nothing after its grace, and what may have run is not sent again once its repeats are not dropped any more. Since the
-// attempt was decided, its connection may have taken long to come up.
-func (t *Ticket) May(name string) (owed, permitted bool) {
+// May tells whether the final answer is still owed, and whether the rules let an attempt go to a host at an address now: one that
+// departs gets nothing after its grace, nothing goes to where it is not any more, and what may have run is not sent again once its
+// repeats are not dropped any more. Since the attempt was decided, its connection may have taken long to come up.
+func (t *Ticket) May(name, address string) (owed, permitted bool) {
 	p := t.p
 	if p == nil {
 		return true, true
@@ -281,7 +281,7 @@
 	defer p.mu.Unlock()
 	now, id := p.clock.Now(), p.ids[name]
 	h := p.hosts[id]
-	return !t.over, h != nil && now <= h.left+p.grace && t.repeats(id, now)
+	return !t.over, h != nil && h.Address == address && now <= h.left+p.grace && t.repeats(id, now)
 }
 
 // repeats tells whether an attempt at a host may go out in view of those before it.
--- a/internal/south/carrier/pool.go
+++ b/internal/south/carrier/pool.go
@@ -61,7 +61,8 @@
 type Body struct {
 	First   []byte
 	Rest    *flow.Pipe // which only one relay can take; nil = First is all
-	Chunked bool
+	Left    int        // bytes of Rest, if not Chunked
+	Chunked bool       // nobody knows how many those are
 }
 
 // Settings describe the south side, times in milliseconds.
@@ -139,10 +140,13 @@
 	mu     sync.Mutex
 	speaks Protocol
 	reader Answers
-	done   chan end   // of the relay that it carries, nil while idle
-	asked  bool       // that relay is being written: what comes may be its answer
-	body   *flow.Pipe // the rest of its answer, which goes on after its end
-	last   bool       // the host ends the connection after that
+	done   chan end     // of the relay that it carries, nil while idle
+	asked  bool         // that relay is being written: what comes may be its answer
+	alone  bool         // its request is written at once
+	need   atomic.Int64 // bytes written once all of that relay's request is
+	known  int64        // of them, those that are known before a body in chunks is
+	body   *flow.Pipe   // the rest of its answer, which goes on after its end
+	last   bool         // the host ends the connection after that
 	broken bool
 	freed  sync.Once
 }
@@ -179,7 +183,8 @@
 // ask lets the next bytes be the relay's answer, unless others have come before.
 func (c *conn) ask(about any) {
 	c.mu.Lock()
-	c.asked = true
+	_, more := about.(*Body)
+	c.asked, c.alone = true, !more
 	c.reader.Expect(about)
 	c.mu.Unlock()
 }
@@ -208,6 +213,12 @@
 		c.net.Close()
 		return
 	}
+	if c.alone && c.reader.Idle() && c.net.Unheard() { // it was sent before the host had the request
+		c.broken = true
+		c.finish(end{err: errBroken})
+		c.mu.Unlock()
+		return
+	}
 	c.reader.Feed(data)
 	answer, whole, err := c.reader.Next()
 	if reader, ok := c.reader.(Flowing); ok && err == nil && reader.ToEnd() {
@@ -256,7 +267,8 @@
 		return flowing
 	}
 	c.body = nil
-	if c.broken = c.broken || err != nil || c.last || !c.reader.Idle(); c.broken {
+	early := c.net.Written() < c.need.Load() // it has answered before it has the request
+	if c.broken = c.broken || err != nil || c.last || early || !c.reader.Idle(); c.broken {
 		return spent
 	}
 	return free
@@ -338,23 +350,17 @@
 func (p *Pool) Relay(host core.Host, call *core.Call, until float64, off <-chan struct{}) (pilot.Outcome, any) {
 	done := make(chan end, 1)
 	late := make(chan struct{})
-	c, out, about, o := p.ready(host, call, until, done, off)
+	c, about, o, err := p.begin(host, call, until, done, off)
 	if c == nil {
 		return o, nil
 	}
 	sent, broke := p.clock.Now(), false
 	defer func() { p.note(c.band, broke) }()
-	start := c.net.Written()
 	stop := p.clock.At(until, func() { close(late) })
 	defer stop()
-	c.ask(about)
 	body, _ := about.(*Body)
-	size, all := int64(len(out)), true // of what is to be written, and whether that is known
-	if body != nil {
-		size += int64(len(body.First))
-		all = body.Rest == nil
-	}
-	whole := func() bool { return all && c.net.Written()-start >= size }
+	need := c.need.Load()
+	whole := func() bool { return c.net.Written() >= need || c.net.Taken() >= need }
 	counted := false
 	count := func() {
 		if !counted && p.set.Sent != nil && whole() {
@@ -363,12 +369,6 @@
 		}
 	}
 	defer count()
-	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
-		was := len(out)
-		out = http1.AppendChunkHead(out, len(body.First))
-		size += int64(len(out) - was)
-	}
-	err := c.net.Send(out)
 	if err == nil && body != nil && len(body.First) > 0 {
 		err = c.net.Write(body.First)
 	}
@@ -383,31 +383,39 @@
 	}
 	if s, ok := about.(Silent); ok && s.Silent() {
 		c.disarm()
-		if !whole() { // closed, its last byte never goes out
-			c.net.Close()
+		now := whole()
+		if p.put(c, now); !now && !whole() { // closed, its last byte never goes out
 			return pilot.NoConnect, nil
 		}
-		p.put(c, true)
 		return pilot.Served, nil
 	}
 	var e end
 	if body != nil && body.Rest != nil {
 		more, err := p.upload(c, body, done, off, late)
-		if err != nil { // its last byte never went out
-			c.giveUp(done)
-			if errors.Is(err, errHost) {
+		if err != nil {
+			e = c.giveUp(done)
+			switch {
+			case e.whole: // it ended the connection after an answer
+				done <- e
+			case errors.Is(err, errHost): // the last byte never went out
 				return pilot.NoConnect, nil
+			default:
+				return pilot.Unsent, nil
 			}
-			return pilot.Unsent, nil
 		}
-		size += more
-		all = more > 0
+		if more > 0 {
+			need = c.known + more
+			c.need.Store(need)
+		}
 		count()
 	}
 	select {
 	case e = <-done:
 	case <-off:
 		if e = c.giveUp(done); !e.whole {
+			if !whole() {
+				return pilot.Unsent, nil
+			}
 			return pilot.CalledOff, nil
 		}
 	case <-late:
@@ -432,68 +440,81 @@
 	}
 	if e.answer.Attach == nil {
 		p.put(c, whole())
-	} else if !whole() { // it answers before it has the request: it is not used again
-		c.mu.Lock()
-		c.broken = true
-		c.mu.Unlock()
 	}
 	return e.answer.Outcome, e.answer.Payload
 }
 
-// ready finds a connection for an attempt and writes down its request, or tells why nothing is to go out. What may have changed
-// since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the final
-// answer is given, the host departs, the client is there, and nothing has come on the connection.
-func (p *Pool) ready(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (*conn, []byte, any, pilot.Outcome) {
+// begin finds a connection for an attempt and writes the first bytes of its request, or tells why nothing is to go out. What may have
+// changed since the attempt was decided is asked here, last before its first byte: whether it was called off or its time is up, the
+// final answer is given, the host departs, the client is there, and nothing has come on the connection. err is that of the first write.
+func (p *Pool) begin(host core.Host, call *core.Call, until float64, done chan end, off <-chan struct{}) (c *conn, about any, o pilot.Outcome,
+	err error) {
 	client, _ := call.Client.(*loop.Conn)
 	for {
 		c, err := p.get(host, until, done, off)
 		if err != nil {
-			return nil, nil, nil, p.unsent(err, until, off)
+			return nil, nil, p.unsent(err, until, off), nil
 		}
 		select {
 		case <-off:
 			c.giveUp(done)
-			return nil, nil, nil, pilot.CalledOff
+			return nil, nil, pilot.Unsent, nil
 		default:
 		}
-		left := int(math.Ceil(until - p.clock.Now()))
+		left := int(until - p.clock.Now()) // never more than there is
 		if left <= 0 {
 			c.giveUp(done)
-			return nil, nil, nil, pilot.Unsent
+			return nil, nil, pilot.Unsent, nil
 		}
-		back := func(o pilot.Outcome) (*conn, []byte, any, pilot.Outcome) {
+		back := func() (*conn, any, pilot.Outcome, error) {
 			c.disarm()
 			p.put(c, true)
-			return nil, nil, nil, o
+			return nil, nil, pilot.Unsent, nil
 		}
 		if !call.Standing() { // the node stood still for longer than its claim: another may have it
-			return back(pilot.Unsent)
+			return back()
 		}
-		if owed, permitted := call.May(host.Name); !owed {
-			return back(pilot.CalledOff)
-		} else if !permitted {
-			return back(pilot.Unsent)
+		if owed, permitted := call.May(host); !owed || !permitted {
+			return back()
 		}
 		out, about, err := c.speaks.Request(nil, host, call, left)
 		if err != nil {
 			p.log.Warn("a call cannot be written for a host: a relay was not sent", "host", host.Name, "error", err)
-			return back(pilot.Unsent)
+			return back()
 		}
-		fit, gone := c.net.Look(client)
+		out = c.measure(out, about)
+		fit, gone, err := c.net.Begin(out, client, func() { c.ask(about) })
 		if gone { // the poller has not heard of it yet
 			call.Leave()
-			return back(pilot.CalledOff)
+			return back()
 		}
 		if fit {
-			return c, out, about, 0
+			return c, about, 0, err
 		}
 		c.giveUp(done)
 		if c.since == 0 {
-			return nil, nil, nil, pilot.NoConnect
+			return nil, nil, pilot.NoConnect, nil
 		}
 	}
 }
 
+// measure notes how much will have been written once all of a request is, of which out comes first.
+func (c *conn) measure(out []byte, about any) []byte {
+	body, _ := about.(*Body)
+	if body != nil && body.Rest != nil && body.Chunked && len(body.First) > 0 {
+		out = http1.AppendChunkHead(out, len(body.First))
+	}
+	c.known = c.net.Written() + int64(len(out))
+	if body != nil {
+		c.known += int64(len(body.First) + body.Left)
+	}
+	c.need.Store(c.known)
+	if body != nil && body.Chunked {
+		c.need.Store(math.MaxInt64) // until that is known
+	}
+	return out
+}
+
 // note tells how a connection did that was given a request.
 func (p *Pool) note(band int, broke bool) {
 	p.mu.Lock()
@@ -511,7 +532,7 @@
 func (p *Pool) unsent(err error, until float64, off <-chan struct{}) pilot.Outcome {
 	select {
 	case <-off:
-		return pilot.CalledOff
+		return pilot.Unsent
 	default:
 	}
 	var timeout net.Error
@@ -611,17 +632,19 @@
 
 // put takes a connection back if it can carry another relay.
 func (p *Pool) put(c *conn, whole bool) {
+	now := p.clock.Now()
+	p.mu.Lock()
 	c.mu.Lock()
-	fit := !c.broken && whole
+	fit := !c.broken && whole // one that ends from here on finds itself among the idle ones
 	c.mu.Unlock()
+	if fit {
+		c.since = now
+		p.idle[c.host] = append(p.idle[c.host], c)
+	}
+	p.mu.Unlock()
 	if !fit {
 		c.net.Close()
-		return
 	}
-	c.since = p.clock.Now()
-	p.mu.Lock()
-	p.idle[c.host] = append(p.idle[c.host], c)
-	p.mu.Unlock()
 }
 
 // Use is how many connections to a host there are, and how many of them carry no relay.
