--- /dev/null
+++ b/cmd/linenwheel-control/main.go
@@ -0,0 +1,24 @@
+// Command linenwheel-control is the control plane of a router fleet: it keeps the configuration on the machines with a
+// disk, knows raters and nodes, and brings all of it to the data plane.
+package main
+
+import (
+	"os"
+
+	"github.com/charmbracelet/log"
+
+	"linenwheel.dev/linenwheel/internal/fleet/controlnode"
+	"linenwheel.dev/linenwheel/internal/fleet/program"
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+)
+
+func main() {
+	binary := program.Binary{
+		Name: "linenwheel-control",
+		Start: func(set *settings.Settings, logger *log.Logger) (program.Process, error) {
+			return controlnode.New(set, logger)
+		},
+		StatusAddress: func(set *settings.Settings) string { return set.Control },
+	}
+	os.Exit(binary.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/linenwheel-data/main.go
@@ -0,0 +1,24 @@
+// Command linenwheel-data is the data plane of a router fleet: it takes clients' requests, chooses a rater for each, and
+// passes the answers on.
+package main
+
+import (
+	"os"
+
+	"github.com/charmbracelet/log"
+
+	"linenwheel.dev/linenwheel/internal/fleet/datanode"
+	"linenwheel.dev/linenwheel/internal/fleet/program"
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+)
+
+func main() {
+	binary := program.Binary{
+		Name: "linenwheel-data",
+		Start: func(set *settings.Settings, logger *log.Logger) (program.Process, error) {
+			return datanode.New(set, logger), nil
+		},
+		StatusAddress: func(set *settings.Settings) string { return set.Readiness },
+	}
+	os.Exit(binary.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -196,19 +196,10 @@
 
 // Request takes a request that has arrived.
 func (b *Balancer) Request(now time.Duration, r Request) {
-	b.now = now
-	if r.Class < 0 || r.Class >= len(b.classes) || b.requests[r.ID] != nil {
+	q := b.arrive(now, &r)
+	if q == nil {
 		return
 	}
-	q := b.take()
-	*q = request{id: r.ID, class: r.Class, work: b.classes[r.Class].work, arrived: now, deadline: r.Deadline,
-		attempts: q.attempts[:0]}
-	if mean := &b.classes[r.Class].cost; r.Cost > 0 { // a hint tells a heavy request from a light one
-		*mean = cmp.Or(*mean, r.Cost)*(1-costPart) + r.Cost*costPart
-		q.work *= max(0.1, min(r.Cost / *mean, 10))
-	}
-	b.requests[r.ID] = q
-	b.asked += q.work
 	s := b.trial(q) // before any refusal: a node that put all backends away must find out when they are back
 	if limit := b.bins[b.binOf(&r)].limit; s == nil {
 		s = b.pick(q, limit)
--- /dev/null
+++ b/internal/fleet/controlnode/http.go
@@ -0,0 +1,240 @@
+package controlnode
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"linenwheel.dev/linenwheel/internal/fleet/faults"
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/operator/operatorpb"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+)
+
+// The figures of the operator's calls. The operator turns to another process after a second of silence.
+const (
+	submitWait   = 750 * time.Millisecond // that one try at the head may take
+	orderWait    = 900 * time.Millisecond // that a call may take in all
+	orderPause   = 60 * time.Millisecond  // between tries
+	bodyLimit    = 64 << 20
+	heartbeatMax = 64 << 10
+)
+
+func (n *Node) router() http.Handler {
+	r := chi.NewRouter()
+	r.Put("/-/config", n.order)
+	r.Patch("/-/config", n.order)
+	r.Get("/-/config", n.readConfig)
+	r.Put("/-/instances/{id}", n.heartbeat)
+	r.Delete("/-/instances/{id}", n.instanceLeaves)
+	r.Get("/-/status", n.status)
+	return r
+}
+
+type errorBody struct {
+	Error string
+}
+
+func answerJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func answerError(w http.ResponseWriter, err error) {
+	answer := faults.KindOf(err).Answer()
+	answerJSON(w, answer.Status, errorBody{Error: err.Error()})
+}
+
+// order takes a call that changes the configuration.
+func (n *Node) order(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit+1))
+	if err != nil || len(body) > bodyLimit {
+		answerError(w, faults.New(faults.BadRequest, "the body could not be read whole"))
+		return
+	}
+	base, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
+	if err != nil {
+		answerError(w, faults.New(faults.InvalidConfig, "header If-Match: a version number is wanted"))
+		return
+	}
+	revision, err := n.submit(operator.Order{Method: r.Method, Base: base, Body: body})
+	if err != nil {
+		n.log.Info("order not taken", "base", base, "err", err)
+		answerError(w, err)
+		return
+	}
+	answerJSON(w, http.StatusOK, struct{ Revision int64 }{revision})
+}
+
+// submit brings an order to the head, and to the next one where the view changes meanwhile.
+func (n *Node) submit(order operator.Order) (int64, error) {
+	deadline := time.Now().Add(orderWait)
+	for {
+		revision, err := n.submitOnce(order, time.Until(deadline))
+		if err == nil || faults.KindOf(err) != faults.Undecided || time.Until(deadline) < 2*orderPause {
+			return revision, err
+		}
+		time.Sleep(orderPause)
+	}
+}
+
+func (n *Node) submitOnce(order operator.Order, wait time.Duration) (int64, error) {
+	published, _ := n.core.Published()
+	head := published.View.Head()
+	switch head {
+	case replica.Member{}:
+		return 0, faults.New(faults.Undecided, "there is no view yet")
+	case published.Self:
+		return n.core.Submit(order, wait)
+	}
+	var reply SubmitReply
+	if err := n.pool.Call(head.Address, methodSubmit, &order, &reply, wait); err != nil {
+		return 0, &faults.Error{Kind: faults.Undecided, Detail: "the head does not answer", Err: err}
+	}
+	if reply.Failed {
+		return 0, faults.New(reply.Kind, "%s", reply.Detail)
+	}
+	return reply.Revision, nil
+}
+
+// readConfig answers with the newest configuration.
+func (n *Node) readConfig(w http.ResponseWriter, _ *http.Request) {
+	deadline := time.Now().Add(orderWait)
+	for {
+		document, err := n.readOnce()
+		if err == nil {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(document)
+			return
+		}
+		if time.Until(deadline) < 2*orderPause {
+			answerError(w, err)
+			return
+		}
+		time.Sleep(orderPause)
+	}
+}
+
+func (n *Node) readOnce() ([]byte, error) {
+	published, _ := n.core.Published()
+	tail := published.View.Tail()
+	switch tail {
+	case replica.Member{}:
+		return nil, faults.New(faults.Undecided, "there is no view yet")
+	case published.Self:
+		state, err := n.core.Read()
+		if err != nil {
+			return nil, err
+		}
+		return state.Document.JSON(), nil
+	}
+	var none struct{}
+	var reply ReadReply
+	if err := n.pool.Call(tail.Address, methodRead, &none, &reply, submitWait); err != nil {
+		return nil, &faults.Error{Kind: faults.Undecided, Detail: "the tail does not answer", Err: err}
+	}
+	return reply.Document, nil
+}
+
+// heartbeat takes a rater's heartbeat. What is news is on every other copy that answers before it is acknowledged.
+func (n *Node) heartbeat(w http.ResponseWriter, r *http.Request) {
+	record, err := readHeartbeat(chi.URLParam(r, "id"), io.LimitReader(r.Body, heartbeatMax))
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	n.mu.Lock()
+	news := n.raters.Heartbeat(n.now(), record)
+	n.mu.Unlock()
+	n.tell(news, record.ID)
+	answerJSON(w, http.StatusOK, struct{}{})
+}
+
+func (n *Node) instanceLeaves(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, "id")
+	n.mu.Lock()
+	news := n.raters.Leave(n.now(), id)
+	n.mu.Unlock()
+	n.tell(news, id)
+	answerJSON(w, http.StatusOK, struct{}{})
+}
+
+// tell spreads the news of one rater.
+func (n *Node) tell(news bool, id string) {
+	if !news {
+		return
+	}
+	n.mu.Lock()
+	n.announce()
+	record, known := n.raters.One(n.now(), id)
+	n.mu.Unlock()
+	if known {
+		n.peers.spread([]registry.Record{record})
+	}
+}
+
+var heartbeatReading = protojson.UnmarshalOptions{DiscardUnknown: true}
+
+func readHeartbeat(id string, body io.Reader) (registry.Record, error) {
+	content, err := io.ReadAll(body)
+	if err != nil {
+		return registry.Record{}, faults.New(faults.BadRequest, "the body could not be read whole")
+	}
+	var rater operatorpb.Rater
+	if err := heartbeatReading.Unmarshal(content, &rater); err != nil {
+		return registry.Record{}, &faults.Error{Kind: faults.BadRequest, Detail: "heartbeat", Err: err}
+	}
+	if rater.Backend == "" || rater.Address == "" {
+		return registry.Record{}, &faults.Error{Kind: faults.BadRequest, Err: errors.New("heartbeat without Backend or Address")}
+	}
+	record := registry.Record{ID: id, Backend: rater.Backend, Address: rater.Address, Zone: rater.Zone, Revision: rater.Revision,
+		Slots: int(rater.Slots), Sequence: rater.Sequence, WarmupLeft: time.Duration(rater.WarmupLeftMs * float64(time.Millisecond))}
+	if rater.State == "draining" {
+		record.State = registry.Draining
+	}
+	return record, nil
+}
+
+// statusBody is what the process tells people of itself.
+type statusBody struct {
+	Member        string
+	Epoch         uint64
+	Chain         []string
+	Voters        []string
+	InChain       bool
+	Healthy       bool
+	Revision      int64
+	Seq           uint64
+	ViewConfirmed string // how long ago the view was certainly the newest one
+	Raters        int
+	Sessions      int
+}
+
+func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
+	published, _ := n.core.Published()
+	now := n.now()
+	n.mu.Lock()
+	raters, sessions := len(n.raters.Since(now, 0)), len(n.sessions)
+	n.mu.Unlock()
+	confirmed := "never"
+	if published.ViewConfirmed > 0 {
+		confirmed = (now - published.ViewConfirmed).Round(time.Millisecond).String() + " ago"
+	}
+	inChain := false
+	for _, member := range published.View.Chain {
+		inChain = inChain || member == published.Self
+	}
+	answerJSON(w, http.StatusOK, statusBody{Member: published.Self.Address, Epoch: published.View.Epoch,
+		Chain: addresses(published.View.Chain), Voters: addresses(published.View.Voters), InChain: inChain,
+		Healthy: published.Healthy, Revision: published.State.Document.Revision, Seq: published.Seq, ViewConfirmed: confirmed,
+		Raters: raters, Sessions: sessions})
+}
--- /dev/null
+++ b/internal/fleet/controlnode/node.go
@@ -0,0 +1,195 @@
+// Package controlnode is the control plane's process: it drives the replica and its disk, keeps the registry of raters,
+// answers raters and the operator, and hands configuration, raters and allowances to the data plane.
+package controlnode
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"linenwheel.dev/linenwheel/internal/fleet/allowance"
+	"linenwheel.dev/linenwheel/internal/fleet/distribution"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+	"linenwheel.dev/linenwheel/internal/fleet/storage"
+	"linenwheel.dev/linenwheel/internal/fleet/transport"
+)
+
+// sessionLife is how long a node of the data plane counts as live after its last poll.
+const sessionLife = 3 * time.Second
+
+// Node is one control process.
+type Node struct {
+	settings *settings.Settings
+	log      *log.Logger
+	begin    time.Time
+	pool     *transport.Pool
+	store    *storage.Store
+	core     *Replicator
+	peers    *gossiper
+	owner    uint64 // names this process's copy of the registry
+
+	mu       sync.Mutex
+	raters   *registry.Registry
+	news     chan struct{} // closed when the registry has news
+	sessions map[uint64]time.Duration
+	rooms    *allowance.Owner
+	roomFrom map[string]time.Duration // when this process became the owner of a tenant
+	leaving  bool
+}
+
+// New makes a control process from its settings.
+func New(set *settings.Settings, logger *log.Logger) (*Node, error) {
+	n := &Node{settings: set, log: logger, begin: time.Now(), pool: transport.NewPool(), owner: randomNumber(),
+		raters: registry.New(set.Heartbeat), news: make(chan struct{}), sessions: map[uint64]time.Duration{},
+		rooms: allowance.NewOwner(), roomFrom: map[string]time.Duration{}}
+	var stored replica.Stored
+	if set.DataDir != "" {
+		store, found, err := storage.Open(set.DataDir)
+		if err != nil {
+			return nil, err
+		}
+		n.store, stored = store, found
+	}
+	machine, err := n.machine(stored)
+	if err != nil {
+		return nil, err
+	}
+	n.core = NewReplicator(n.now, logger, n.pool, n.store, machine)
+	n.peers = newGossiper(n)
+	return n, nil
+}
+
+// now is the steady clock of the process. It begins above 0, which stands for "never".
+func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Millisecond }
+
+func randomNumber() uint64 {
+	var bytes [8]byte
+	if _, err := rand.Read(bytes[:]); err != nil {
+		panic(err)
+	}
+	return binary.BigEndian.Uint64(bytes[:])>>1 + 1
+}
+
+// machine makes the replica. A disk that is empty makes it a new member; it may found the first view only where the
+// platform says that the whole system starts for the first time.
+func (n *Node) machine(stored replica.Stored) (*replica.Machine, error) {
+	set := n.settings
+	seeds := n.seedAddresses(set)
+	if stored.Self.Address != set.SelfInternal() {
+		stored = replica.Stored{Self: replica.Member{Address: set.SelfInternal(), Incarnation: randomNumber()}}
+		stored.Founder = set.Bootstrap && slices.Contains(seeds, set.SelfInternal())
+		if stored.Founder {
+			stored.Founders = seeds
+		}
+		if n.store != nil {
+			identity := replica.SaveIdentity{Self: stored.Self, Founder: stored.Founder, Founders: stored.Founders}
+			if err := n.store.Write([]replica.Record{identity}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	options := replica.DefaultOptions()
+	options.Tolerated = set.Machines
+	options.Seeds = seeds
+	options.Core = set.Counts || set.DataDir != ""
+	return replica.New(options, stored, n.now())
+}
+
+func (n *Node) seedAddresses(set *settings.Settings) []string {
+	var seeds []string
+	for _, seed := range set.Seeds {
+		if address := set.InternalAddress(seed); address != "" && !slices.Contains(seeds, address) {
+			seeds = append(seeds, address)
+		}
+	}
+	slices.Sort(seeds)
+	return seeds
+}
+
+// Run serves until the context ends, then leaves the control plane in order.
+func (n *Node) Run(ctx context.Context) error {
+	internal, err := transport.Listen(n.settings.SelfInternal())
+	if err != nil {
+		return fmt.Errorf("internal port: %w", err)
+	}
+	outer, err := net.Listen("tcp4", n.settings.Control)
+	if err != nil {
+		return fmt.Errorf("control address: %w", err)
+	}
+	failed := make(chan error, 2)
+	go func() { failed <- transport.Serve(internal, n.services()) }()
+	server := &http.Server{Handler: n.router(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second,
+		ErrorLog: n.log.StandardLog()}
+	go func() { failed <- server.Serve(outer) }()
+	go n.core.Run()
+	go n.peers.run()
+	n.log.Info("control process serves", "control", n.settings.Control, "internal", n.settings.SelfInternal())
+	select {
+	case <-ctx.Done():
+		return n.leave(server, internal)
+	case err := <-failed:
+		return err
+	}
+}
+
+// The figures of the planned stop.
+const (
+	leaveFor = 1200 * time.Millisecond // for the other members to agree on a view without this one
+	closeFor = 500 * time.Millisecond
+)
+
+// leave hands over: the chain goes on without this member, nodes turn to others, then calls end.
+func (n *Node) leave(server *http.Server, internal net.Listener) error {
+	n.log.Info("leaving the control plane")
+	n.mu.Lock()
+	n.leaving = true
+	n.announce()
+	n.mu.Unlock()
+	n.core.Leave()
+	time.Sleep(leaveFor)
+	ctx, cancel := context.WithTimeout(context.Background(), closeFor)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	n.core.Stop()
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = nil
+	}
+	return errors.Join(err, internal.Close())
+}
+
+// TakeSettings takes a settings file that has changed while the process runs: the seeds may be others.
+func (n *Node) TakeSettings(set *settings.Settings) {
+	n.core.SetSeeds(n.seedAddresses(set))
+}
+
+// announce wakes the polls that wait for news. The lock is held.
+func (n *Node) announce() {
+	close(n.news)
+	n.news = make(chan struct{})
+}
+
+// members are the processes of the control plane, the chain first.
+func (n *Node) members(view replica.View) []distribution.ControlMember {
+	zones := n.peers.zones()
+	var members []distribution.ControlMember
+	for _, member := range view.Chain {
+		members = append(members, distribution.ControlMember{Address: member.Address, Zone: zones[member.Address], InChain: true})
+	}
+	for _, member := range view.Voters {
+		if !slices.Contains(view.Chain, member) {
+			members = append(members, distribution.ControlMember{Address: member.Address, Zone: zones[member.Address]})
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/internal/fleet/controlnode/services.go
@@ -0,0 +1,187 @@
+package controlnode
+
+import (
+	"slices"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/allowance"
+	"linenwheel.dev/linenwheel/internal/fleet/distribution"
+	"linenwheel.dev/linenwheel/internal/fleet/faults"
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
+)
+
+// The methods by which control processes hand on the operator's calls.
+const (
+	methodSubmit = "Operator.Submit"
+	methodRead   = "Operator.Read"
+)
+
+// services are the internal calls that this process answers.
+func (n *Node) services() map[string]any {
+	return map[string]any{"Peer": &peerService{n}, "Registry": &registryService{n}, "Operator": &operatorService{n},
+		"Distribution": &distributionService{n}, "Allowance": &allowanceService{n}}
+}
+
+type peerService struct{ node *Node }
+
+// Deliver takes a message of another member.
+func (s *peerService) Deliver(envelope *replica.Envelope, _ *struct{}) error {
+	s.node.core.Deliver(*envelope)
+	return nil
+}
+
+type registryService struct{ node *Node }
+
+// Exchange takes and gives records of raters.
+func (s *registryService) Exchange(request *ExchangeRequest, reply *ExchangeReply) error {
+	s.node.peers.answer(request, reply)
+	return nil
+}
+
+type operatorService struct{ node *Node }
+
+// SubmitReply is the end of an order.
+type SubmitReply struct {
+	Revision int64
+	Failed   bool
+	Kind     faults.Kind
+	Detail   string
+}
+
+// Submit has an order taken by this process, as the head.
+func (s *operatorService) Submit(order *operator.Order, reply *SubmitReply) error {
+	revision, err := s.node.core.Submit(*order, submitWait)
+	reply.Revision = revision
+	if err != nil {
+		reply.Failed, reply.Kind, reply.Detail = true, faults.KindOf(err), err.Error()
+	}
+	return nil
+}
+
+// ReadReply is the newest configuration.
+type ReadReply struct{ Document []byte }
+
+// Read gives the newest configuration, as the tail.
+func (s *operatorService) Read(_ *struct{}, reply *ReadReply) error {
+	state, err := s.node.core.Read()
+	if err != nil {
+		return err
+	}
+	reply.Document = state.Document.JSON()
+	return nil
+}
+
+type distributionService struct{ node *Node }
+
+// mostHold bounds how long an answer waits for news.
+const mostHold = 2 * time.Second
+
+// Poll answers a node of the data plane as soon as there is news for it.
+func (s *distributionService) Poll(request *distribution.PollRequest, reply *distribution.PollReply) error {
+	n := s.node
+	deadline := time.NewTimer(min(request.Hold, mostHold))
+	defer deadline.Stop()
+	for waiting := true; waiting; {
+		published, changed := n.core.Published()
+		n.mu.Lock()
+		news := n.news
+		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving
+		n.mu.Unlock()
+		if fresh || published.Seq > request.ConfigSeq && published.StateConfirmed > 0 {
+			break
+		}
+		select {
+		case <-changed:
+		case <-news:
+		case <-deadline.C:
+			waiting = false
+		}
+	}
+	n.fill(request, reply)
+	return nil
+}
+
+// fill writes the answer to a poll.
+func (n *Node) fill(request *distribution.PollRequest, reply *distribution.PollReply) {
+	published, _ := n.core.Published()
+	now := n.now()
+	reply.Epoch, reply.Members = published.View.Epoch, n.members(published.View)
+	reply.Confirmed = published.StateConfirmed > 0
+	reply.ConfirmedAgo = now - published.StateConfirmed
+	reply.ConfigSeq = request.ConfigSeq
+	if reply.Confirmed && published.Seq > request.ConfigSeq {
+		reply.ConfigSeq = published.Seq
+		if request.ConfigSeq > 0 {
+			reply.Patches = n.core.OrdersSince(request.ConfigSeq, published.Seq)
+		}
+		if reply.Patches == nil {
+			reply.Document = published.State.Document.JSON()
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sessions[request.Session] = now
+	for session, polled := range n.sessions {
+		if now-polled > sessionLife {
+			delete(n.sessions, session)
+		}
+	}
+	reply.Sessions, reply.Leaving = len(n.sessions)*max(1, len(published.View.Chain)), n.leaving
+	reply.RegistryOwner, reply.RegistryVersion, reply.RegistryAge = n.owner, n.raters.Version(), now
+	since := request.RegistryVersion
+	if request.RegistryOwner != n.owner {
+		since, reply.Whole = 0, true
+	}
+	reply.Records = n.raters.Since(now, since)
+}
+
+type allowanceService struct{ node *Node }
+
+// The ages that fence the ownership of allowances.
+const (
+	ownerConfirmed = time.Second              // an owner whose view was confirmed longer ago gives out nothing
+	ownerWait      = ownerConfirmed * 12 / 10 // a new owner waits for so long, so that the one before has stopped
+)
+
+// Take answers a node's request for room.
+func (s *allowanceService) Take(request *allowance.TakeRequest, reply *allowance.TakeReply) error {
+	n := s.node
+	published, _ := n.core.Published()
+	now := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ownsRoom(published, request.Tenant, now) {
+		return nil
+	}
+	*reply = n.rooms.Take(now, request)
+	return nil
+}
+
+// ownsRoom tells whether this process is the owner of a tenant's allowance and may give out room. The lock is held.
+func (n *Node) ownsRoom(published Published, tenant string, now time.Duration) bool {
+	if AllowanceOwner(published.View.Chain, tenant) != published.Self.Address {
+		n.rooms.Forget(tenant)
+		delete(n.roomFrom, tenant)
+		return false
+	}
+	from, known := n.roomFrom[tenant]
+	if !known {
+		from = now
+		if published.View.Epoch > 1 { // the first view has no owners before it
+			from += ownerWait
+		}
+		n.roomFrom[tenant] = from
+	}
+	return now >= from && now-published.ViewConfirmed < ownerConfirmed && slices.Contains(published.View.Chain, published.Self)
+}
+
+// AllowanceOwner is the address of the member that owns a tenant's allowance.
+func AllowanceOwner(chain []replica.Member, tenant string) string {
+	addresses := make([]string, len(chain))
+	for i, member := range chain {
+		addresses[i] = member.Address
+	}
+	return routing.Rendezvous(tenant, addresses)
+}
--- /dev/null
+++ b/internal/fleet/datanode/node.go
@@ -0,0 +1,194 @@
+// Package datanode is the data plane's process: it follows the control plane by long poll, answers clients, and ends in
+// order when the platform says so.
+package datanode
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-chi/chi/v5"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/proxy"
+	"linenwheel.dev/linenwheel/internal/fleet/rater"
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+	"linenwheel.dev/linenwheel/internal/fleet/transport"
+)
+
+// Node is one process of the data plane.
+type Node struct {
+	settings *settings.Settings
+	log      *log.Logger
+	begin    time.Time
+	session  uint64
+	pool     *transport.Pool
+	follower *follower
+	placer   *placer
+	rooms    *rooms
+	retries  *retryBudget
+	figures  *proxy.Figures
+	active   atomic.Int64 // requests under way
+	stopping atomic.Bool
+	closing  atomic.Bool
+}
+
+// New makes a process of the data plane from its settings.
+func New(set *settings.Settings, logger *log.Logger) *Node {
+	n := &Node{settings: set, log: logger, begin: time.Now(), session: rand.Uint64()>>1 + 1, pool: transport.NewPool(),
+		figures: proxy.NewFigures()}
+	n.placer = newPlacer(n.now, nodeNumber(set.NodeName))
+	n.retries = newRetryBudget(set.Bounds)
+	n.follower = newFollower(n)
+	n.rooms = newRooms(n)
+	return n
+}
+
+// now is the steady clock of the process. It begins above 0, which stands for "never".
+func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Millisecond }
+
+// nodeNumbers is the range of the numbers that nodes give themselves.
+const nodeNumbers = 1 << 12
+
+func nodeNumber(name string) int {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(name))
+	return int(hash.Sum32() % nodeNumbers)
+}
+
+// Table is the configuration in force.
+func (n *Node) Table() *operator.Table { return n.follower.table.Load() }
+
+// Leased tells whether the configuration may be used now.
+func (n *Node) Leased() bool { return n.now() < time.Duration(n.follower.leaseEnd.Load()) }
+
+// ready tells whether the platform may hand new connections to this node.
+func (n *Node) ready() bool { return !n.stopping.Load() && n.Table() != nil && n.Leased() }
+
+// Run serves until the context ends, then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	failed := make(chan error, 2)
+	readiness, err := net.Listen("tcp4", n.settings.Readiness)
+	if err != nil {
+		return fmt.Errorf("readiness address: %w", err)
+	}
+	go func() {
+		failed <- (&http.Server{Handler: n.readiness(), ErrorLog: n.log.StandardLog()}).Serve(readiness)
+	}()
+	go n.follower.run()
+	go n.rooms.run()
+	select {
+	case <-n.follower.configured:
+	case <-ctx.Done():
+		return nil
+	case err := <-failed:
+		return err
+	}
+	front, err := net.Listen("tcp4", n.settings.Front)
+	if err != nil {
+		return fmt.Errorf("front address: %w", err)
+	}
+	server := n.server()
+	go func() { failed <- server.Serve(front) }()
+	n.log.Info("node serves", "front", n.settings.Front, "revision", n.Table().Revision)
+	select {
+	case <-ctx.Done():
+		return n.stop(server)
+	case err := <-failed:
+		return err
+	}
+}
+
+// idleSlack lengthens the time after which idle clients are closed, beyond what they were promised.
+const idleSlack = 1.25
+
+func (n *Node) server() *http.Server {
+	handler := &proxy.Handler{Config: n, Placer: n.placer, Rooms: n.rooms, Retries: n.retries, Raters: rater.NewClient(),
+		Figures: n.figures, Closing: n.closing.Load}
+	limits := n.Table().Limits
+	return &http.Server{Handler: n.counted(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout,
+		IdleTimeout: time.Duration(idleSlack * float64(limits.IdleTimeout)), MaxHeaderBytes: limits.HeaderBytes,
+		ErrorLog: n.log.StandardLog()}
+}
+
+func (n *Node) counted(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) readiness() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/-/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	r.Get("/-/status", n.status)
+	return r
+}
+
+// statusBody is what the process tells people of itself.
+type statusBody struct {
+	Node      string
+	Ready     bool
+	Revision  int64
+	LeaseLeft string
+	Epoch     uint64
+	Active    int64
+	Refused   map[string]int
+	Passed    map[int]int
+	Services  map[string][]raterStatus
+}
+
+func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
+	body := statusBody{Node: n.settings.NodeName, Ready: n.ready(), Active: n.active.Load(), Services: n.placer.status()}
+	if table := n.Table(); table != nil {
+		body.Revision = table.Revision
+	}
+	if left := time.Duration(n.follower.leaseEnd.Load()) - n.now(); n.settings.Bounds.Closed {
+		body.LeaseLeft = left.Round(time.Millisecond).String()
+	} else {
+		body.LeaseLeft = "not needed"
+	}
+	body.Epoch, _ = n.follower.members()
+	body.Refused, body.Passed = n.figures.Counts()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// The planned stop, counted from the signal: new connections stop coming once the platform has seen twice that the node
+// is not ready; then idle connections are closed, and what is under way may finish until shortly before the kill.
+const (
+	noticeFor   = 3200 * time.Millisecond
+	closingFrom = 1200 * time.Millisecond
+	beforeKill  = 400 * time.Millisecond
+)
+
+func (n *Node) stop(server *http.Server) error {
+	begin := time.Now()
+	n.stopping.Store(true)
+	n.log.Info("stopping", "active", n.active.Load())
+	notice := min(noticeFor, n.settings.Bounds.Grace/2)
+	time.Sleep(min(closingFrom, notice))
+	n.closing.Store(true)
+	time.Sleep(time.Until(begin.Add(notice)))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(n.settings.Bounds.Grace-beforeKill))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		n.log.Warn("requests were still under way", "active", n.active.Load())
+		return server.Close()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleet/datanode/placer.go
@@ -0,0 +1,131 @@
+package datanode
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
+)
+
+// placer holds the services' routing behind a lock.
+type placer struct {
+	now  func() time.Duration
+	node int
+
+	mu       sync.Mutex
+	services map[string]*routing.Service
+}
+
+func newPlacer(now func() time.Duration, node int) *placer {
+	return &placer{now: now, node: node, services: map[string]*routing.Service{}}
+}
+
+// update takes configuration and raters.
+func (p *placer) update(table *operator.Table, raters []registry.Record, nodes int) {
+	if table == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lists := make(map[string][]routing.Rater)
+	for _, record := range raters {
+		lists[record.Backend] = append(lists[record.Backend], routing.Rater{ID: record.ID, Address: record.Address,
+			Slots: record.Slots, Late: record.Late, Draining: record.State == registry.Draining})
+	}
+	for name := range table.Backends {
+		service := p.services[name]
+		if service == nil {
+			aim, deadline := objectives(table, name)
+			made, err := routing.NewService(routing.Options{Aim: aim, Deadline: deadline, Nodes: nodes, Node: p.node, Seed: rand.Uint64()})
+			if err != nil { // the options above are in range
+				panic(err)
+			}
+			service = made
+			p.services[name] = service
+		}
+		service.SetRaters(p.now(), believed(lists[name]))
+	}
+}
+
+// believed drops the notice that raters are late where it is about most of them: then it is control that does not hear.
+func believed(raters []routing.Rater) []routing.Rater {
+	late := 0
+	for _, one := range raters {
+		if one.Late {
+			late++
+		}
+	}
+	if 2*late <= len(raters) {
+		return raters
+	}
+	for i := range raters {
+		raters[i].Late = false
+	}
+	return raters
+}
+
+// objectives are the longest latency objective and timeout of the routes to a service.
+func objectives(table *operator.Table, service string) (aim, deadline time.Duration) {
+	for _, route := range table.Routes() {
+		if route.Allows(service) {
+			aim, deadline = max(aim, route.Target), max(deadline, route.Timeout)
+		}
+	}
+	if aim == 0 {
+		aim, deadline = time.Second, time.Second
+	}
+	return aim, max(aim, deadline)
+}
+
+// Place chooses a rater.
+func (p *placer) Place(name string, request *routing.Request) *routing.Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	service := p.services[name]
+	if service == nil {
+		return nil
+	}
+	now := p.now()
+	request.Deadline += now
+	return service.Place(now, request)
+}
+
+// Begun takes the first token of an answer.
+func (p *placer) Begun(name string, ticket *routing.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services[name].Begun(p.now(), ticket)
+}
+
+// End takes the end of an attempt.
+func (p *placer) End(name string, ticket *routing.Ticket, result routing.Result, load routing.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services[name].End(p.now(), ticket, result, load)
+}
+
+// raterStatus tells people of one rater.
+type raterStatus struct {
+	ID       string
+	Share    float64
+	Latency  string
+	Slow     float64
+	Away     bool
+	InFlight int
+}
+
+func (p *placer) status() map[string][]raterStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make(map[string][]raterStatus, len(p.services))
+	for name, service := range p.services {
+		for _, view := range service.View(p.now()).Backends {
+			all[name] = append(all[name], raterStatus{ID: service.Name(view.ID), Share: view.Share,
+				Latency: view.Latency.Round(time.Microsecond).String(), Slow: view.Slow, Away: view.Away, InFlight: view.Out})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/distribution/client.go
@@ -0,0 +1,188 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+)
+
+// The figures of a node's copy.
+const (
+	leasePart      = 0.9              // part of RevokeMs for which a confirmed configuration may be used
+	forgetUnlisted = 15 * time.Second // a copy of the registry that is older and does not list a rater knows that it is gone
+)
+
+// Copy is a node's copy of what the control plane gives out. It is pure and not safe for concurrent use.
+type Copy struct {
+	seq       uint64
+	wantWhole bool // a patch did not fit: the next answer must bring the whole document
+	state     *operator.State
+	table     *operator.Table
+	leaseFor  time.Duration
+	closed    bool
+	leaseEnd  time.Duration
+	owner     uint64
+	version   uint64
+	raters    map[string]registry.Record
+	epoch     uint64
+	members   []ControlMember
+	sessions  int
+	confirmed bool
+}
+
+// NewCopy makes an empty copy. Where closed is set, a configuration may be used only while it is known that no newer one
+// was acknowledged more than revoke ago.
+func NewCopy(closed bool, revoke time.Duration) *Copy {
+	return &Copy{closed: closed, leaseFor: time.Duration(leasePart * float64(revoke)), raters: map[string]registry.Record{}}
+}
+
+// Request gives the next poll.
+func (c *Copy) Request(node string, session uint64, hold time.Duration) PollRequest {
+	request := PollRequest{Node: node, Session: session, ConfigSeq: c.seq, RegistryOwner: c.owner, RegistryVersion: c.version,
+		Hold: hold}
+	if c.wantWhole {
+		request.ConfigSeq = 0
+	}
+	return request
+}
+
+// Change tells what an answer changed.
+type Change struct {
+	Config bool
+	Raters bool
+}
+
+// Take takes the answer to a poll that was sent at a time. An answer never takes the configuration back.
+func (c *Copy) Take(sent time.Duration, reply *PollReply) (Change, error) {
+	var change Change
+	if err := c.takeConfig(reply, &change); err != nil {
+		return change, err
+	}
+	c.confirmed = reply.Confirmed && reply.ConfigSeq == c.seq
+	if c.confirmed {
+		// The configuration was the newest at some time no earlier than so long before the poll was sent.
+		c.leaseEnd = max(c.leaseEnd, sent-reply.ConfirmedAgo+c.leaseFor)
+	}
+	if reply.Epoch >= c.epoch && len(reply.Members) > 0 {
+		c.epoch, c.members = reply.Epoch, reply.Members
+	}
+	c.sessions = reply.Sessions
+	change.Raters = c.takeRaters(reply)
+	return change, nil
+}
+
+func (c *Copy) takeConfig(reply *PollReply, change *Change) error {
+	if reply.ConfigSeq < c.seq || reply.ConfigSeq == c.seq && !c.wantWhole {
+		return nil
+	}
+	state := c.state
+	if reply.Document != nil {
+		document, err := operator.ParseDocument(reply.Document)
+		if err != nil {
+			return err
+		}
+		state = operator.NewState()
+		state.Document = document
+	} else {
+		for _, order := range reply.Patches {
+			next, err := state.Follow(order)
+			if err != nil {
+				c.wantWhole = true
+				return err
+			}
+			state = next
+		}
+	}
+	c.seq, c.state, c.table = reply.ConfigSeq, state, state.Document.Compile()
+	c.wantWhole = false
+	change.Config = true
+	return nil
+}
+
+func (c *Copy) takeRaters(reply *PollReply) bool {
+	changed := false
+	for _, record := range reply.Records {
+		changed = c.takeRater(record) || changed
+	}
+	if reply.Whole {
+		changed = c.dropUnlisted(reply) || changed
+	}
+	c.owner, c.version = reply.RegistryOwner, reply.RegistryVersion
+	return changed
+}
+
+func (c *Copy) takeRater(record registry.Record) bool {
+	known, present := c.raters[record.ID]
+	if !present {
+		c.raters[record.ID] = record
+		return record.State != registry.Gone
+	}
+	if record.Sequence < known.Sequence || record.State < known.State { // a copy that is behind
+		return false
+	}
+	if record.Address == "" { // it left, and the copy knew it only by its id
+		gone := known
+		gone.State = registry.Gone
+		record = gone
+	}
+	c.raters[record.ID] = record
+	return known.State != record.State || known.Late != record.Late || known.Address != record.Address
+}
+
+// dropUnlisted forgets raters that a copy of the registry does not list although it has been there for long. One that was
+// begun just now does not know them yet.
+func (c *Copy) dropUnlisted(reply *PollReply) bool {
+	if reply.RegistryAge < forgetUnlisted {
+		return false
+	}
+	dropped := false
+	for id := range c.raters {
+		if !slices.ContainsFunc(reply.Records, func(r registry.Record) bool { return r.ID == id }) {
+			delete(c.raters, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Table is the compiled configuration, nil before the first.
+func (c *Copy) Table() *operator.Table { return c.table }
+
+// LeaseEnd is until when the configuration may be used; it never ends where that need not be confirmed.
+func (c *Copy) LeaseEnd() time.Duration {
+	if !c.closed {
+		return time.Duration(1<<63 - 1)
+	}
+	return c.leaseEnd
+}
+
+// Confirmed tells whether the last answer confirmed the configuration.
+func (c *Copy) Confirmed() bool { return c.confirmed }
+
+// Raters are the raters that have not left.
+func (c *Copy) Raters() []registry.Record {
+	raters := make([]registry.Record, 0, len(c.raters))
+	for _, record := range c.raters {
+		if record.State != registry.Gone {
+			raters = append(raters, record)
+		}
+	}
+	slices.SortFunc(raters, func(a, b registry.Record) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	return raters
+}
+
+// Members are the control processes, the chain first, and the epoch in which they were.
+func (c *Copy) Members() (uint64, []ControlMember) { return c.epoch, c.members }
+
+// Nodes is about how many nodes of the data plane there are.
+func (c *Copy) Nodes() int { return max(1, c.sessions) }
--- /dev/null
+++ b/internal/fleet/distribution/messages.go
@@ -0,0 +1,52 @@
+// Package distribution brings the configuration, the raters and the members of the control plane to the data plane: the
+// messages of the long poll, the data plane's side of it (client.go), and the lease on the configuration.
+package distribution
+
+import (
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+)
+
+// MethodPoll is the method of the long poll.
+const MethodPoll = "Distribution.Poll"
+
+// PollRequest asks for what is newer than what a node of the data plane has.
+type PollRequest struct {
+	Node            string
+	Session         uint64 // drawn at the node's start
+	ConfigSeq       uint64
+	RegistryOwner   uint64 // the copy of the registry that RegistryVersion counts in
+	RegistryVersion uint64
+	Hold            time.Duration // how long the answer may wait for news
+}
+
+// PollReply brings news.
+type PollReply struct {
+	// Confirmed tells that the configuration was certainly the newest one ConfirmedAgo before this answer was written.
+	Confirmed    bool
+	ConfirmedAgo time.Duration
+
+	ConfigSeq uint64
+	Document  []byte           // the whole configuration, or
+	Patches   []operator.Order // the orders that lead from the asked one to this one
+
+	RegistryOwner   uint64
+	RegistryVersion uint64
+	RegistryAge     time.Duration // since that copy was begun
+	Whole           bool          // Records are all there are
+	Records         []registry.Record
+
+	Epoch    uint64
+	Members  []ControlMember // the chain first, head first
+	Sessions int             // live nodes of the data plane
+	Leaving  bool            // this control process is about to end
+}
+
+// ControlMember is one process of the control plane.
+type ControlMember struct {
+	Address string
+	Zone    string // empty = not known
+	InChain bool
+}
--- /dev/null
+++ b/internal/fleet/operator/state.go
@@ -0,0 +1,136 @@
+package operator
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+
+	"github.com/benbjohnson/immutable"
+
+	"linenwheel.dev/linenwheel/internal/fleet/faults"
+)
+
+// mostTaken bounds the orders that are remembered: an order is sent again within seconds, a day has some hundreds.
+const mostTaken = 4096
+
+// Order is one call of the operator that changes the configuration.
+type Order struct {
+	Method string // PUT for a whole document, PATCH for named items
+	Base   int64  // the version on which it builds
+	Body   []byte
+}
+
+// Digest names an order by its content: the same order sent again has the same digest.
+type Digest string
+
+// Digest gives the order's digest.
+func (o *Order) Digest() Digest {
+	hash := sha256.New()
+	hash.Write([]byte(o.Method))
+	var base [8]byte
+	binary.BigEndian.PutUint64(base[:], uint64(o.Base))
+	hash.Write(base[:])
+	hash.Write(o.Body)
+	return Digest(hash.Sum(nil)[:16])
+}
+
+// State is the replicated state: the current document and the orders that were taken. It is never changed once made.
+type State struct {
+	Document *Document
+	taken    *immutable.Map[string, int64] // digest to the revision that it made
+	order    *immutable.List[string]       // digests, oldest first
+}
+
+// NewState is the state before the first order.
+func NewState() *State {
+	return &State{Document: Empty(), taken: immutable.NewMap[string, int64](nil), order: immutable.NewList[string]()}
+}
+
+// Taken tells whether the same order was taken before, and which revision it made.
+func (s *State) Taken(digest Digest) (int64, bool) { return s.taken.Get(string(digest)) }
+
+// Apply gives the state after an order that is valid on this one.
+func (s *State) Apply(order Order) (*State, error) {
+	next, err := s.change(order)
+	if err != nil {
+		return nil, err
+	}
+	if order.Base != s.Document.Revision {
+		return nil, faults.New(faults.VersionConflict, "the order builds on %d, %d is current", order.Base, s.Document.Revision)
+	}
+	if next.Revision <= s.Document.Revision {
+		return nil, invalid("field %s is %d, %d is current", fieldRevision, next.Revision, s.Document.Revision)
+	}
+	if err := next.validate(); err != nil {
+		return nil, err
+	}
+	return s.remember(next, order.Digest()), nil
+}
+
+func (s *State) change(order Order) (*Document, error) {
+	switch order.Method {
+	case http.MethodPut:
+		return ParseDocument(order.Body)
+	case http.MethodPatch:
+		return s.Document.patch(order.Body)
+	}
+	return nil, invalid("method %s", order.Method)
+}
+
+func (s *State) remember(document *Document, digest Digest) *State {
+	taken := s.taken.Set(string(digest), document.Revision)
+	order := s.order.Append(string(digest))
+	for order.Len() > mostTaken {
+		taken = taken.Delete(order.Get(0))
+		order = order.Slice(1, order.Len())
+	}
+	return &State{Document: document, taken: taken, order: order}
+}
+
+// Snapshot is a state in plain form, to be stored or sent.
+type Snapshot struct {
+	Document []byte
+	Digests  []string
+	Made     []int64
+}
+
+// Snapshot gives the state in plain form.
+func (s *State) Snapshot() Snapshot {
+	snapshot := Snapshot{Document: s.Document.JSON()}
+	for iterator := s.order.Iterator(); !iterator.Done(); {
+		_, digest := iterator.Next()
+		made, _ := s.taken.Get(digest)
+		snapshot.Digests = append(snapshot.Digests, digest)
+		snapshot.Made = append(snapshot.Made, made)
+	}
+	return snapshot
+}
+
+// FromSnapshot gives the state of a snapshot.
+func FromSnapshot(snapshot Snapshot) (*State, error) {
+	s := NewState()
+	if len(snapshot.Document) > 0 {
+		document, err := ParseDocument(snapshot.Document)
+		if err != nil {
+			return nil, err
+		}
+		s.Document = document
+	}
+	taken := immutable.NewMapBuilder[string, int64](nil)
+	order := immutable.NewListBuilder[string]()
+	for i, digest := range snapshot.Digests {
+		taken.Set(digest, snapshot.Made[i])
+		order.Append(digest)
+	}
+	s.taken, s.order = taken.Map(), order.List()
+	return s, nil
+}
+
+// Follow gives the state after an order that the control plane has committed on this one. It does not validate again.
+func (s *State) Follow(order Order) (*State, error) {
+	next, err := s.change(order)
+	if err != nil {
+		return nil, err
+	}
+	return &State{Document: next, taken: s.taken, order: s.order}, nil
+}
--- /dev/null
+++ b/internal/fleet/operator/table.go
@@ -0,0 +1,219 @@
+package operator
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator/operatorpb"
+)
+
+// RouteType tells how far a request may be repeated and how it is answered.
+type RouteType uint8
+
+// The types of route.
+const (
+	Unsafe RouteType = iota
+	Safe
+	Streaming
+)
+
+// Route is a compiled route.
+type Route struct {
+	Name        string
+	Prefix      string
+	Type        RouteType
+	Timeout     time.Duration
+	Target      time.Duration
+	GapAim      time.Duration
+	Priority    int
+	MaxAttempts int
+	Anonymous   bool
+	Affinity    bool
+	Resume      bool
+	Splits      []Split
+}
+
+// Idempotent tells whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool { return r.Type == Safe || r.Type == Streaming && r.Resume }
+
+// Split is one service of a route and the part of its traffic that goes there, as a running sum up to 1.
+type Split struct {
+	Backend string
+	UpTo    float64
+}
+
+// Pick chooses the service for a number drawn from [0, 1).
+func (r *Route) Pick(draw float64) string {
+	for _, split := range r.Splits {
+		if draw < split.UpTo {
+			return split.Backend
+		}
+	}
+	return r.Splits[len(r.Splits)-1].Backend
+}
+
+// Allows tells whether the route sends requests to a service.
+func (r *Route) Allows(backend string) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Backend == backend })
+}
+
+// Backend is a compiled service.
+type Backend struct {
+	Name           string
+	MaxConnections int
+	Engine         bool
+	Slots          int
+	KvTokens       float64
+}
+
+// Tenant is a compiled tenant.
+type Tenant struct {
+	Name        string
+	HasPriority bool
+	Priority    int
+	ByTokens    bool
+	PlainTokens float64
+	Rate        float64 // 0 = no limit
+	Burst       float64
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// The limits where the configuration names none.
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 4 << 20
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	unitTokens           = "token_count"
+)
+
+// Table is a compiled document. It is never changed once made.
+type Table struct {
+	Revision  int64
+	hosts     map[string][]*Route // longest prefix first
+	Backends  map[string]*Backend
+	keys      map[string]*Tenant
+	Tenants   map[string]*Tenant
+	HasTenant bool
+	Limits    Limits
+}
+
+// Compile makes the table of a document.
+func (d *Document) Compile() *Table {
+	t := &Table{Revision: d.Revision, hosts: map[string][]*Route{}, Backends: map[string]*Backend{}, keys: map[string]*Tenant{},
+		Tenants: map[string]*Tenant{}, Limits: compileLimits(d.limits)}
+	for _, route := range messages[*operatorpb.Route](d, fieldRoutes) {
+		host := strings.ToLower(route.Hostname)
+		t.hosts[host] = append(t.hosts[host], compileRoute(route))
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, backend := range messages[*operatorpb.Backend](d, fieldBackends) {
+		t.Backends[backend.Name] = compileBackend(backend)
+	}
+	for _, tenant := range messages[*operatorpb.Tenant](d, fieldTenants) {
+		compiled := compileTenant(tenant)
+		t.Tenants[tenant.Name] = compiled
+		for _, key := range tenant.ApiKeys {
+			t.keys[key] = compiled
+		}
+	}
+	t.HasTenant = len(t.Tenants) > 0
+	return t
+}
+
+func compileRoute(route *operatorpb.Route) *Route {
+	compiled := &Route{Name: route.Name, Prefix: route.PathPrefix, Timeout: milliseconds(route.TimeoutMs),
+		Target: milliseconds(route.TargetLatencyMs), GapAim: milliseconds(route.GapAimMs), Priority: int(route.Priority),
+		MaxAttempts: max(1, int(route.MaxAttempts)), Anonymous: route.Anonymous, Affinity: route.SessionAffinity,
+		Resume: route.StreamResume}
+	switch route.RouteType {
+	case "safe":
+		compiled.Type = Safe
+	case "streaming":
+		compiled.Type = Streaming
+	}
+	if len(route.TrafficSplit) == 0 {
+		compiled.Splits = []Split{{Backend: route.Backend, UpTo: 1}}
+		return compiled
+	}
+	sum := 0.0
+	for _, split := range route.TrafficSplit {
+		sum += split.Weight
+	}
+	upTo := 0.0
+	for _, split := range route.TrafficSplit {
+		if split.Weight > 0 {
+			upTo += split.Weight / sum
+			compiled.Splits = append(compiled.Splits, Split{Backend: split.Backend, UpTo: upTo})
+		}
+	}
+	return compiled
+}
+
+func compileBackend(backend *operatorpb.Backend) *Backend {
+	compiled := &Backend{Name: backend.Name, MaxConnections: int(backend.MaxConnections)}
+	if engine := backend.Engine; engine != nil {
+		compiled.Engine, compiled.Slots, compiled.KvTokens = true, int(engine.Slots), engine.KvTokens
+	}
+	return compiled
+}
+
+func compileTenant(tenant *operatorpb.Tenant) *Tenant {
+	compiled := &Tenant{Name: tenant.Name, ByTokens: tenant.Unit == unitTokens, PlainTokens: tenant.PlainTokens,
+		Rate: tenant.RatePerS, Burst: tenant.Burst}
+	if tenant.Priority != nil {
+		compiled.HasPriority, compiled.Priority = true, int(*tenant.Priority)
+	}
+	return compiled
+}
+
+func compileLimits(limits *operatorpb.Limits) Limits {
+	compiled := Limits{HeaderBytes: int(limits.MaxHeaderBytes), BodyBytes: limits.MaxBodyBytes,
+		HeaderTimeout: milliseconds(limits.HeaderTimeoutMs), IdleTimeout: milliseconds(limits.IdleTimeoutMs)}
+	compiled.HeaderBytes = cmp.Or(compiled.HeaderBytes, defaultHeaderBytes)
+	compiled.BodyBytes = cmp.Or(compiled.BodyBytes, defaultBodyBytes)
+	compiled.HeaderTimeout = cmp.Or(compiled.HeaderTimeout, defaultHeaderTimeout)
+	compiled.IdleTimeout = cmp.Or(compiled.IdleTimeout, defaultIdleTimeout)
+	return compiled
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
+
+// Route finds the route for a host, as in a Host header, and a path.
+func (t *Table) Route(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, route := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Tenant finds the tenant that holds a key.
+func (t *Table) Tenant(key string) *Tenant { return t.keys[key] }
+
+// Routes are all routes, in no order.
+func (t *Table) Routes() []*Route {
+	var all []*Route
+	for _, routes := range t.hosts {
+		all = append(all, routes...)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/program/program.go
@@ -0,0 +1,177 @@
+// Package program is what both binaries of the fleet share: the command line, the settings file and its changes, the log,
+// signals and exit codes.
+package program
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/jessevdk/go-flags"
+
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1 // the process could not go on
+	exitSettings = 2 // the command line or the settings file is at fault
+)
+
+// The figures of a process.
+const (
+	watchEvery   = 2 * time.Second // between looks at the settings file: it may change without a signal
+	memoryPart   = 0.7             // of the memory limit that the heap may fill before it is collected harder
+	collectAt    = 60              // percent that the heap may grow between collections
+	statusWithin = 2 * time.Second
+)
+
+// Process is one binary's work.
+type Process interface {
+	Run(ctx context.Context) error
+	TakeSettings(set *settings.Settings)
+}
+
+// Binary describes a binary.
+type Binary struct {
+	Name          string
+	Start         func(set *settings.Settings, logger *log.Logger) (Process, error)
+	StatusAddress func(set *settings.Settings) string
+}
+
+// commandLine is the command line of both binaries.
+type commandLine struct {
+	Settings string `long:"settings" description:"path of the settings file; before the environment variable LINENWHEEL_SETTINGS"`
+	Check    bool   `long:"check" description:"read and check the settings file, and end"`
+	Log      string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
+	Args     struct {
+		Command string `positional-arg-name:"COMMAND" description:"serve (the default), or status: what the running process tells of itself"`
+	} `positional-args:"yes"`
+}
+
+// Main runs a binary and gives its exit code.
+func (b *Binary) Main(args []string, stdout, stderr io.Writer) int {
+	var line commandLine
+	parser := flags.NewParser(&line, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = b.Name
+	if _, err := parser.ParseArgs(args); err != nil {
+		var fault *flags.Error
+		if errors.As(err, &fault) && fault.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(stdout, err)
+			return 0
+		}
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", b.Name, err)
+		return exitSettings
+	}
+	path := line.Settings
+	if path == "" {
+		path = settings.Path()
+	}
+	set, err := settings.Read(path)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", b.Name, err)
+		return exitSettings
+	}
+	switch {
+	case line.Check:
+		_, _ = fmt.Fprintf(stdout, "%s: settings %s are in order\n", b.Name, path)
+		return 0
+	case line.Args.Command == "status":
+		return b.status(set, stdout, stderr)
+	case line.Args.Command == "" || line.Args.Command == "serve":
+		return b.serve(set, line.Log, stderr)
+	}
+	_, _ = fmt.Fprintf(stderr, "%s: unknown command %q: serve or status\n", b.Name, line.Args.Command)
+	return exitSettings
+}
+
+// status prints what a running process tells of itself.
+func (b *Binary) status(set *settings.Settings, stdout, stderr io.Writer) int {
+	client := http.Client{Timeout: statusWithin}
+	response, err := client.Get("http://" + b.StatusAddress(set) + "/-/status")
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: no answer: %v\n", b.Name, err)
+		return exitFailed
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(stdout, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		_, _ = fmt.Fprintf(stderr, "%s: status %d, %v\n", b.Name, response.StatusCode, err)
+		return exitFailed
+	}
+	return 0
+}
+
+func (b *Binary) serve(set *settings.Settings, level string, stderr io.Writer) int {
+	logger := newLogger(level, stderr)
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(set.MemoryMB) * (1 << 20)))
+	}
+	debug.SetGCPercent(collectAt)
+	replica.RegisterMessages()
+	process, err := b.Start(set, logger)
+	if err != nil {
+		logger.Error("could not start", "err", err)
+		return exitFailed
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	go watchSettings(ctx, set.File, process, logger)
+	if err := process.Run(ctx); err != nil {
+		logger.Error("ended", "err", err)
+		return exitFailed
+	}
+	return 0
+}
+
+func newLogger(level string, stderr io.Writer) *log.Logger {
+	logger := log.NewWithOptions(stderr, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
+	if parsed, err := log.ParseLevel(level); err == nil {
+		logger.SetLevel(parsed)
+	}
+	return logger
+}
+
+// watchSettings reads the settings file again at SIGHUP and when it has changed. One that is at fault changes nothing.
+func watchSettings(ctx context.Context, path string, process Process, logger *log.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(watchEvery)
+	defer ticker.Stop()
+	changed := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			if modified(path).Equal(changed) {
+				continue
+			}
+		}
+		changed = modified(path)
+		set, err := settings.Read(path)
+		if err != nil {
+			logger.Error("changed settings not taken", "err", err)
+			continue
+		}
+		logger.Info("settings read again", "seeds", set.Seeds)
+		process.TakeSettings(set)
+	}
+}
+
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/internal/fleet/proxy/attempt.go
@@ -0,0 +1,229 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"linenwheel.dev/linenwheel/decide"
+	"linenwheel.dev/linenwheel/internal/fleet/faults"
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/rater"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
+)
+
+// mostUnsent bounds the raters that are tried for one request without a byte sent.
+const mostUnsent = 4
+
+// hopHeaders concern a single connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+// verdict is what is to be done after an attempt.
+type verdict uint8
+
+const (
+	done      verdict = iota // the client has its answer
+	elsewhere                // another rater may be tried
+	failed                   // no further attempt may be made
+)
+
+// serve sends the request to raters until it has an answer or may not be sent again.
+func (c *call) serve() {
+	c.handler.Retries.First(c.service)
+	fault := faults.New(faults.NoRater, "")
+	for unsent := 0; unsent < mostUnsent; {
+		ticket := c.place()
+		if ticket == nil {
+			break
+		}
+		outcome, err := c.attempt(ticket)
+		switch outcome {
+		case done:
+			return
+		case failed:
+			c.refuse(err)
+			return
+		}
+		fault = err
+		c.tried = append(c.tried, ticket.Rater.ID)
+		if fault.Kind == faults.NoRater {
+			unsent++
+			continue
+		}
+		if !c.mayRetry() {
+			break
+		}
+	}
+	if c.mayRun && fault.Kind.Answer().NotRun {
+		fault = faults.New(faults.RaterLost, "")
+	}
+	c.refuse(fault)
+}
+
+// place chooses the next rater; nil where there is none or no time.
+func (c *call) place() *routing.Ticket {
+	if time.Until(c.deadline) <= 0 || c.clientGone() {
+		return nil
+	}
+	request := &routing.Request{Cost: c.prompt.cost(), Deadline: time.Until(c.deadline), Exclude: c.tried}
+	if c.route.Affinity {
+		request.Prefix = c.prompt.shared
+	}
+	return c.handler.Placer.Place(c.service, request)
+}
+
+// mayRetry tells whether a request that a rater has had may be sent to another one.
+func (c *call) mayRetry() bool {
+	if c.mayRun && !c.route.Idempotent() {
+		return false
+	}
+	return c.sends < c.route.MaxAttempts && time.Until(c.deadline) > 0 && c.handler.Retries.TakeRetry(c.service)
+}
+
+// attempt sends the request to one rater.
+func (c *call) attempt(ticket *routing.Ticket) (verdict, *faults.Error) {
+	if c.tenant != nil && !c.handler.Config.Leased() {
+		c.end(ticket, decide.NotSent, routing.Load{})
+		return failed, faults.New(faults.UnconfirmedConfig, "")
+	}
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	defer cancel()
+	answer, err := c.handler.Raters.Do(ctx, ticket.Rater.Address, c.outgoing(ticket))
+	if err != nil {
+		return c.noAnswer(ctx, ticket, err)
+	}
+	defer answer.Close()
+	c.sends++
+	if answer.NotRun() {
+		c.end(ticket, decide.Full, answer.Load)
+		if answer.Status == http.StatusMisdirectedRequest {
+			return elsewhere, faults.New(faults.TurnedAway, "another rater has the address")
+		}
+		return elsewhere, faults.New(faults.TurnedAway, "")
+	}
+	c.mayRun = true
+	if answer.Status >= http.StatusInternalServerError && c.route.Idempotent() && c.sends < c.route.MaxAttempts {
+		c.end(ticket, decide.Failed, answer.Load)
+		return elsewhere, faults.New(faults.RaterLost, "")
+	}
+	return c.pass(ctx, ticket, answer)
+}
+
+// noAnswer decides what becomes of a request whose rater gave no answer.
+func (c *call) noAnswer(ctx context.Context, ticket *routing.Ticket, err error) (verdict, *faults.Error) {
+	fate := rater.MayHaveRun
+	var exchange *rater.Error
+	if errors.As(err, &exchange) {
+		fate = exchange.Fate
+	}
+	if fate == rater.NotSent {
+		result := decide.NoConnect
+		if ctx.Err() != nil {
+			result = decide.NotSent
+		}
+		c.end(ticket, result, routing.Load{})
+		if ctx.Err() != nil {
+			return failed, faults.New(c.outOfTime(), "")
+		}
+		return elsewhere, faults.New(faults.NoRater, "")
+	}
+	c.sends++
+	c.mayRun = true
+	c.handler.Raters.Forget(ticket.Rater.Address)
+	switch {
+	case c.clientGone():
+		c.end(ticket, decide.Cancelled, routing.Load{})
+		return failed, faults.New(faults.RaterLost, "")
+	case ctx.Err() != nil:
+		c.end(ticket, decide.Late, routing.Load{})
+		return failed, faults.New(faults.DeadlinePassedAfter, "")
+	case fate == rater.Garbled:
+		c.end(ticket, decide.Failed, routing.Load{})
+		return elsewhere, faults.New(faults.RaterBroken, "")
+	}
+	c.end(ticket, decide.Reset, routing.Load{})
+	return elsewhere, faults.New(faults.RaterLost, "")
+}
+
+func (c *call) outOfTime() faults.Kind {
+	if c.mayRun {
+		return faults.DeadlinePassedAfter
+	}
+	return faults.DeadlinePassed
+}
+
+func (c *call) end(ticket *routing.Ticket, result routing.Result, load routing.Load) {
+	c.handler.Placer.End(c.service, ticket, result, load)
+}
+
+// outgoing is the request as the rater gets it.
+func (c *call) outgoing(ticket *routing.Ticket) *rater.Request {
+	header := c.request.Header.Clone()
+	dropHopHeaders(header)
+	for _, name := range []string{rater.HeaderKey, rater.HeaderTenant, rater.HeaderExpect, rater.HeaderPriority, rater.HeaderDeadline} {
+		header.Del(name)
+	}
+	left := max(1, time.Until(c.deadline).Milliseconds())
+	header.Set(rater.HeaderDeadline, strconv.FormatInt(left, 10))
+	header.Set(rater.HeaderExpect, ticket.Rater.ID)
+	header.Set(rater.HeaderPriority, strconv.Itoa(c.priority()))
+	if c.tenant != nil {
+		header.Set(rater.HeaderTenant, c.tenant.Name)
+	}
+	if c.stream.lastID != "" {
+		header.Set(rater.HeaderLastID, c.stream.lastID)
+	}
+	return &rater.Request{Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body}
+}
+
+// lowestPriority is the last rank that a rater knows.
+const lowestPriority = 9
+
+// priority is the request's rank: a tenant's own goes before the route's.
+func (c *call) priority() int {
+	rank := c.route.Priority
+	if c.tenant != nil && c.tenant.HasPriority {
+		rank = c.tenant.Priority
+	}
+	return min(max(rank, 0), lowestPriority)
+}
+
+func dropHopHeaders(header http.Header) {
+	for _, name := range header.Values("Connection") {
+		header.Del(name)
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// ownHeaders are those of a rater's answer that are for the system alone.
+var ownHeaders = []string{"Instance-Id", rater.HeaderLoad, rater.HeaderNotRun}
+
+// writeHead gives the client the head of a rater's answer.
+func (c *call) writeHead(answer *rater.Answer) {
+	header := c.writer.Header()
+	closing := header.Get("Connection")
+	for name, values := range answer.Header {
+		if !slices.Contains(hopHeaders, name) && !slices.Contains(ownHeaders, name) {
+			header[name] = values
+		}
+	}
+	if closing != "" {
+		header.Set("Connection", closing)
+	}
+	if answer.Length >= 0 && !c.resumable() {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // nothing is guessed from the body
+	}
+	c.writer.WriteHeader(answer.Status)
+	c.stream.headSent = true
+}
+
+func (c *call) resumable() bool { return c.route.Type == operator.Streaming && c.route.Resume }
--- /dev/null
+++ b/internal/fleet/rater/exchange.go
@@ -0,0 +1,228 @@
+package rater
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
+)
+
+// The headers of the protocol between the fleet and the raters.
+const (
+	HeaderAttempt  = "Attempt-Id"
+	HeaderExpect   = "Expect-Instance"
+	HeaderTenant   = "Tenant"
+	HeaderDeadline = "Deadline-Ms"
+	HeaderPriority = "Priority"
+	HeaderNotRun   = "Not-Executed"
+	HeaderLoad     = "Instance-Load"
+	HeaderSeal     = "Response-Seal"
+	HeaderLastID   = "Last-Event-Id"
+	HeaderKey      = "Api-Key"
+)
+
+// Fate is what is known of a request that brought no answer.
+type Fate uint8
+
+// The fates.
+const (
+	NotSent    Fate = iota // no connection was made, or nothing was written
+	MayHaveRun             // some of it was written
+	Garbled                // bytes came that are not an answer to it
+)
+
+// Error is an exchange without an answer.
+type Error struct {
+	Fate Fate
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("rater: %v", e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Request is what is sent to a rater.
+type Request struct {
+	Method string
+	Target string // as the client wrote it
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Client keeps connections to raters.
+type Client struct{ pool pool }
+
+// NewClient makes a client without connections.
+func NewClient() *Client { return &Client{pool: pool{idle: map[string][]*connection{}}} }
+
+// Forget closes the idle connections to an address.
+func (c *Client) Forget(address string) { c.pool.forget(address) }
+
+// Answer is a rater's answer whose body is still to be read. It must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Load   routing.Load
+	Length int64 // of the body, -1 = not stated
+
+	client     *Client
+	connection *connection
+	body       io.ReadCloser
+	reusable   bool
+	keepAlive  string
+	whole      bool
+	stop       func() bool
+}
+
+// mostStray bounds the answers of earlier requests that are passed over on a connection.
+const mostStray = 4
+
+// Do sends a request and reads the head of its answer. The connection is closed when the context ends.
+func (c *Client) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
+	conn := c.pool.take(address)
+	if conn == nil {
+		fresh, err := dial(address, time.Until(deadlineOf(ctx)))
+		if err != nil {
+			return nil, &Error{NotSent, err}
+		}
+		conn = fresh
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	answer, err := conn.exchange(request)
+	if err != nil {
+		stop()
+		_ = conn.Close()
+		return nil, err
+	}
+	answer.client, answer.stop = c, stop
+	return answer, nil
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, set := ctx.Deadline(); set {
+		return deadline
+	}
+	return time.Now().Add(dialTimeout)
+}
+
+func (c *connection) exchange(request *Request) (*Answer, error) {
+	message := request.encode()
+	if written, err := c.Write(message); err != nil {
+		if written == 0 {
+			return nil, &Error{NotSent, err}
+		}
+		return nil, &Error{MayHaveRun, err}
+	}
+	for range mostStray {
+		answer, err := c.readHead(request.Method)
+		if err != nil {
+			return nil, err
+		}
+		if answer.belongsTo(request) {
+			return answer, nil
+		}
+		if _, err := io.Copy(io.Discard, answer.body); err != nil {
+			return nil, &Error{Garbled, err}
+		}
+	}
+	return nil, &Error{Garbled, errors.New("answers to other requests")}
+}
+
+func (c *connection) readHead(method string) (*Answer, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, &Error{MayHaveRun, err}
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		var failed net.Error
+		if errors.As(err, &failed) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, &Error{MayHaveRun, err}
+		}
+		return nil, &Error{Garbled, err}
+	}
+	if response.StatusCode < http.StatusOK {
+		return nil, &Error{Garbled, fmt.Errorf("status %d", response.StatusCode)}
+	}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Load: parseLoad(response.Header.Get(HeaderLoad)),
+		Length: response.ContentLength, connection: c, body: response.Body, keepAlive: response.Header.Get("Keep-Alive")}
+	bounded := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
+	answer.reusable = bounded && !response.Close
+	return answer, nil
+}
+
+// belongsTo tells whether an answer is that to a request: raters repeat its id. A refusal may come without one.
+func (a *Answer) belongsTo(request *Request) bool {
+	id := a.Header.Get(HeaderAttempt)
+	return id == request.Header.Get(HeaderAttempt) || id == "" && a.Status >= http.StatusBadRequest
+}
+
+// NotRun tells whether the rater says that it did not run the request.
+func (a *Answer) NotRun() bool {
+	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(HeaderNotRun) != ""
+}
+
+// Read reads the body.
+func (a *Answer) Read(into []byte) (int, error) {
+	n, err := a.body.Read(into)
+	if errors.Is(err, io.EOF) {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Close ends the use of the answer. The connection is kept where the whole body was read and nothing came after it.
+func (a *Answer) Close() {
+	open := a.stop()
+	if open && a.whole && a.reusable && a.connection.reader.Buffered() == 0 {
+		a.client.pool.put(a.connection, a.keepAlive)
+		return
+	}
+	_ = a.connection.Close()
+}
+
+// encode writes a request as bytes, with the body's length.
+func (r *Request) encode() []byte {
+	var buffer bytes.Buffer
+	buffer.Grow(512 + len(r.Body))
+	buffer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			buffer.WriteString(name + ": " + value + "\r\n")
+		}
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	buffer.WriteString("\r\n")
+	buffer.Write(r.Body)
+	return buffer.Bytes()
+}
+
+// loadParts is the number of figures in Instance-Load: running, waiting, slots.
+const loadParts = 3
+
+func parseLoad(field string) routing.Load {
+	parts := strings.Split(field, ",")
+	if len(parts) != loadParts {
+		return routing.Load{}
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(parts[0]))
+	if err != nil {
+		return routing.Load{}
+	}
+	waiting, err := strconv.Atoi(strings.TrimSpace(parts[1]))
+	if err != nil {
+		return routing.Load{}
+	}
+	return routing.Load{Known: true, Running: running, Waiting: waiting}
+}
--- /dev/null
+++ b/internal/fleet/replica/liveness.go
@@ -0,0 +1,197 @@
+package replica
+
+import (
+	"slices"
+	"time"
+)
+
+// Beat sends a heartbeat to every known control process.
+func (m *Machine) Beat(now time.Duration) Output {
+	m.now = max(now, m.now)
+	m.beatAt = m.now
+	var out Output
+	body := Heartbeat{Stamp: m.now, Status: m.Status(), Learned: m.addresses()}
+	for _, address := range m.peerAddresses() {
+		out.Send = append(out.Send, m.send(Member{Address: address}, body))
+	}
+	return out
+}
+
+func (m *Machine) onHeartbeat(from Member, body Heartbeat) Output {
+	m.Know([]string{from.Address})
+	m.Know(body.Learned)
+	reply := HeartbeatReply{Stamp: body.Stamp, Status: m.Status(), Learned: m.addresses()}
+	out := Output{Send: []Envelope{m.send(from, reply)}}
+	out.add(m.bringUp(from, body.Status))
+	return out
+}
+
+// bringUp tells a peer that is behind of the present view.
+func (m *Machine) bringUp(to Member, status Status) Output {
+	if m.view.Epoch == 0 || status.Epoch >= m.view.Epoch {
+		return Output{}
+	}
+	return Output{Send: []Envelope{m.send(to, Decided{Proposal: m.proposal()})}}
+}
+
+// proposal is the present view with a state that its chain has agreed on.
+func (m *Machine) proposal() Proposal {
+	return Proposal{View: m.view, Seq: m.committed, State: m.agreed.Snapshot()}
+}
+
+func (m *Machine) onHeartbeatReply(from Member, body HeartbeatReply) Output {
+	m.Know([]string{from.Address})
+	m.Know(body.Learned)
+	p := m.peers[from.Address]
+	if p == nil {
+		return Output{}
+	}
+	if p.member.Incarnation != from.Incarnation {
+		p.confirmedAt, p.liveSince = 0, 0
+	}
+	p.member, p.status, p.answeredAt = from, body.Status, m.now
+	if p.liveSince == 0 {
+		p.liveSince = m.now
+	}
+	if body.Status.Epoch == m.view.Epoch && !body.Status.Sealed {
+		p.confirmedAt = max(p.confirmedAt, body.Stamp)
+	}
+	m.learnCommitted()
+	return m.bringUp(from, body.Status)
+}
+
+// watchPeers notes which peers have stopped answering.
+func (m *Machine) watchPeers() {
+	for _, p := range m.peers {
+		if p.liveSince > 0 && m.now-p.answeredAt > m.options.SuspectAfter {
+			p.liveSince, p.goneSince = 0, m.now
+		}
+	}
+}
+
+// reachable tells whether a member answers, as that incarnation.
+func (m *Machine) reachable(member Member) bool {
+	if member == m.self {
+		return true
+	}
+	p := m.peers[member.Address]
+	return p != nil && p.liveSince > 0 && (p.member == member || member.Incarnation == 0)
+}
+
+// able tells whether a member answers and takes writes.
+func (m *Machine) able(member Member) bool {
+	if member == m.self {
+		return m.healthy
+	}
+	return m.reachable(member) && m.peers[member.Address].status.Healthy
+}
+
+// settled tells whether a member has been reachable for long enough to be taken in.
+func (m *Machine) settled(member Member) bool {
+	if member == m.self {
+		return true
+	}
+	return m.reachable(member) && m.now-m.peers[member.Address].liveSince >= m.options.AddAfter
+}
+
+// goneFor is how long a member has not answered.
+func (m *Machine) goneFor(member Member) time.Duration {
+	if m.reachable(member) {
+		return 0
+	}
+	p := m.peers[member.Address]
+	if p == nil || p.liveSince > 0 { // another process answers at its address
+		return m.options.DropAfter
+	}
+	return m.now - p.goneSince
+}
+
+// see tells whether two members reach each other, as far as is known here.
+func (m *Machine) see(a, b Member) bool {
+	return m.sees(a, b) && m.sees(b, a)
+}
+
+func (m *Machine) sees(a, b Member) bool {
+	if a == m.self {
+		return m.reachable(b)
+	}
+	p := m.peers[a.Address]
+	return p != nil && slices.Contains(p.status.Live, b.Address)
+}
+
+// confirmed is the newest time at which the present view was certainly the newest one: a majority of its voters
+// answered, from this epoch and with no promise for the next, to heartbeats sent then or later.
+func (m *Machine) confirmed() time.Duration {
+	if m.view.Epoch == 0 || m.sealed() || !m.isVoter() {
+		return 0
+	}
+	var times []time.Duration
+	for _, voter := range m.view.Voters {
+		switch p := m.peers[voter.Address]; {
+		case voter == m.self:
+			times = append(times, m.now)
+		case p != nil && p.member == voter:
+			times = append(times, p.confirmedAt)
+		default:
+			times = append(times, 0)
+		}
+	}
+	slices.Sort(times)
+	return times[len(times)-majority(len(times))]
+}
+
+// ViewConfirmed is the newest time at which this member's view was certainly the newest one, 0 = unknown.
+func (m *Machine) ViewConfirmed() time.Duration { return m.confirmed() }
+
+// StateConfirmed is the newest time at which Agreed was certainly the newest committed state, 0 = unknown. A member of
+// the chain has every order that is committed; one that it does not know to be committed may have been since it came.
+func (m *Machine) StateConfirmed() time.Duration {
+	if !m.InChain() {
+		return 0
+	}
+	if m.seq == m.committed {
+		return m.confirmed()
+	}
+	return min(m.confirmed(), m.pendingSince)
+}
+
+func (m *Machine) peerAddresses() []string {
+	addresses := make([]string, 0, len(m.peers))
+	for address, p := range m.peers {
+		if m.wanted(address, p) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// forgetAfter is how long a process that is neither voter nor seed may be silent before it is asked no more.
+const forgetAfter = 30 * time.Second
+
+func (m *Machine) wanted(address string, p *peer) bool {
+	if p.liveSince > 0 || containsAddress(m.view.Voters, address) || slices.Contains(m.options.Seeds, address) ||
+		m.view.Epoch == 0 && slices.Contains(m.founders, address) {
+		return true
+	}
+	return m.now-p.goneSince < forgetAfter
+}
+
+func (m *Machine) addresses() []string { return append(m.peerAddresses(), m.self.Address) }
+
+func (m *Machine) liveAddresses() []string {
+	var live []string
+	for address, p := range m.peers {
+		if p.liveSince > 0 {
+			live = append(live, address)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// SetSeeds takes seeds that were exchanged. They are asked from now on; they found nothing.
+func (m *Machine) SetSeeds(addresses []string) {
+	m.options.Seeds = addresses
+	m.Know(addresses)
+}
--- /dev/null
+++ b/internal/fleet/replica/machine.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+)
+
+// Options are the free figures of a member.
+type Options struct {
+	Tolerated     int           // members that may be lost at once
+	Seeds         []string      // internal addresses that are always asked
+	Core          bool          // this member can be a voter
+	Heartbeat     time.Duration // between heartbeats
+	SuspectAfter  time.Duration // without an answered heartbeat
+	AddAfter      time.Duration // that a peer must be reachable before it is taken in
+	DropAfter     time.Duration // that a voter beyond the wanted number must be gone before it loses its vote
+	RetryAfter    time.Duration // before an unanswered proposal or entry is sent again
+	FoundingGrace time.Duration // that founders wait for all of them before a majority founds
+}
+
+// DefaultOptions are the project's defaults.
+func DefaultOptions() Options {
+	return Options{Core: true, Heartbeat: 200 * time.Millisecond, SuspectAfter: 800 * time.Millisecond,
+		AddAfter: 500 * time.Millisecond, DropAfter: 2 * time.Second, RetryAfter: 300 * time.Millisecond,
+		FoundingGrace: 3 * time.Second}
+}
+
+// durable is the part of a member that is on its disk. Its values are never changed in place, so that a copy of the
+// struct is a copy of the whole.
+type durable struct {
+	self      Member
+	founder   bool
+	view      View
+	baseSeq   uint64
+	base      *operator.State
+	seq       uint64
+	state     *operator.State
+	last      *Entry // the newest entry of this epoch
+	promised  Ballot
+	accepted  *Accepted
+	committed uint64
+	agreed    *operator.State // the state at committed
+}
+
+// Machine is one member. It is not safe for concurrent use.
+type Machine struct {
+	options Options
+	durable
+	founders     []string // the addresses whose majority agrees on the first view
+	healthy      bool
+	now          time.Duration
+	started      time.Duration
+	pendingSince time.Duration // when the uncommitted entry came; 0 = before this start
+	sentAt       time.Duration // when the uncommitted entry was last sent
+	sealedAt     time.Duration
+	beatAt       time.Duration // when heartbeats were last sent
+	peers        map[string]*peer
+	attempt      *attempt
+	attemptAfter time.Duration // no proposal before then
+	wishSince    time.Duration // since when another view is wanted
+	round        uint64        // the highest round seen for the next epoch
+	queue        []submission
+}
+
+// peer is what a member knows of another control process.
+type peer struct {
+	member      Member // its incarnation is 0 until it has answered
+	status      Status
+	answeredAt  time.Duration
+	liveSince   time.Duration // 0 = not reachable
+	confirmedAt time.Duration // when the newest heartbeat was sent that it answered from our epoch, not sealed
+	goneSince   time.Duration
+}
+
+type submission struct {
+	id    uint64
+	order operator.Order
+}
+
+// New makes a member from what is on its disk.
+func New(options Options, stored Stored, now time.Duration) (*Machine, error) {
+	m := &Machine{options: options, healthy: true, now: now, started: now, peers: map[string]*peer{}}
+	m.self, m.founder, m.promised, m.accepted = stored.Self, stored.Founder, stored.Promised, stored.Accepted
+	m.founders = stored.Founders
+	m.base = operator.NewState()
+	if stored.Base != nil {
+		state, err := operator.FromSnapshot(stored.Base.State)
+		if err != nil {
+			return nil, err
+		}
+		m.view, m.baseSeq, m.base = stored.Base.View, stored.Base.Seq, state
+	}
+	m.seq, m.state, m.committed, m.agreed = m.baseSeq, m.base, m.baseSeq, m.base
+	for i := range stored.Entries {
+		entry := stored.Entries[i]
+		if entry.Epoch != m.view.Epoch || entry.Seq != m.seq+1 {
+			continue
+		}
+		state, err := m.state.Apply(entry.Order)
+		if err != nil {
+			return nil, err
+		}
+		m.seq, m.state, m.last = entry.Seq, state, &entry
+	}
+	m.round = m.promised.Round
+	m.Know(options.Seeds)
+	m.Know(m.founders)
+	m.knowView()
+	return m, nil
+}
+
+// Know adds addresses of control processes.
+func (m *Machine) Know(addresses []string) {
+	for _, address := range addresses {
+		if address != m.self.Address && address != "" && m.peers[address] == nil {
+			m.peers[address] = &peer{member: Member{Address: address}, goneSince: m.now}
+		}
+	}
+}
+
+func (m *Machine) knowView() {
+	for _, voter := range m.view.Voters {
+		m.Know([]string{voter.Address})
+	}
+}
+
+// View is the newest view that this member knows.
+func (m *Machine) View() View { return m.view }
+
+// Self is this member.
+func (m *Machine) Self() Member { return m.self }
+
+// Healthy tells whether the last write to the disk went well.
+func (m *Machine) Healthy() bool { return m.healthy }
+
+// Agreed is the newest state that this member knows to be committed, with its place.
+func (m *Machine) Agreed() (uint64, *operator.State) { return m.committed, m.agreed }
+
+// Status is what this member tells of itself.
+func (m *Machine) Status() Status {
+	return Status{Epoch: m.view.Epoch, Sealed: m.sealed(), Seq: m.seq, Healthy: m.healthy, Core: m.options.Core,
+		Founder: m.founder, Live: m.liveAddresses()}
+}
+
+// InChain tells whether this member is in the chain of its view.
+func (m *Machine) InChain() bool { return slices.Contains(m.view.Chain, m.self) }
+
+func (m *Machine) sealed() bool { return m.promised.Round > 0 }
+
+func (m *Machine) isVoter() bool {
+	if m.view.Epoch == 0 {
+		return m.founder
+	}
+	return slices.Contains(m.view.Voters, m.self)
+}
+
+// voters are those of the present view; before the first one, the founders by address.
+func (m *Machine) voters() []Member {
+	if m.view.Epoch > 0 {
+		return m.view.Voters
+	}
+	voters := make([]Member, 0, len(m.founders))
+	for _, address := range m.founders {
+		voters = append(voters, Member{Address: address})
+	}
+	return voters
+}
+
+// Durable is the stored part of a member, to go back to where storing failed.
+type Durable struct{ part durable }
+
+// Checkpoint gives the stored part.
+func (m *Machine) Checkpoint() Durable { return Durable{m.durable} }
+
+// Rollback goes back to a stored part after a write that failed, and tells peers so until SetHealthy.
+func (m *Machine) Rollback(to Durable) {
+	m.durable = to.part
+	m.attempt = nil
+	m.healthy = false
+}
+
+// SetHealthy tells that the disk takes writes again.
+func (m *Machine) SetHealthy() { m.healthy = true }
+
+// Step takes a message.
+func (m *Machine) Step(now time.Duration, envelope Envelope) Output {
+	m.now = max(now, m.now)
+	if to := envelope.To.Incarnation; to != 0 && to != m.self.Incarnation {
+		return Output{}
+	}
+	switch body := envelope.Body.(type) {
+	case Heartbeat:
+		return m.onHeartbeat(envelope.From, body)
+	case HeartbeatReply:
+		return m.onHeartbeatReply(envelope.From, body)
+	case Prepare:
+		return m.onPrepare(envelope.From, body)
+	case Promise:
+		return m.onPromise(envelope.From, body)
+	case Reject:
+		return m.onReject(body)
+	case Accept:
+		return m.onAccept(envelope.From, body)
+	case AcceptReply:
+		return m.onAcceptReply(envelope.From, body)
+	case Decided:
+		return m.onDecided(body.Proposal)
+	case Append:
+		return m.onAppend(body.Entry)
+	case Committed:
+		return m.onCommitted(body)
+	}
+	return Output{}
+}
+
+// Tick lets time pass. It wants to be called some times in every heartbeat interval.
+func (m *Machine) Tick(now time.Duration) Output {
+	m.now = max(now, m.now)
+	var out Output
+	m.watchPeers()
+	if m.now-m.beatAt >= m.options.Heartbeat {
+		out.add(m.Beat(now))
+	}
+	out.add(m.resend())
+	out.add(m.reconfigure())
+	return out
+}
+
+func (m *Machine) send(to Member, body Message) Envelope {
+	return Envelope{From: m.self, To: to, Body: body}
+}
--- /dev/null
+++ b/internal/fleet/settings/settings.go
@@ -0,0 +1,260 @@
+// Package settings reads the settings file that the platform gives each process of the fleet. Keys that are not known
+// are ignored; a known key with a bad value is an error that names the file and the key.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/magiconair/properties"
+)
+
+// Variable is the environment variable that holds the path of the settings file.
+const Variable = "LINENWHEEL_SETTINGS"
+
+// DefaultPath is where the settings file is looked for when the variable is empty.
+const DefaultPath = "/etc/linenwheel/boot.conf"
+
+// Error is a fault of the settings file.
+type Error struct {
+	File string
+	Key  string // empty where the file as a whole is at fault
+	Err  error
+}
+
+func (e *Error) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("settings %s: %v", e.File, e.Err)
+	}
+	return fmt.Sprintf("settings %s: key %s: %v", e.File, e.Key, e.Err)
+}
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// Bounds are the figures of the rules in force.
+type Bounds struct {
+	Contact          time.Duration
+	Ack              time.Duration
+	CatchUp          time.Duration
+	Drain            time.Duration
+	Grace            time.Duration
+	Config           time.Duration
+	Revoke           time.Duration
+	Closed           bool // a configuration that cannot be confirmed must not be used
+	RetryBudgetRatio float64
+	BudgetWindow     time.Duration
+	BudgetSlack      float64
+	QuotaWindow      time.Duration
+	QuotaSlack       float64
+	Pass             time.Duration
+	Again            time.Duration
+}
+
+// Settings are what one process is told at its start.
+type Settings struct {
+	NodeName     string
+	Role         string
+	IP           string
+	Zone         string
+	Region       string
+	Front        string // address for clients, empty where the role does not serve them
+	Readiness    string
+	Control      string // address for raters and the operator
+	InternalPort int
+	Seeds        []string // control addresses
+	Bootstrap    bool
+	Counts       bool // the machine counts among those that may be lost
+	MemoryMB     int
+	MaxFds       int
+	DataDir      string
+	Heartbeat    time.Duration
+	Machines     int // machines that may be lost at once
+	Bounds       Bounds
+	File         string
+}
+
+// Path is the settings file that the environment names.
+func Path() string {
+	if path := os.Getenv(Variable); path != "" {
+		return path
+	}
+	return DefaultPath
+}
+
+// Read reads and checks a settings file.
+func Read(path string) (*Settings, error) {
+	loader := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
+	file, err := loader.LoadFile(path)
+	if err != nil {
+		return nil, &Error{File: path, Err: err}
+	}
+	return parse(path, file)
+}
+
+// Parse reads settings from text; path is for error messages.
+func Parse(path, text string) (*Settings, error) {
+	loader := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
+	file, err := loader.LoadBytes([]byte(text))
+	if err != nil {
+		return nil, &Error{File: path, Err: err}
+	}
+	return parse(path, file)
+}
+
+func parse(path string, file *properties.Properties) (*Settings, error) {
+	r := &reader{path: path, file: file}
+	ports := r.list("InternalPorts")
+	s := &Settings{
+		File:      path,
+		NodeName:  r.text("NodeName", ""),
+		Role:      r.text("Role", ""),
+		IP:        r.text("Ip", ""),
+		Zone:      r.text("Zone", ""),
+		Region:    r.text("Region", ""),
+		Front:     r.address("Listen.Front"),
+		Readiness: r.address("Listen.Readiness"),
+		Control:   r.address("Listen.Control"),
+		Seeds:     r.addresses("Seeds"),
+		Bootstrap: r.flag("Bootstrap", false),
+		Counts:    r.flag("CountsForQuorum", false),
+		MemoryMB:  int(r.number("Limits.MemoryMb", 0)),
+		MaxFds:    int(r.number("Limits.MaxFds", 1024)),
+		DataDir:   r.text("DataDir", ""),
+		Heartbeat: r.milliseconds("HeartbeatMs", 1000),
+		Machines:  int(r.number("FaultTolerance.Machines", 0)),
+		Bounds: Bounds{
+			Contact:          r.milliseconds("Bounds.ContactMs", 3000),
+			Ack:              r.milliseconds("Bounds.AckMs", 4000),
+			CatchUp:          r.seconds("Bounds.CatchUpS", 4),
+			Drain:            r.milliseconds("Bounds.DrainMs", 2000),
+			Grace:            r.seconds("Bounds.GraceS", 8),
+			Config:           r.milliseconds("Bounds.ConfigMs", 2000),
+			Revoke:           r.milliseconds("Bounds.RevokeMs", 5000),
+			Closed:           r.flag("Bounds.Closed", false),
+			RetryBudgetRatio: r.number("Bounds.RetryBudgetRatio", 0.2),
+			BudgetWindow:     r.seconds("Bounds.BudgetWindowS", 10),
+			BudgetSlack:      r.number("Bounds.BudgetSlack", 20),
+			QuotaWindow:      r.seconds("Bounds.QuotaWindowS", 8),
+			QuotaSlack:       r.number("Bounds.QuotaSlack", 0),
+			Pass:             r.milliseconds("Bounds.pass_ms", 120),
+			Again:            r.seconds("Bounds.again_s", 10),
+		},
+	}
+	s.InternalPort = r.port("InternalPorts", ports)
+	if r.err == nil && net.ParseIP(s.IP) == nil {
+		r.fail("Ip", fmt.Errorf("%q is not an IP address", s.IP))
+	}
+	return s, r.err
+}
+
+// InternalAddress is where the control process of the machine with this control address takes internal calls: ports are
+// alike on all machines.
+func (s *Settings) InternalAddress(controlAddress string) string {
+	host, _, err := net.SplitHostPort(controlAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.InternalPort))
+}
+
+// SelfInternal is this machine's own internal address.
+func (s *Settings) SelfInternal() string {
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPort))
+}
+
+// reader reads typed values and keeps the first error.
+type reader struct {
+	path string
+	file *properties.Properties
+	err  error
+}
+
+func (r *reader) fail(key string, err error) {
+	if r.err == nil {
+		r.err = &Error{File: r.path, Key: key, Err: err}
+	}
+}
+
+func (r *reader) text(key, fallback string) string {
+	return strings.TrimSpace(r.file.GetString(key, fallback))
+}
+
+func (r *reader) number(key string, fallback float64) float64 {
+	text := r.text(key, "")
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || value < 0 {
+		r.fail(key, fmt.Errorf("%q is not a number of 0 or more", text))
+		return fallback
+	}
+	return value
+}
+
+func (r *reader) seconds(key string, fallback float64) time.Duration {
+	return time.Duration(r.number(key, fallback) * float64(time.Second))
+}
+
+func (r *reader) milliseconds(key string, fallback float64) time.Duration {
+	return time.Duration(r.number(key, fallback) * float64(time.Millisecond))
+}
+
+func (r *reader) flag(key string, fallback bool) bool {
+	text := r.text(key, "")
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.ParseBool(text)
+	if err != nil {
+		r.fail(key, fmt.Errorf("%q is neither true nor false", text))
+	}
+	return value
+}
+
+func (r *reader) list(key string) []string {
+	var items []string
+	for _, item := range strings.Split(r.text(key, ""), ",") {
+		if item = strings.TrimSpace(item); item != "" {
+			items = append(items, item)
+		}
+	}
+	return items
+}
+
+func (r *reader) address(key string) string {
+	text := r.text(key, "")
+	if text == "" {
+		return ""
+	}
+	if _, _, err := net.SplitHostPort(text); err != nil {
+		r.fail(key, fmt.Errorf("%q is not host:port", text))
+	}
+	return text
+}
+
+func (r *reader) addresses(key string) []string {
+	items := r.list(key)
+	for _, item := range items {
+		if _, _, err := net.SplitHostPort(item); err != nil {
+			r.fail(key, fmt.Errorf("%q is not host:port", item))
+		}
+	}
+	return items
+}
+
+func (r *reader) port(key string, ports []string) int {
+	if len(ports) == 0 {
+		r.fail(key, fmt.Errorf("missing: the first and last internal port are wanted"))
+		return 0
+	}
+	port, err := strconv.Atoi(ports[0])
+	if err != nil || port < 1 || port > 65535 {
+		r.fail(key, fmt.Errorf("%q is not a port", ports[0]))
+	}
+	return port
+}
--- /dev/null
+++ b/internal/fleet/storage/storage.go
@@ -0,0 +1,431 @@
+// Package storage keeps what a control process must not forget, in a buntdb file. It adds what the database leaves open:
+// every value carries a checksum, the file is cut at the first command that is torn or damaged before the database reads
+// it, a write counts only after its own sync, and the file is compacted into a new generation whose name is synced
+// before the old one goes.
+//
+// Nothing is ever deleted within a generation, and each record says which epoch it belongs to: whatever subset of the
+// unsynced records survives a loss of power, reading them gives a state that was reached.
+package storage
+
+import (
+	"bytes"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/tidwall/buntdb"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+)
+
+// compactAt is the size of a generation beyond which it is compacted.
+const compactAt = 4 << 20
+
+// mostEntries is the number of entries beyond which they are folded into their base.
+const mostEntries = 256
+
+// The keys of the database.
+const (
+	keyIdentity = "identity"
+	keyPromise  = "promise"
+	keyAccepted = "accepted"
+	keyView     = "view"
+	keyComplete = "complete" // the last one that a compaction writes
+	keyEntry    = "entry/"
+)
+
+// Store is one process's disk. It is not safe for concurrent use.
+type Store struct {
+	dir        string
+	database   *buntdb.DB
+	file       *os.File // the database's file, to sync it
+	generation int
+	written    int
+	held       replica.Stored // what is on the disk
+}
+
+// Open reads what is in a folder; an empty folder gives a Stored with no identity.
+func Open(dir string) (*Store, replica.Stored, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, replica.Stored{}, fmt.Errorf("storage: %w", err)
+	}
+	s := &Store{dir: dir}
+	if err := s.load(); err != nil {
+		return nil, replica.Stored{}, err
+	}
+	return s, s.held, nil
+}
+
+// load reads the newest complete generation.
+func (s *Store) load() error {
+	generations, err := s.generations()
+	if err != nil {
+		return err
+	}
+	s.held = replica.Stored{}
+	for _, generation := range slices.Backward(generations) {
+		s.generation = max(s.generation, generation)
+		values, err := s.read(generation)
+		if err != nil {
+			return err
+		}
+		if _, complete := values[keyComplete]; !complete {
+			continue
+		}
+		s.held, err = decodeAll(values)
+		return err
+	}
+	return nil
+}
+
+// generations are the numbers of the files that are there, oldest first.
+func (s *Store) generations() ([]int, error) {
+	names, err := os.ReadDir(s.dir)
+	if err != nil {
+		return nil, fmt.Errorf("storage: %w", err)
+	}
+	var generations []int
+	for _, name := range names {
+		var number int
+		if _, err := fmt.Sscanf(name.Name(), "control-%06d.db", &number); err == nil {
+			generations = append(generations, number)
+		}
+	}
+	slices.Sort(generations)
+	return generations, nil
+}
+
+func (s *Store) path(generation int) string {
+	return filepath.Join(s.dir, fmt.Sprintf("control-%06d.db", generation))
+}
+
+// read gives the values of a generation up to the first damage.
+func (s *Store) read(generation int) (map[string][]byte, error) {
+	path := s.path(generation)
+	if err := cutAtDamage(path); err != nil {
+		return nil, err
+	}
+	database, err := openDatabase(path)
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string][]byte)
+	err = database.View(func(tx *buntdb.Tx) error {
+		return tx.Ascend("", func(key, value string) bool {
+			if payload, intact := openValue(value); intact {
+				values[key] = payload
+			}
+			return true
+		})
+	})
+	return values, errors.Join(err, database.Close())
+}
+
+func openDatabase(path string) (*buntdb.DB, error) {
+	database, err := buntdb.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("storage: %s: %w", path, err)
+	}
+	config := buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}
+	if err := database.SetConfig(config); err != nil {
+		return nil, errors.Join(err, database.Close())
+	}
+	return database, nil
+}
+
+// Write stores records and returns once they are safe. After an error nothing of them may be relied on, and Recover must
+// succeed before the next write.
+func (s *Store) Write(records []replica.Record) (err error) {
+	if len(records) == 0 {
+		return nil
+	}
+	if s.database == nil {
+		if err := s.compact(); err != nil {
+			return err
+		}
+	}
+	next := s.held
+	for _, record := range records {
+		key, value := place(record)
+		if err := s.set(key, value); err != nil {
+			s.close()
+			return err
+		}
+		apply(&next, record)
+	}
+	if err := s.file.Sync(); err != nil {
+		s.close()
+		return fmt.Errorf("storage: %w", err)
+	}
+	s.held = next
+	if s.written > compactAt || len(s.held.Entries) > mostEntries {
+		return s.compact()
+	}
+	return nil
+}
+
+// set puts one value into the database's file. The database gives up the process where it cannot undo half a write; here
+// that is an error, as the file is cut at its damage when it is next read.
+func (s *Store) set(key string, value any) (err error) {
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			err = fmt.Errorf("storage: %v", recovered)
+		}
+	}()
+	text, err := encode(value)
+	if err != nil {
+		return err
+	}
+	s.written += len(text)
+	return s.database.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(key, text, nil)
+		return err
+	})
+}
+
+// Recover makes the store usable after a failed write.
+func (s *Store) Recover() error {
+	s.close()
+	return s.compact()
+}
+
+// compact writes what is held into a new generation and goes over to it. What is held was synced before, so the old
+// generation may go.
+func (s *Store) compact() (err error) {
+	s.close()
+	if err := fold(&s.held); err != nil {
+		return err
+	}
+	old, err := s.generations()
+	if err != nil {
+		return err
+	}
+	s.generation++
+	path := s.path(s.generation)
+	defer func() {
+		if err != nil {
+			s.close()
+			err = errors.Join(err, os.Remove(path))
+		}
+	}()
+	if s.database, err = openDatabase(path); err != nil {
+		return err
+	}
+	if s.file, err = os.OpenFile(path, os.O_RDWR, 0); err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	s.written = 0
+	for _, record := range records(&s.held) {
+		key, value := place(record)
+		if err := s.set(key, value); err != nil {
+			return err
+		}
+	}
+	if err := s.set(keyComplete, true); err != nil {
+		return err
+	}
+	if err := s.file.Sync(); err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	if err := s.syncFolder(); err != nil {
+		return err
+	}
+	s.written = 0
+	for _, generation := range old {
+		if err := os.Remove(s.path(generation)); err != nil {
+			return fmt.Errorf("storage: %w", err)
+		}
+	}
+	return nil
+}
+
+// fold applies all entries but the newest to the base. That there is a newer one shows that they are committed.
+func fold(held *replica.Stored) error {
+	if len(held.Entries) <= mostEntries {
+		return nil
+	}
+	state, err := operator.FromSnapshot(held.Base.State)
+	if err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	last := len(held.Entries) - 1
+	for _, entry := range held.Entries[:last] {
+		if state, err = state.Apply(entry.Order); err != nil {
+			return fmt.Errorf("storage: entry %d: %w", entry.Seq, err)
+		}
+	}
+	held.Base = &replica.Proposal{View: held.Base.View, Seq: held.Entries[last-1].Seq, State: state.Snapshot()}
+	held.Entries = slices.Clone(held.Entries[last:])
+	return nil
+}
+
+func (s *Store) syncFolder() error {
+	folder, err := os.Open(s.dir)
+	if err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+func (s *Store) close() {
+	if s.database != nil {
+		_ = s.database.Close()
+		s.database = nil
+	}
+	if s.file != nil {
+		_ = s.file.Close()
+		s.file = nil
+	}
+}
+
+// Close ends the use of the store.
+func (s *Store) Close() { s.close() }
+
+// identity is what keyIdentity holds.
+type identity struct {
+	Self     replica.Member
+	Founder  bool
+	Founders []string
+}
+
+// place gives a record its key and value.
+func place(record replica.Record) (string, any) {
+	switch record := record.(type) {
+	case replica.SaveIdentity:
+		return keyIdentity, identity(record)
+	case replica.SavePromise:
+		return keyPromise, record
+	case replica.SaveAccepted:
+		return keyAccepted, record.Accepted
+	case replica.SaveView:
+		return keyView, record.Proposal
+	case replica.SaveEntry:
+		return fmt.Sprintf("%s%020d", keyEntry, record.Entry.Seq), record.Entry
+	}
+	panic(fmt.Sprintf("storage: record %T", record))
+}
+
+// apply notes a record that was stored.
+func apply(held *replica.Stored, record replica.Record) {
+	switch record := record.(type) {
+	case replica.SaveIdentity:
+		held.Self, held.Founder, held.Founders = record.Self, record.Founder, record.Founders
+	case replica.SavePromise:
+		held.Promised = record.Ballot
+	case replica.SaveAccepted:
+		held.Accepted = &record.Accepted
+	case replica.SaveView:
+		held.Base = &record.Proposal
+		held.Entries, held.Promised, held.Accepted = nil, replica.Ballot{}, nil
+	case replica.SaveEntry:
+		held.Entries = append(slices.Clone(held.Entries), record.Entry)
+	}
+}
+
+// records gives what is held as records.
+func records(held *replica.Stored) []replica.Record {
+	var all []replica.Record
+	if held.Self.Address != "" {
+		all = append(all, replica.SaveIdentity{Self: held.Self, Founder: held.Founder, Founders: held.Founders})
+	}
+	if held.Base != nil {
+		all = append(all, replica.SaveView{Proposal: *held.Base})
+	}
+	if held.Promised.Round > 0 {
+		all = append(all, replica.SavePromise{Epoch: nextEpoch(held), Ballot: held.Promised})
+	}
+	if held.Accepted != nil {
+		all = append(all, replica.SaveAccepted{Accepted: *held.Accepted})
+	}
+	for _, entry := range held.Entries {
+		all = append(all, replica.SaveEntry{Entry: entry})
+	}
+	return all
+}
+
+func nextEpoch(held *replica.Stored) uint64 {
+	if held.Base == nil {
+		return 1
+	}
+	return held.Base.View.Epoch + 1
+}
+
+// decodeAll gives what the values of a generation hold. Records of earlier epochs are void.
+func decodeAll(values map[string][]byte) (replica.Stored, error) {
+	var held replica.Stored
+	var who identity
+	if err := decode(values, keyIdentity, &who); err != nil {
+		return held, err
+	}
+	held.Self, held.Founder, held.Founders = who.Self, who.Founder, who.Founders
+	if _, present := values[keyView]; present {
+		held.Base = &replica.Proposal{}
+		if err := decode(values, keyView, held.Base); err != nil {
+			return held, err
+		}
+	}
+	if err := decodeVote(values, &held); err != nil {
+		return held, err
+	}
+	return held, decodeEntries(values, &held)
+}
+
+func decodeVote(values map[string][]byte, held *replica.Stored) error {
+	var promise replica.SavePromise
+	var accepted replica.Accepted
+	if err := errors.Join(decode(values, keyPromise, &promise), decode(values, keyAccepted, &accepted)); err != nil {
+		return err
+	}
+	if promise.Epoch == nextEpoch(held) {
+		held.Promised = promise.Ballot
+	}
+	if accepted.Proposal.View.Epoch == nextEpoch(held) {
+		held.Accepted = &accepted
+		held.Promised = replica.HigherBallot(held.Promised, accepted.Ballot)
+	}
+	return nil
+}
+
+func decodeEntries(values map[string][]byte, held *replica.Stored) error {
+	if held.Base == nil {
+		return nil
+	}
+	for seq := held.Base.Seq + 1; ; seq++ {
+		var entry replica.Entry
+		key := fmt.Sprintf("%s%020d", keyEntry, seq)
+		if _, present := values[key]; !present {
+			return nil
+		}
+		if err := decode(values, key, &entry); err != nil {
+			return err
+		}
+		if entry.Epoch != held.Base.View.Epoch {
+			return nil
+		}
+		held.Entries = append(held.Entries, entry)
+	}
+}
+
+func encode(value any) (string, error) {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		return "", fmt.Errorf("storage: %w", err)
+	}
+	return sealValue(buffer.Bytes()), nil
+}
+
+func decode(values map[string][]byte, key string, into any) error {
+	payload, present := values[key]
+	if !present {
+		return nil
+	}
+	if err := gob.NewDecoder(bytes.NewReader(payload)).Decode(into); err != nil {
+		return fmt.Errorf("storage: key %s: %w", strings.TrimSpace(key), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/transport/transport.go
@@ -0,0 +1,152 @@
+// Package transport carries the internal calls of the fleet: net/rpc with gob over TCP, one connection to each peer, with
+// deadlines. A call that is not answered in time closes the connection, so that the next one does not wait behind it.
+package transport
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The figures of connections.
+const (
+	dialTimeout = 400 * time.Millisecond
+	userTimeout = time.Second // after which unacknowledged bytes end a connection
+)
+
+// ErrTimeout says that a call was not answered in time: whether it was carried out is not known.
+var ErrTimeout = errors.New("transport: no answer in time")
+
+// ErrBusy says that a connection is being made, and that it has taken long already.
+var ErrBusy = errors.New("transport: the peer is being dialled")
+
+// Pool keeps a connection to each peer.
+type Pool struct {
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewPool makes an empty pool.
+func NewPool() *Pool { return &Pool{peers: map[string]*peer{}} }
+
+func (p *Pool) peer(address string) *peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.peers[address]
+	if one == nil {
+		one = &peer{}
+		p.peers[address] = one
+	}
+	return one
+}
+
+// Call calls a method of a peer and waits for the answer at most so long.
+func (p *Pool) Call(address, method string, args, reply any, wait time.Duration) error {
+	one := p.peer(address)
+	client, err := one.connect(address)
+	if err != nil {
+		return err
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		var answered rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &answered) {
+			one.drop(client)
+		}
+		return call.Error
+	case <-timer.C:
+		one.drop(client)
+		return ErrTimeout
+	}
+}
+
+// Forget closes the connection to a peer.
+func (p *Pool) Forget(address string) {
+	one := p.peer(address)
+	one.mu.Lock()
+	client := one.client
+	one.mu.Unlock()
+	if client != nil {
+		one.drop(client)
+	}
+}
+
+func (one *peer) connect(address string) (*rpc.Client, error) {
+	if !one.mu.TryLock() {
+		return nil, ErrBusy
+	}
+	defer one.mu.Unlock()
+	if one.client != nil {
+		return one.client, nil
+	}
+	connection, err := Dial(address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	one.client = rpc.NewClient(connection)
+	return one.client, nil
+}
+
+func (one *peer) drop(client *rpc.Client) {
+	one.mu.Lock()
+	if one.client == client {
+		one.client = nil
+	}
+	one.mu.Unlock()
+	_ = client.Close()
+}
+
+// Dial makes a TCP connection that ends when its bytes are not acknowledged for a while.
+func Dial(address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.Dial("tcp4", address)
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// Listen opens a listener whose connections end when their bytes are not acknowledged for a while.
+func Listen(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1, Control: setUserTimeout}
+	return config.Listen(context.Background(), "tcp4", address)
+}
+
+// Serve answers the calls of every connection that a listener accepts, until the listener is closed.
+func Serve(listener net.Listener, services map[string]any) error {
+	server := rpc.NewServer()
+	for name, service := range services {
+		if err := server.RegisterName(name, service); err != nil {
+			return err
+		}
+	}
+	for {
+		connection, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(dialTimeout / 4)
+			continue
+		}
+		go server.ServeConn(connection)
+	}
+}
