--- a/decide/placed.go
+++ b/decide/placed.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	b.now = now
-	return b.able(s) && s.overdue == 0 && now >= s.coldNext
+	return b.able(s) && now >= s.coldNext
 }
 
 // Share is a backend's share of the node's load, 0 where it has no turns.
--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -29,8 +29,24 @@
 	Wait    time.Duration // when the need can be met, where nothing was granted
 }
 
-// newOwnerPart is the part of the burst with which a bucket begins: what an earlier owner gave out is not known.
-const newOwnerPart = 0.5
+// newOwnerPart is the part of the tenant's own burst with which a bucket begins: what an earlier owner gave out is not known.
+const newOwnerPart = 0.25
+
+// tolerancePart is the part of what the rules tolerate beyond a limit that is given out. The rest is for a new owner's first
+// room and for nodes that spend from their even part while no owner answers.
+const tolerancePart = 0.6
+
+// Tolerance is what the rules tolerate over a window beyond a tenant's rate and burst.
+type Tolerance struct {
+	Window time.Duration
+	Over   float64 // part of the limit
+	Slack  float64 // and so much more
+}
+
+// burst is the most that a bucket holds: a tenant may come in bursts as large as the tolerance lets it.
+func (t *Tolerance) burst(rate, burst float64) float64 {
+	return burst + tolerancePart*(t.Over*(rate*t.Window.Seconds()+burst)+t.Slack)
+}
 
 type bucket struct {
 	level    float64
@@ -41,10 +57,30 @@
 }
 
 // Owner holds the buckets of the tenants that a process owns.
-type Owner struct{ buckets map[string]*bucket }
+type Owner struct {
+	tolerance Tolerance
+	buckets   map[string]*bucket
+}
 
 // NewOwner makes an owner of nothing.
-func NewOwner() *Owner { return &Owner{buckets: map[string]*bucket{}} }
+func NewOwner(tolerance Tolerance) *Owner {
+	return &Owner{tolerance: tolerance, buckets: map[string]*bucket{}}
+}
+
+// Begin makes a tenant's bucket, if it has none, so that it fills before the first request comes.
+func (o *Owner) Begin(now time.Duration, tenant string, rate, burst float64, revision int64) *bucket {
+	b := o.buckets[tenant]
+	if b == nil {
+		b = &bucket{level: newOwnerPart * burst, rate: rate, burst: o.tolerance.burst(rate, burst), revision: revision, at: now}
+		o.buckets[tenant] = b
+	}
+	b.fill(now)
+	if revision >= b.revision { // a node that is behind does not set the limit
+		b.rate, b.burst, b.revision = rate, o.tolerance.burst(rate, burst), revision
+		b.level = min(b.level, b.burst)
+	}
+	return b
+}
 
 // Forget drops a tenant's bucket when it has another owner.
 func (o *Owner) Forget(tenant string) { delete(o.buckets, tenant) }
@@ -60,15 +96,7 @@
 
 // Take answers a request for room. A need beyond the burst is met from a full bucket, which then is in debt.
 func (o *Owner) Take(now time.Duration, r *TakeRequest) TakeReply {
-	b := o.buckets[r.Tenant]
-	if b == nil {
-		b = &bucket{level: newOwnerPart * r.Burst, rate: r.Rate, burst: r.Burst, revision: r.Revision, at: now}
-		o.buckets[r.Tenant] = b
-	}
-	b.fill(now)
-	if r.Revision >= b.revision { // a node that is behind does not set the limit
-		b.rate, b.burst, b.revision = r.Rate, r.Burst, r.Revision
-	}
+	b := o.Begin(now, r.Tenant, r.Rate, r.Burst, r.Revision)
 	b.level = min(b.level+max(0, r.Returned), b.burst)
 	if b.level < min(r.Need, b.burst) {
 		return TakeReply{Owner: true, Wait: b.until(min(r.Need, b.burst))}
--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -52,7 +52,7 @@
 func New(set *settings.Settings, logger *log.Logger) (*Node, error) {
 	n := &Node{settings: set, log: logger, begin: time.Now(), pool: transport.NewPool(), owner: randomNumber(),
 		raters: registry.New(set.Heartbeat), news: make(chan struct{}), sessions: map[uint64]time.Duration{},
-		rooms: allowance.NewOwner(), roomFrom: map[string]time.Duration{}}
+		rooms: allowance.NewOwner(tolerance(set)), roomFrom: map[string]time.Duration{}}
 	var stored replica.Stored
 	if set.DataDir != "" {
 		store, found, err := storage.Open(set.DataDir)
@@ -70,6 +70,10 @@
 	return n, nil
 }
 
+func tolerance(set *settings.Settings) allowance.Tolerance {
+	return allowance.Tolerance{Window: set.Bounds.QuotaWindow, Over: set.Bounds.QuotaOver, Slack: set.Bounds.QuotaSlack}
+}
+
 // now is the steady clock of the process. It begins above 0, which stands for "never".
 func (n *Node) now() time.Duration { return time.Since(n.begin) + time.Millisecond }
 
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -177,6 +177,20 @@
 	return now >= from && now-published.ViewConfirmed < ownerConfirmed && slices.Contains(published.View.Chain, published.Self)
 }
 
+// prepareRooms makes the buckets of the tenants that this process owns.
+func (n *Node) prepareRooms() {
+	published, _ := n.core.Published()
+	tenants := published.State.Document.Tenants()
+	now := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, tenant := range tenants {
+		if tenant.Rate > 0 && n.ownsRoom(published, tenant.Name, now) {
+			n.rooms.Begin(now, tenant.Name, tenant.Rate, tenant.Burst, published.State.Document.Revision)
+		}
+	}
+}
+
 // AllowanceOwner is the address of the member that owns a tenant's allowance.
 func AllowanceOwner(chain []replica.Member, tenant string) string {
 	addresses := make([]string, len(chain))
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -112,7 +112,7 @@
 
 func (n *Node) server() *http.Server {
 	handler := &proxy.Handler{Config: n, Placer: n.placer, Rooms: n.rooms, Retries: n.retries, Raters: rater.NewClient(),
-		Figures: n.figures, Closing: n.closing.Load}
+		Figures: n.figures, Log: n.log, Closing: n.closing.Load}
 	limits := n.Table().Limits
 	return &http.Server{Handler: n.counted(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout,
 		IdleTimeout: time.Duration(idleSlack * float64(limits.IdleTimeout)), MaxHeaderBytes: limits.HeaderBytes,
--- a/internal/fleet/operator/table.go
+++ b/internal/fleet/operator/table.go
@@ -133,6 +133,15 @@
 	return t
 }
 
+// Tenants are the tenants of a document.
+func (d *Document) Tenants() []*Tenant {
+	var tenants []*Tenant
+	for _, tenant := range messages[*operatorpb.Tenant](d, fieldTenants) {
+		tenants = append(tenants, compileTenant(tenant))
+	}
+	return tenants
+}
+
 func compileRoute(route *operatorpb.Route) *Route {
 	compiled := &Route{Name: route.Name, Prefix: route.PathPrefix, Timeout: milliseconds(route.TimeoutMs),
 		Target: milliseconds(route.TargetLatencyMs), GapAim: milliseconds(route.GapAimMs), Priority: int(route.Priority),
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"linenwheel.dev/linenwheel/internal/fleet/faults"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/rater"
@@ -54,6 +56,7 @@
 	Retries RetryBudget
 	Raters  *rater.Client
 	Figures *Figures
+	Log     *log.Logger
 	Closing func() bool // the process is about to end: connections are not to be kept
 }
 
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/fleet/faults"
@@ -79,6 +80,10 @@
 	if !c.stream.begun {
 		c.stream.begun = true
 		c.handler.Placer.Begun(c.service, ticket)
+		if took := time.Since(c.arrived); took > c.route.Target {
+			c.handler.Log.Debug("answer begins late", "route", c.route.Name, "rater", ticket.Rater.ID, "took", took,
+				"input", c.prompt.input, "own", c.prompt.own, "sends", c.sends)
+		}
 	}
 }
 
--- a/internal/fleet/routing/service.go
+++ b/internal/fleet/routing/service.go
@@ -11,7 +11,7 @@
 // The figures of placing.
 const (
 	boundPart  = 1.5 // times its even part of this node's requests that a rater may hold and still get its prefixes
-	boundSlack = 2.0 // and so many more
+	boundSlack = 6.0 // and so many more
 	lowShare   = 0.5 // a rater whose share is below this part of the even one has this weight in the hash,
 	highShare  = 2.0 // one above this has that one, all others 1: a weight that swings moves prefixes
 )
@@ -241,13 +241,13 @@
 
 // rank orders the raters that may get a request by the hash of its prefix.
 func (s *Service) rank(now time.Duration, request *Request) []ranked {
-	even := 1 / max(1, float64(s.Size()))
+
 	var order []ranked
 	for _, m := range s.sorted() {
 		if !s.allowed(m, request) || !s.balancer.Usable(now, m.backend) {
 			continue
 		}
-		weight := hashWeight(s.balancer.Share(m.backend) / even)
+		weight := 1.0
 		order = append(order, ranked{m, rendezvousScore(request.Prefix, m.rater.ID, weight)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -49,6 +49,7 @@
 	BudgetWindow     time.Duration
 	BudgetSlack      float64
 	QuotaWindow      time.Duration
+	QuotaOver        float64
 	QuotaSlack       float64
 	Pass             time.Duration
 	Again            time.Duration
@@ -139,6 +140,7 @@
 			BudgetWindow:     r.seconds("Bounds.BudgetWindowS", 10),
 			BudgetSlack:      r.number("Bounds.BudgetSlack", 20),
 			QuotaWindow:      r.seconds("Bounds.QuotaWindowS", 8),
+			QuotaOver:        r.number("Bounds.QuotaOver", 0),
 			QuotaSlack:       r.number("Bounds.QuotaSlack", 0),
 			Pass:             r.milliseconds("Bounds.pass_ms", 120),
 			Again:            r.seconds("Bounds.again_s", 10),
