Tell other nodes of long prompts and move requests from raters that read them

Change: a node announces prompts of 4,000 tokens or more that it sends and that have been read; control hands that on with the long poll. A request moves from its prefix's home where it would begin after 0.6 of its aim, if another rater is expected to be faster by three times the reading of the shared part. Ruled out: asking raters for reports (priced, and they tell of requests, not of tokens).

--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -45,6 +45,7 @@
 	sessions map[uint64]time.Duration
 	rooms    *allowance.Owner
 	roomFrom map[string]time.Duration // when this process became the owner of a tenant
+	notices  notices
 	leaving  bool
 }
 
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -87,7 +87,8 @@
 		published, changed := n.core.Published()
 		n.mu.Lock()
 		news := n.news
-		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving
+		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving ||
+			n.notices.news(request.ReadingSeq, request.Session)
 		n.mu.Unlock()
 		if fresh || published.Seq > request.ConfigSeq && published.StateConfirmed > 0 {
 			break
@@ -133,7 +134,10 @@
 	since := request.RegistryVersion
 	if request.RegistryOwner != n.owner {
 		since, reply.Whole = 0, true
+	} else {
+		reply.Readings = n.notices.since(now, request.ReadingSeq, request.Session)
 	}
+	reply.ReadingSeq = n.notices.last
 	reply.Records = n.raters.Since(now, since)
 }
 
--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -33,6 +33,7 @@
 	table      atomic.Pointer[operator.Table]
 	leaseEnd   atomic.Int64
 	configured chan struct{}
+	current    atomic.Pointer[string] // the control process that is being asked
 
 	mu    sync.Mutex
 	copy  *distribution.Copy
@@ -63,6 +64,7 @@
 	pause := pauseMin
 	for {
 		address := f.choose()
+		f.current.Store(&address)
 		if address != "" && f.poll(address) == nil {
 			pause = pauseMin
 			continue
@@ -155,6 +157,7 @@
 	if change.Raters || change.Config {
 		f.node.placer.update(f.copy.Table(), f.copy.Raters(), f.copy.Nodes())
 	}
+	f.node.placer.heard(reply.Readings)
 	if !hadTable && f.copy.Table() != nil {
 		close(f.configured)
 	}
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -26,26 +26,28 @@
 
 // Node is one process of the data plane.
 type Node struct {
-	settings *settings.Settings
-	log      *log.Logger
-	begin    time.Time
-	session  uint64
-	pool     *transport.Pool
-	follower *follower
-	placer   *placer
-	rooms    *rooms
-	retries  *retryBudget
-	figures  *proxy.Figures
-	active   atomic.Int64 // requests under way
-	stopping atomic.Bool
-	closing  atomic.Bool
+	settings  *settings.Settings
+	log       *log.Logger
+	begin     time.Time
+	session   uint64
+	pool      *transport.Pool
+	follower  *follower
+	placer    *placer
+	rooms     *rooms
+	announcer *announcer
+	retries   *retryBudget
+	figures   *proxy.Figures
+	active    atomic.Int64 // requests under way
+	stopping  atomic.Bool
+	closing   atomic.Bool
 }
 
 // New makes a process of the data plane from its settings.
 func New(set *settings.Settings, logger *log.Logger) *Node {
 	n := &Node{settings: set, log: logger, begin: time.Now(), session: rand.Uint64()>>1 + 1, pool: transport.NewPool(),
 		figures: proxy.NewFigures()}
-	n.placer = newPlacer(n.now, nodeNumber(set.NodeName))
+	n.announcer = newAnnouncer(n)
+	n.placer = newPlacer(n.now, nodeNumber(set.NodeName), n.announcer.add)
 	n.retries = newRetryBudget(set.Bounds)
 	n.follower = newFollower(n)
 	n.rooms = newRooms(n)
@@ -85,6 +87,7 @@
 	}()
 	go n.follower.run()
 	go n.rooms.run()
+	go n.announcer.run()
 	select {
 	case <-n.follower.configured:
 	case <-ctx.Done():
--- a/internal/fleet/datanode/placer.go
+++ b/internal/fleet/datanode/placer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"linenwheel.dev/linenwheel/internal/fleet/distribution"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
@@ -15,12 +16,35 @@
 	now  func() time.Duration
 	node int
 
+	announce func(distribution.Notice)
+
 	mu       sync.Mutex
 	services map[string]*routing.Service
 }
 
-func newPlacer(now func() time.Duration, node int) *placer {
-	return &placer{now: now, node: node, services: map[string]*routing.Service{}}
+func newPlacer(now func() time.Duration, node int, announce func(distribution.Notice)) *placer {
+	return &placer{now: now, node: node, announce: announce, services: map[string]*routing.Service{}}
+}
+
+// tell has other nodes told where a long prompt is being read, or has been.
+func (p *placer) tell(service string, ticket *routing.Ticket, ended bool) {
+	if ticket == nil {
+		return
+	}
+	if reading, long := ticket.Announcement(ended); long {
+		p.announce(distribution.Notice{Service: service, Reading: reading})
+	}
+}
+
+// heard takes what other nodes told.
+func (p *placer) heard(notices []distribution.Notice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, notice := range notices {
+		if service := p.services[notice.Service]; service != nil {
+			service.Heard(p.now(), []routing.Reading{notice.Reading})
+		}
+	}
 }
 
 // update takes configuration and raters.
@@ -90,7 +114,9 @@
 	}
 	now := p.now()
 	request.Deadline += now
-	return service.Place(now, request)
+	ticket := service.Place(now, request)
+	p.tell(name, ticket, false)
+	return ticket
 }
 
 // Begun takes the first token of an answer.
@@ -98,13 +124,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.services[name].Begun(p.now(), ticket)
+	p.tell(name, ticket, true)
 }
 
 // End takes the end of an attempt.
 func (p *placer) End(name string, ticket *routing.Ticket, result routing.Result, load routing.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.services[name].End(p.now(), ticket, result, load)
+	if p.services[name].End(p.now(), ticket, result, load) {
+		p.tell(name, ticket, true)
+	}
 }
 
 // raterStatus tells people of one rater.
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -7,6 +7,7 @@
 
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
 // MethodPoll is the method of the long poll.
@@ -19,6 +20,7 @@
 	ConfigSeq       uint64
 	RegistryOwner   uint64 // the copy of the registry that RegistryVersion counts in
 	RegistryVersion uint64
+	ReadingSeq      uint64        // the newest of RegistryOwner's notices of long prompts that was had
 	Hold            time.Duration // how long the answer may wait for news
 }
 
@@ -38,12 +40,33 @@
 	Whole           bool          // Records are all there are
 	Records         []registry.Record
 
+	ReadingSeq uint64
+	Readings   []Notice
+
 	Epoch    uint64
 	Members  []ControlMember // the chain first, head first
 	Sessions int             // live nodes of the data plane
 	Leaving  bool            // this control process is about to end
 }
 
+// MethodAnnounce is the method by which a node tells of long prompts, MethodRelay that by which control processes hand it on.
+const (
+	MethodAnnounce = "Distribution.Announce"
+	MethodRelay    = "Distribution.Relay"
+)
+
+// Notice tells that a rater begins or ends to read a long prompt.
+type Notice struct {
+	Service string
+	Reading routing.Reading
+}
+
+// Announcement is what one node tells of long prompts.
+type Announcement struct {
+	Session uint64 // of the node that sent the prompts
+	Notices []Notice
+}
+
 // ControlMember is one process of the control plane.
 type ControlMember struct {
 	Address string
--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -69,7 +69,8 @@
 	if time.Until(c.deadline) <= 0 || c.clientGone() {
 		return nil
 	}
-	request := &routing.Request{Cost: c.prompt.cost(), Deadline: time.Until(c.deadline), Exclude: c.tried}
+	request := &routing.Request{Cost: c.prompt.cost(), Deadline: time.Until(c.deadline), Exclude: c.tried, Own: c.prompt.own,
+		Shared: max(0, c.prompt.input-c.prompt.own), Aim: c.route.Target}
 	if c.route.Affinity {
 		request.Prefix = c.prompt.shared
 	}
--- a/internal/fleet/routing/rendezvous.go
+++ b/internal/fleet/routing/rendezvous.go
@@ -3,13 +3,13 @@
 // Each service has a decide.Balancer, which learns each rater's latency over its share (time to the first token) and
 // re-solves the shares; requests without a shared prompt prefix are placed by its weighted round robin, and raters that
 // are new or were away come in by its search. A request with a prefix goes to the rater that the prefix's rendezvous
-// hash names, so that all nodes read a shared part at the same place; the curve's shares are the weights of the hash,
-// and a rater that holds more than its part of this node's work passes the request on to the next one in the hash's order.
+// hash names, its home, so that all nodes read a shared part at the same place; a rater that the balancer has put away, or
+// that holds more than its part of this node's work, passes the request on to the next one in the hash's order, and so does
+// one that is busy reading long prompts (backlog.go). The curve's shares are no weights of the hash: each node learns
+// its own from few answers, and weights that differ scatter the prefixes.
 package routing
 
 import (
-	"math"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -23,17 +23,11 @@
 	return (float64(digest.Sum64()>>11) + 0.5) / (1 << 53)
 }
 
-// rendezvousScore is the score of a place of some weight for a key; the highest score wins. A place wins a part of the
-// keys that is its part of the weights, and a change of one weight moves only keys to or from that place.
-func rendezvousScore(key, place string, weight float64) float64 {
-	return -weight / math.Log(hashUnit(key, place))
-}
-
 // Rendezvous gives the place of a key among places of equal weight; empty where there is none.
 func Rendezvous(key string, places []string) string {
 	best, highest := "", -1.0
 	for _, place := range places {
-		if score := rendezvousScore(key, place, 1); score > highest {
+		if score := hashUnit(key, place); score > highest {
 			best, highest = place, score
 		}
 	}
--- a/internal/fleet/routing/service.go
+++ b/internal/fleet/routing/service.go
@@ -12,8 +12,6 @@
 const (
 	boundPart  = 1.5 // times its even part of this node's requests that a rater may hold and still get its prefixes
 	boundSlack = 6.0 // and so many more
-	lowShare   = 0.5 // a rater whose share is below this part of the even one has this weight in the hash,
-	highShare  = 2.0 // one above this has that one, all others 1: a weight that swings moves prefixes
 )
 
 // Rater is a rater as the balancer of its service is told of it.
@@ -29,6 +27,9 @@
 type Request struct {
 	Prefix   string  // the key of the shared part; empty = none
 	Cost     float64 // expected work, in any unit that is the same for all
+	Own      float64 // tokens of the prompt that no other request shares
+	Shared   float64 // and those that others do
+	Aim      time.Duration
 	Deadline time.Duration
 	Exclude  []string // raters that were tried already
 }
@@ -42,8 +43,18 @@
 	request decide.RequestID
 	backend decide.BackendID
 	sent    time.Duration
+	tokens  float64 // that the rater has to read
+	alone   bool    // the rater had nothing else to read
 }
 
+// Announcement tells other nodes that a rater begins or ends to read a long prompt; false: it is not long enough.
+func (t *Ticket) Announcement(ended bool) (Reading, bool) {
+	return Reading{ID: t.reading(), Rater: t.Rater.ID, Tokens: t.tokens, Ended: ended}, t.tokens >= announceLeast
+}
+
+// reading names the prompt that the attempt has read. Nodes begin at numbers of their own.
+func (t *Ticket) reading() uint64 { return uint64(t.request) }
+
 type member struct {
 	rater   Rater
 	backend decide.BackendID
@@ -59,6 +70,7 @@
 	lastID   decide.BackendID
 	lastReq  decide.RequestID
 	timers   []timer
+	backlog  *backlog
 }
 
 type timer struct {
@@ -98,7 +110,8 @@
 
 // NewService makes a service without raters.
 func NewService(options Options) (*Service, error) {
-	s := &Service{members: map[string]*member{}, byID: map[decide.BackendID]*member{}}
+	s := &Service{members: map[string]*member{}, byID: map[decide.BackendID]*member{}, backlog: newBacklog(),
+		lastReq: decide.RequestID(options.Seed >> 1)}
 	s.actions = &actions{service: s}
 	aim := max(options.Aim, time.Millisecond)
 	settings := decide.Settings{Nodes: max(1, options.Nodes), Node: options.Node, Zones: []string{"all"}, Kinds: []string{"rater"},
@@ -177,6 +190,17 @@
 	return s.placeByTurn(now, request, r)
 }
 
+// Heard takes what other nodes told of long prompts.
+func (s *Service) Heard(now time.Duration, readings []Reading) {
+	for _, one := range readings {
+		if one.Ended {
+			s.backlog.end(one.Rater, one.ID)
+			continue
+		}
+		s.backlog.add(now-one.Ago, one.Rater, one.ID, one.Tokens)
+	}
+}
+
 // placeByTurn leaves the choice to the balancer.
 func (s *Service) placeByTurn(now time.Duration, request *Request, r decide.Request) *Ticket {
 	for range len(s.members) {
@@ -188,7 +212,7 @@
 		m := s.byID[s.actions.chosen]
 		ticket := &Ticket{request: r.ID, backend: s.actions.chosen, sent: now}
 		if m != nil && !m.rater.Late && !slices.Contains(request.Exclude, m.rater.ID) {
-			return s.ticket(ticket, m)
+			return s.ticket(ticket, m, request.Own)
 		}
 		s.balancer.Outcome(now, decide.Outcome{Request: r.ID, Backend: ticket.backend, Over: true, Result: decide.NotSent})
 		s.lastReq++
@@ -211,12 +235,15 @@
 	if best == nil || !s.balancer.Placed(now, r, best.backend) {
 		return nil
 	}
-	return s.ticket(&Ticket{request: r.ID, backend: best.backend, sent: now}, best)
+	return s.ticket(&Ticket{request: r.ID, backend: best.backend, sent: now}, best, request.Own+request.Shared)
 }
 
-func (s *Service) ticket(t *Ticket, m *member) *Ticket {
+func (s *Service) ticket(t *Ticket, m *member, tokens float64) *Ticket {
 	m.ours++
-	t.Rater = m.rater
+	t.Rater, t.tokens, t.alone = m.rater, tokens, !s.backlog.busy(m.rater.ID)
+	if tokens > 0 {
+		s.backlog.add(t.sent, m.rater.ID, t.reading(), tokens)
+	}
 	return t
 }
 
@@ -241,44 +268,66 @@
 
 // rank orders the raters that may get a request by the hash of its prefix.
 func (s *Service) rank(now time.Duration, request *Request) []ranked {
-
 	var order []ranked
 	for _, m := range s.sorted() {
 		if !s.allowed(m, request) || !s.balancer.Usable(now, m.backend) {
 			continue
 		}
-		weight := 1.0
-		order = append(order, ranked{m, rendezvousScore(request.Prefix, m.rater.ID, weight)})
+		order = append(order, ranked{m, hashUnit(request.Prefix, m.rater.ID)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
 	return order
 }
 
-// hashWeight is the weight in the hash of a rater whose share is so many times the even one.
-func hashWeight(share float64) float64 {
-	switch {
-	case share < lowShare:
-		return lowShare
-	case share > highShare:
-		return highShare
-	}
-	return 1
-}
-
+// placeByHash gives a request to the home of its prefix, or to the next ones of the hash's order where those are expected
+// to give the first token so much sooner that it pays to read the shared part there too.
 func (s *Service) placeByHash(now time.Duration, request *Request, r decide.Request) *Ticket {
 	order := s.rank(now, request)
+	if len(order) == 0 {
+		return nil
+	}
+	home := order[0].member
+	s.moveFromBusyHome(now, request, order)
 	bound := s.bound(len(order))
 	for _, candidate := range order {
 		if float64(candidate.member.ours) >= bound {
 			continue
 		}
 		if s.balancer.Placed(now, r, candidate.member.backend) {
-			return s.ticket(&Ticket{request: r.ID, backend: candidate.member.backend, sent: now}, candidate.member)
+			tokens := request.Own
+			if candidate.member != home {
+				tokens += request.Shared
+			}
+			return s.ticket(&Ticket{request: r.ID, backend: candidate.member.backend, sent: now}, candidate.member, tokens)
 		}
 	}
 	return nil
 }
 
+// moveFromBusyHome puts another rater before the home of a prefix where the home is busy with long prompts.
+func (s *Service) moveFromBusyHome(now time.Duration, request *Request, order []ranked) {
+	if len(order) < 2 || !s.backlog.known() {
+		return
+	}
+	least := s.backlog.wait(now, order[0].member.rater.ID) + s.backlog.base + s.backlog.time(request.Own)
+	if least <= time.Duration(slackOfAim*float64(request.Aim)) {
+		return
+	}
+	best := 0
+	reread := time.Duration(rereadWeight * float64(s.backlog.time(request.Shared)))
+	for i := 1; i < len(order) && i <= mostMoves; i++ {
+		expected := s.backlog.wait(now, order[i].member.rater.ID) + s.backlog.base + s.backlog.time(request.Own) + reread
+		if expected < least {
+			best, least = i, expected
+		}
+	}
+	if best > 0 {
+		moved := order[best]
+		copy(order[1:best+1], order[:best])
+		order[0] = moved
+	}
+}
+
 // bound is how many requests of this node a rater may hold and still get prefixes.
 func (s *Service) bound(raters int) float64 {
 	held := 1
@@ -292,6 +341,7 @@
 func (s *Service) Begun(now time.Duration, t *Ticket) {
 	s.actions.now = now
 	s.balancer.Begun(now, t.request, 0, now-t.sent)
+	s.backlog.read(now, t.Rater.ID, t.reading(), t.alone)
 }
 
 // Load is what a rater told of itself with an answer.
@@ -301,18 +351,20 @@
 	Waiting int
 }
 
-// End takes the end of an attempt.
-func (s *Service) End(now time.Duration, t *Ticket, result Result, load Load) {
+// End takes the end of an attempt. It tells whether the rater had not yet read the prompt.
+func (s *Service) End(now time.Duration, t *Ticket, result Result, load Load) (unread bool) {
 	s.actions.now = now
 	if m := s.members[t.Rater.ID]; m != nil && m.backend == t.backend {
 		m.ours--
 	}
+	unread = s.backlog.end(t.Rater.ID, t.reading())
 	outcome := decide.Outcome{Request: t.request, Backend: t.backend, Over: true, Latency: now - t.sent, Result: result}
 	if load.Known {
 		outcome.Load.Has = 1 << decide.ReportHeld
 		outcome.Load.Values[decide.ReportHeld] = float64(load.Running + load.Waiting)
 	}
 	s.balancer.Outcome(now, outcome)
+	return unread
 }
 
 // View tells how the service's raters do.
