Hand allowances over and keep a reserve for urgent and small requests

Urgent and small requests keep 0.35 of the bucket; the denied are told when the denied before them will have been met. A process that has just started counts the chain as reachable. Ruled out: owners by rendezvous over the first members of the chain only (all keys move at the loss of one).

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -19,6 +19,7 @@
 	Need     float64 // for requests that are waiting
 	Ahead    float64 // for those to come
 	Returned float64 // what was granted before and not used
+	Urgent   bool    // the need is for requests of the highest rank
 	Revision int64   // of the configuration that the limit is from
 }
 
@@ -29,12 +30,26 @@
 	Wait    time.Duration // when the need can be met, where nothing was granted
 }
 
-// newOwnerPart is the part of the tenant's own burst with which a bucket begins: what an earlier owner gave out is not known.
-const newOwnerPart = 0.25
+// What the rules tolerate beyond a limit is given out in parts: one makes the bucket deeper, one is what a new owner begins
+// with that does not know what the one before gave out. The rest is for nodes that spend from their even part while no owner
+// answers, and for a second new owner in the same window.
+const (
+	tolerancePart = 0.5
+	newOwnerPart  = 0.2
+)
 
-// tolerancePart is the part of what the rules tolerate beyond a limit that is given out. The rest is for a new owner's first
-// room and for nodes that spend from their even part while no owner answers.
-const tolerancePart = 0.6
+// MethodHandOver is the method by which an owner hands a bucket to the next one.
+const MethodHandOver = "Allowance.HandOver"
+
+// HandOver is a bucket that has a new owner.
+type HandOver struct {
+	Epoch    uint64 // the view that made the new owner
+	Tenant   string
+	Level    float64
+	Rate     float64
+	Burst    float64
+	Revision int64
+}
 
 // Tolerance is what the rules tolerate over a window beyond a tenant's rate and burst.
 type Tolerance struct {
@@ -45,11 +60,27 @@
 
 // burst is the most that a bucket holds: a tenant may come in bursts as large as the tolerance lets it.
 func (t *Tolerance) burst(rate, burst float64) float64 {
-	return burst + tolerancePart*(t.Over*(rate*t.Window.Seconds()+burst)+t.Slack)
+	return burst + tolerancePart*t.beyond(rate, burst)
 }
 
+// beyond is what the rules tolerate beyond a limit in a window.
+func (t *Tolerance) beyond(rate, burst float64) float64 {
+	return t.Over*(rate*t.Window.Seconds()+burst) + t.Slack
+}
+
+// reservePart is the part of a bucket that is kept for urgent and for small requests: when a tenant runs over its limit,
+// these still pass.
+const reservePart = 0.35
+
+// smallPart is the part of a bucket up to which a request is small.
+const smallPart = 0.01
+
+// mostDenied bounds, in seconds of the tenant's rate, the demand that is taken to come back after it was denied.
+const mostDenied = 5.0
+
 type bucket struct {
 	level    float64
+	denied   float64 // demand that was denied and may come back
 	rate     float64
 	burst    float64
 	revision int64
@@ -71,7 +102,7 @@
 func (o *Owner) Begin(now time.Duration, tenant string, rate, burst float64, revision int64) *bucket {
 	b := o.buckets[tenant]
 	if b == nil {
-		b = &bucket{level: newOwnerPart * burst, rate: rate, burst: o.tolerance.burst(rate, burst), revision: revision, at: now}
+		b = &bucket{level: newOwnerPart * o.tolerance.beyond(rate, burst), rate: rate, burst: o.tolerance.burst(rate, burst), revision: revision, at: now}
 		o.buckets[tenant] = b
 	}
 	b.fill(now)
@@ -82,9 +113,6 @@
 	return b
 }
 
-// Forget drops a tenant's bucket when it has another owner.
-func (o *Owner) Forget(tenant string) { delete(o.buckets, tenant) }
-
 // Tenants are those with a bucket.
 func (o *Owner) Tenants() []string {
 	names := make([]string, 0, len(o.buckets))
@@ -94,22 +122,58 @@
 	return names
 }
 
+// Has tells whether this owner holds a tenant's bucket.
+func (o *Owner) Has(tenant string) bool { return o.buckets[tenant] != nil }
+
+// Release takes a tenant's bucket out, to be handed over.
+func (o *Owner) Release(now time.Duration, tenant string) (HandOver, bool) {
+	b := o.buckets[tenant]
+	if b == nil {
+		return HandOver{}, false
+	}
+	b.fill(now)
+	delete(o.buckets, tenant)
+	return HandOver{Tenant: tenant, Level: b.level, Rate: b.rate, Burst: b.burst, Revision: b.revision}, true
+}
+
+// Receive takes a bucket over as it was.
+func (o *Owner) Receive(now time.Duration, h *HandOver) {
+	if o.Has(h.Tenant) {
+		return
+	}
+	o.buckets[h.Tenant] = &bucket{level: min(h.Level, h.Burst), rate: h.Rate, burst: h.Burst, revision: h.Revision, at: now}
+}
+
 // Take answers a request for room. A need beyond the burst is met from a full bucket, which then is in debt.
 func (o *Owner) Take(now time.Duration, r *TakeRequest) TakeReply {
 	b := o.Begin(now, r.Tenant, r.Rate, r.Burst, r.Revision)
 	b.level = min(b.level+max(0, r.Returned), b.burst)
-	if b.level < min(r.Need, b.burst) {
-		return TakeReply{Owner: true, Wait: b.until(min(r.Need, b.burst))}
+	least := b.least(r)
+	if b.level < least {
+		wait := b.until(least + b.denied)
+		b.denied = min(b.denied+r.Need, mostDenied*b.rate)
+		return TakeReply{Owner: true, Wait: wait}
 	}
 	granted := r.Need
-	granted += min(r.Ahead, max(0, b.level-granted))
+	granted += min(r.Ahead, max(0, b.level-least))
 	b.level -= granted
 	return TakeReply{Owner: true, Granted: granted}
 }
 
+// least is the level from which on a need is met.
+func (b *bucket) least(r *TakeRequest) float64 {
+	least := min(r.Need, b.burst)
+	if r.Urgent || r.Need <= smallPart*b.burst {
+		return least
+	}
+	return min(least+reservePart*b.burst, b.burst)
+}
+
 func (b *bucket) fill(now time.Duration) {
 	if now > b.at {
-		b.level = min(b.level+b.rate*(now-b.at).Seconds(), b.burst)
+		room := b.rate * (now - b.at).Seconds()
+		b.level = min(b.level+room, b.burst)
+		b.denied = max(0, b.denied-room)
 		b.at = now
 	}
 }
@@ -124,19 +188,23 @@
 
 // The figures of a node's wallet.
 const (
-	aheadFor  = 0.2             // seconds of recent use that are asked for ahead of need
-	useMemory = 2.0             // seconds after which use weighs 1/e
-	keepFor   = time.Second / 2 // after which what was granted and not used is given back
+	aheadFor     = 0.2             // seconds of recent use that are asked for ahead of need
+	useMemory    = 2.0             // seconds after which use weighs 1/e
+	lookBack     = time.Second / 4 // for which a node has its even part of when the owner falls silent
+	mostFallback = 2.0             // seconds of its even part that a node may save up meanwhile
+	keepFor      = time.Second / 2 // after which what was granted and not used is given back
 )
 
 // Wallet is the room that a node holds for one tenant.
 type Wallet struct {
-	balance   float64
-	grantedAt time.Duration
-	use       float64 // recent use, a second
-	useAt     time.Duration
-	fallback  float64
-	fallAt    time.Duration
+	balance    float64
+	grantedAt  time.Duration
+	use        float64 // recent use, a second
+	useAt      time.Duration
+	answeredAt time.Duration // when the owner last answered
+	fallback   float64
+	fallAt     time.Duration
+	outage     float64 // spent since the owner last answered
 }
 
 // Spend takes room for a request from what is held, and tells whether there was enough.
@@ -163,8 +231,9 @@
 	return max(0, amount-w.balance), aheadFor * w.use
 }
 
-// Granted takes room.
+// Granted takes an owner's answer.
 func (w *Wallet) Granted(now time.Duration, amount float64) {
+	w.answeredAt, w.fallback, w.outage = now, 0, 0
 	w.balance += amount
 	w.grantedAt = now
 }
@@ -179,16 +248,20 @@
 	return unused
 }
 
-// Fallback spends from this node's even part of a limit, while no owner answers.
+// Fallback spends from this node's even part of a limit, while no owner answers. The part grows from a little before the
+// owner was found silent.
 func (w *Wallet) Fallback(now time.Duration, rate float64, nodes int, amount float64) bool {
 	part := rate / float64(max(1, nodes))
-	if w.fallAt > 0 {
-		w.fallback = min(w.fallback+part*(now-w.fallAt).Seconds(), part)
+	since := max(w.fallAt, w.answeredAt, now-lookBack)
+	if w.fallAt > w.answeredAt {
+		since = w.fallAt
 	}
+	w.fallback += part * (now - since).Seconds()
 	w.fallAt = now
-	if w.fallback < min(amount, part) {
+	if w.fallback < amount || w.outage+amount > max(amount, mostFallback*part) {
 		return false
 	}
 	w.fallback -= amount
+	w.outage += amount
 	return true
 }
--- a/internal/fleet/controlnode/gossip.go
+++ b/internal/fleet/controlnode/gossip.go
@@ -84,7 +84,6 @@
 // round exchanges what was heard since the last one, and looks for raters that have fallen silent.
 func (g *gossiper) round() {
 	n := g.node
-	n.prepareRooms()
 	n.mu.Lock()
 	fresh := n.raters.Fresh(n.now())
 	if n.raters.Expire(n.now()) {
--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -44,7 +44,7 @@
 	news     chan struct{} // closed when the registry has news
 	sessions map[uint64]time.Duration
 	rooms    *allowance.Owner
-	roomFrom map[string]time.Duration // when this process became the owner of a tenant
+	roomFrom map[string]ownership
 	notices  notices
 	leaving  bool
 }
@@ -53,7 +53,7 @@
 func New(set *settings.Settings, logger *log.Logger) (*Node, error) {
 	n := &Node{settings: set, log: logger, begin: time.Now(), pool: transport.NewPool(), owner: randomNumber(),
 		raters: registry.New(set.Heartbeat), news: make(chan struct{}), sessions: map[uint64]time.Duration{},
-		rooms: allowance.NewOwner(tolerance(set)), roomFrom: map[string]time.Duration{}}
+		rooms: allowance.NewOwner(tolerance(set)), roomFrom: map[string]ownership{}}
 	var stored replica.Stored
 	if set.DataDir != "" {
 		store, found, err := storage.Open(set.DataDir)
@@ -139,6 +139,7 @@
 	go func() { failed <- server.Serve(outer) }()
 	go n.core.Run()
 	go n.peers.run()
+	go n.watchOwnership()
 	n.log.Info("control process serves", "control", n.settings.Control, "internal", n.settings.SelfInternal())
 	select {
 	case <-ctx.Done():
--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -35,6 +35,7 @@
 	State          *operator.State
 	ViewConfirmed  time.Duration
 	StateConfirmed time.Duration
+	AllHere        bool // every other voter is known to be in this view
 }
 
 // orderResult is the end of an order.
@@ -260,7 +261,7 @@
 func (r *Replicator) publish() {
 	seq, state := r.machine.Agreed()
 	next := Published{Self: r.machine.Self(), View: r.machine.View(), Healthy: r.machine.Healthy(), Seq: seq, State: state,
-		ViewConfirmed: r.machine.ViewConfirmed(), StateConfirmed: r.machine.StateConfirmed()}
+		ViewConfirmed: r.machine.ViewConfirmed(), StateConfirmed: r.machine.StateConfirmed(), AllHere: r.machine.AllHere()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	news := next.Seq != r.published.Seq || next.View.Epoch != r.published.View.Epoch ||
--- /dev/null
+++ b/internal/fleet/controlnode/rooms.go
@@ -0,0 +1,136 @@
+package controlnode
+
+import (
+	"slices"
+	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/allowance"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
+)
+
+// The ages that fence the ownership of allowances.
+const (
+	ownerConfirmed = 600 * time.Millisecond   // an owner whose view was confirmed longer ago gives out nothing
+	ownerWait      = ownerConfirmed * 12 / 10 // after which the owner of an earlier view has stopped, wherever it is
+	handOverWait   = 150 * time.Millisecond   // that a bucket may take to come from an owner that is there
+	watchRooms     = 100 * time.Millisecond
+)
+
+type allowanceService struct{ node *Node }
+
+// Take answers a node's request for room.
+func (s *allowanceService) Take(request *allowance.TakeRequest, reply *allowance.TakeReply) error {
+	n := s.node
+	published, _ := n.core.Published()
+	now := n.now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.mayGive(published, request.Tenant, now) {
+		*reply = n.rooms.Take(now, request)
+	}
+	return nil
+}
+
+// HandOver takes a bucket from the owner before. Where this process does not know yet that it is the owner, it soon will.
+func (s *allowanceService) HandOver(handed *allowance.HandOver, _ *struct{}) error {
+	n := s.node
+	published, _ := n.core.Published()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if handed.Epoch >= published.View.Epoch {
+		n.rooms.Receive(n.now(), handed)
+	}
+	return nil
+}
+
+// mayGive tells whether this process owns a tenant's allowance and may give out room. The lock is held.
+func (n *Node) mayGive(published Published, tenant string, now time.Duration) bool {
+	if AllowanceOwner(published.View.Chain, tenant) != published.Self.Address {
+		delete(n.roomFrom, tenant)
+		return false
+	}
+	if now-published.ViewConfirmed > ownerConfirmed || !slices.Contains(published.View.Chain, published.Self) {
+		return false
+	}
+	return n.rooms.Has(tenant) || n.mayBegin(published, tenant, now)
+}
+
+// mayBegin tells whether no other process can still give out a tenant's room: all have gone over to this view and have had
+// time to hand the bucket over, or so much time has passed that none of them can be confirmed. The lock is held.
+func (n *Node) mayBegin(published Published, tenant string, now time.Duration) bool {
+	from, known := n.roomFrom[tenant]
+	if !known || from.epoch != published.View.Epoch {
+		from = ownership{epoch: published.View.Epoch, since: now}
+	}
+	if !published.AllHere {
+		from.allSince = 0
+	} else if from.allSince == 0 {
+		from.allSince = now
+	}
+	n.roomFrom[tenant] = from
+	return from.allSince > 0 && now-from.allSince >= handOverWait || now-from.since >= ownerWait
+}
+
+// ownership is since when this process is the owner of a tenant's allowance.
+type ownership struct {
+	epoch    uint64
+	since    time.Duration
+	allSince time.Duration // since when all other voters are known to be in this view; 0 = not yet
+}
+
+// watchOwnership makes the buckets of the tenants that this process owns and hands over those that it no longer does.
+func (n *Node) watchOwnership() {
+	for {
+		published, changed := n.core.Published()
+		for _, handed := range n.arrangeRooms(published) {
+			go n.handOver(AllowanceOwner(published.View.Chain, handed.Tenant), handed)
+		}
+		timer := time.NewTimer(watchRooms)
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (n *Node) arrangeRooms(published Published) []allowance.HandOver {
+	now := n.now()
+	document := published.State.Document
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, tenant := range document.Tenants() {
+		if tenant.Rate > 0 && n.mayGive(published, tenant.Name, now) {
+			n.rooms.Begin(now, tenant.Name, tenant.Rate, tenant.Burst, document.Revision)
+		}
+	}
+	var handed []allowance.HandOver
+	for _, tenant := range n.rooms.Tenants() {
+		if AllowanceOwner(published.View.Chain, tenant) == published.Self.Address {
+			continue
+		}
+		if bucket, held := n.rooms.Release(now, tenant); held {
+			bucket.Epoch = published.View.Epoch
+			handed = append(handed, bucket)
+		}
+	}
+	return handed
+}
+
+// handOver hands a bucket to its new owner. One that is lost is begun anew there.
+func (n *Node) handOver(owner string, handed allowance.HandOver) {
+	var none struct{}
+	if err := n.pool.Call(owner, allowance.MethodHandOver, &handed, &none, handOverWait); err != nil {
+		n.log.Info("allowance not handed over", "tenant", handed.Tenant, "to", owner, "err", err)
+	}
+}
+
+// AllowanceOwner is the address of the member that owns a tenant's allowance.
+func AllowanceOwner(chain []replica.Member, tenant string) string {
+	addresses := make([]string, len(chain))
+	for i, member := range chain {
+		addresses[i] = member.Address
+	}
+	return routing.Rendezvous(tenant, addresses)
+}
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -1,15 +1,12 @@
 package controlnode
 
 import (
-	"slices"
 	"time"
 
-	"linenwheel.dev/linenwheel/internal/fleet/allowance"
 	"linenwheel.dev/linenwheel/internal/fleet/distribution"
 	"linenwheel.dev/linenwheel/internal/fleet/faults"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
-	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
 // The methods by which control processes hand on the operator's calls.
@@ -140,66 +137,3 @@
 	reply.ReadingSeq = n.notices.last
 	reply.Records = n.raters.Since(now, since)
 }
-
-type allowanceService struct{ node *Node }
-
-// The ages that fence the ownership of allowances.
-const (
-	ownerConfirmed = time.Second              // an owner whose view was confirmed longer ago gives out nothing
-	ownerWait      = ownerConfirmed * 12 / 10 // a new owner waits for so long, so that the one before has stopped
-)
-
-// Take answers a node's request for room.
-func (s *allowanceService) Take(request *allowance.TakeRequest, reply *allowance.TakeReply) error {
-	n := s.node
-	published, _ := n.core.Published()
-	now := n.now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.ownsRoom(published, request.Tenant, now) {
-		return nil
-	}
-	*reply = n.rooms.Take(now, request)
-	return nil
-}
-
-// ownsRoom tells whether this process is the owner of a tenant's allowance and may give out room. The lock is held.
-func (n *Node) ownsRoom(published Published, tenant string, now time.Duration) bool {
-	if AllowanceOwner(published.View.Chain, tenant) != published.Self.Address {
-		n.rooms.Forget(tenant)
-		delete(n.roomFrom, tenant)
-		return false
-	}
-	from, known := n.roomFrom[tenant]
-	if !known {
-		from = now
-		if published.View.Epoch > 1 { // the first view has no owners before it
-			from += ownerWait
-		}
-		n.roomFrom[tenant] = from
-	}
-	return now >= from && now-published.ViewConfirmed < ownerConfirmed && slices.Contains(published.View.Chain, published.Self)
-}
-
-// prepareRooms makes the buckets of the tenants that this process owns.
-func (n *Node) prepareRooms() {
-	published, _ := n.core.Published()
-	tenants := published.State.Document.Tenants()
-	now := n.now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, tenant := range tenants {
-		if tenant.Rate > 0 && n.ownsRoom(published, tenant.Name, now) {
-			n.rooms.Begin(now, tenant.Name, tenant.Rate, tenant.Burst, published.State.Document.Revision)
-		}
-	}
-}
-
-// AllowanceOwner is the address of the member that owns a tenant's allowance.
-func AllowanceOwner(chain []replica.Member, tenant string) string {
-	addresses := make([]string, len(chain))
-	for i, member := range chain {
-		addresses[i] = member.Address
-	}
-	return routing.Rendezvous(tenant, addresses)
-}
--- a/internal/fleet/datanode/rooms.go
+++ b/internal/fleet/datanode/rooms.go
@@ -14,7 +14,7 @@
 	takeWait      = 150 * time.Millisecond
 	returnEvery   = 500 * time.Millisecond
 	silentFor     = 500 * time.Millisecond // an owner that did not answer is not asked again for so long
-	mostQuotaWait = 2 * time.Second
+	mostQuotaWait = 5 * time.Second
 )
 
 // rooms keeps the node's part of the tenants' allowances.
@@ -37,7 +37,7 @@
 }
 
 // Spend takes an amount from a tenant's allowance.
-func (r *rooms) Spend(tenant *operator.Tenant, revision int64, amount float64) (bool, time.Duration) {
+func (r *rooms) Spend(tenant *operator.Tenant, revision int64, amount float64, urgent bool) (bool, time.Duration) {
 	now := r.node.now()
 	r.mu.Lock()
 	w := r.wallet(tenant, revision)
@@ -49,7 +49,7 @@
 	epoch, _ := r.node.follower.members()
 	need, ahead := w.Ask(now, amount)
 	request := allowance.TakeRequest{Epoch: epoch, Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst, Need: need,
-		Ahead: ahead, Revision: revision}
+		Ahead: ahead, Revision: revision, Urgent: urgent}
 	asked := now >= r.silent[owner]
 	r.mu.Unlock()
 	if !asked {
@@ -69,6 +69,7 @@
 	if w.Spend(r.node.now(), amount) {
 		return true, 0
 	}
+	r.node.log.Debug("over quota", "tenant", tenant.Name, "amount", amount, "rate", tenant.Rate, "burst", tenant.Burst, "wait", reply.Wait)
 	return false, min(reply.Wait, mostQuotaWait)
 }
 
@@ -77,6 +78,7 @@
 	nodes := r.node.follower.nodes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.node.log.Debug("no owner of the allowance answers", "tenant", tenant.Name, "amount", amount, "rate", tenant.Rate, "nodes", nodes)
 	return w.Fallback(r.node.now(), tenant.Rate, nodes, amount), silentFor
 }
 
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -38,7 +38,7 @@
 // Allowances keep the tenants' limits.
 type Allowances interface {
 	// Spend takes an amount from a tenant's allowance. Where there is not enough it tells when to come back.
-	Spend(tenant *operator.Tenant, revision int64, amount float64) (ok bool, wait time.Duration)
+	Spend(tenant *operator.Tenant, revision int64, amount float64, urgent bool) (ok bool, wait time.Duration)
 	Refund(tenant *operator.Tenant, amount float64)
 }
 
@@ -182,7 +182,7 @@
 			c.amount = c.tenant.PlainTokens
 		}
 	}
-	if ok, wait := c.handler.Rooms.Spend(c.tenant, table.Revision, c.amount); !ok {
+	if ok, wait := c.handler.Rooms.Spend(c.tenant, table.Revision, c.amount, c.route.Priority == 0); !ok {
 		c.amount = 0
 		c.writer.Header().Set("Retry-After", retryAfter(wait))
 		return faults.New(faults.OverQuota, "")
--- a/internal/fleet/replica/liveness.go
+++ b/internal/fleet/replica/liveness.go
@@ -78,14 +78,23 @@
 	return p != nil && p.liveSince > 0 && (p.member == member || member.Incarnation == 0)
 }
 
-// able tells whether a member answers and takes writes.
+// able tells whether a member answers and takes writes. Those of the chain are given time to answer after a start.
 func (m *Machine) able(member Member) bool {
 	if member == m.self {
 		return m.healthy
 	}
+	if m.justStarted(member) {
+		return true
+	}
 	return m.reachable(member) && m.peers[member.Address].status.Healthy
 }
 
+// justStarted tells whether this process is too young to expect an answer from a member of the chain.
+func (m *Machine) justStarted(member Member) bool {
+	p := m.peers[member.Address]
+	return p != nil && p.answeredAt == 0 && m.now-m.started < m.options.SuspectAfter && slices.Contains(m.view.Chain, member)
+}
+
 // settled tells whether a member has been reachable for long enough to be taken in.
 func (m *Machine) settled(member Member) bool {
 	if member == m.self {
@@ -112,11 +121,14 @@
 }
 
 func (m *Machine) sees(a, b Member) bool {
+	if m.justStarted(a) || m.justStarted(b) {
+		return true
+	}
 	if a == m.self {
 		return m.reachable(b)
 	}
 	p := m.peers[a.Address]
-	return p != nil && slices.Contains(p.status.Live, b.Address)
+	return p != nil && (p.status.Young || slices.Contains(p.status.Live, b.Address))
 }
 
 // confirmed is the newest time at which the present view was certainly the newest one: a majority of its voters
@@ -140,6 +152,16 @@
 	return times[len(times)-majority(len(times))]
 }
 
+// AllHere tells whether every other voter is reachable and has told that it is in this member's view.
+func (m *Machine) AllHere() bool {
+	for _, voter := range m.view.Voters {
+		if voter != m.self && (!m.reachable(voter) || m.peers[voter.Address].status.Epoch != m.view.Epoch) {
+			return false
+		}
+	}
+	return m.view.Epoch > 0
+}
+
 // ViewConfirmed is the newest time at which this member's view was certainly the newest one, 0 = unknown.
 func (m *Machine) ViewConfirmed() time.Duration { return m.confirmed() }
 
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -141,7 +141,7 @@
 // Status is what this member tells of itself.
 func (m *Machine) Status() Status {
 	return Status{Epoch: m.view.Epoch, Sealed: m.sealed(), Seq: m.seq, Healthy: m.healthy, Core: m.options.Core,
-		Founder: m.founder, Live: m.liveAddresses()}
+		Founder: m.founder, Young: m.now-m.started < m.options.SuspectAfter, Live: m.liveAddresses()}
 }
 
 // InChain tells whether this member is in the chain of its view.
--- a/internal/fleet/replica/types.go
+++ b/internal/fleet/replica/types.go
@@ -118,6 +118,7 @@
 	Healthy bool // its disk takes writes
 	Core    bool // it can be a voter
 	Founder bool
+	Young   bool     // it has only just started, and may not have heard of all peers yet
 	Live    []string // addresses of the peers that it reaches
 }
 
