--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: circle life build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
+.PHONY: demo-fleet circle life build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -46,6 +46,10 @@
 survey: build
 	bin/linenwheel-lab survey -seed 1-3 -to found/survey -page docs/measurements/lab.md
 
+# A router fleet on loopback that loses a control process under load: about ten seconds.
+demo-fleet: build
+	go run ./lab/fleetdemo
+
 clean:
 	rm -rf bin
 
--- /dev/null
+++ b/internal/fleet/distribution/copy_test.go
@@ -0,0 +1,109 @@
+package distribution
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+)
+
+const revoke = 5 * time.Second
+
+func reply(seq uint64, document string, ago time.Duration) *PollReply {
+	r := &PollReply{Confirmed: true, ConfirmedAgo: ago, ConfigSeq: seq, Members: []ControlMember{{Address: "a", InChain: true}}, Epoch: 1}
+	if document != "" {
+		r.Document = []byte(document)
+	}
+	return r
+}
+
+func take(t *testing.T, c *Copy, sent time.Duration, r *PollReply) Change {
+	t.Helper()
+	change, err := c.Take(sent, r)
+	require.NoError(t, err)
+	return change
+}
+
+func TestTheLeaseRunsFromWhenThePollWasSentAndTheViewConfirmed(t *testing.T) {
+	c := NewCopy(true, revoke)
+	require.Zero(t, c.LeaseEnd())
+	take(t, c, 10*time.Second, reply(1, `{"Revision":1}`, 300*time.Millisecond))
+	lease := time.Duration(leasePart * float64(revoke))
+	require.Equal(t, 10*time.Second-300*time.Millisecond+lease, c.LeaseEnd())
+	take(t, c, 10*time.Second, reply(1, "", 2*time.Second))
+	require.Equal(t, 10*time.Second-300*time.Millisecond+lease, c.LeaseEnd(), "an older confirmation does not shorten it")
+	unconfirmed := reply(1, "", 0)
+	unconfirmed.Confirmed = false
+	take(t, c, 12*time.Second, unconfirmed)
+	require.Equal(t, 10*time.Second-300*time.Millisecond+lease, c.LeaseEnd(), "nor does one that confirms nothing lengthen it")
+}
+
+func TestWithoutClosedTheLeaseNeverEnds(t *testing.T) {
+	c := NewCopy(false, revoke)
+	require.Greater(t, c.LeaseEnd(), 1000*time.Hour)
+}
+
+func TestAnOlderVersionIsNotTaken(t *testing.T) {
+	c := NewCopy(true, revoke)
+	take(t, c, time.Second, reply(5, `{"Revision":9}`, 0))
+	change := take(t, c, time.Second, reply(4, `{"Revision":7}`, 0))
+	require.False(t, change.Config)
+	require.EqualValues(t, 9, c.Table().Revision)
+}
+
+func TestPatchesLeadToTheNewVersionAndOneThatDoesNotFitAsksForTheWhole(t *testing.T) {
+	c := NewCopy(true, revoke)
+	take(t, c, time.Second, reply(1, `{"Revision":1,"Backends":[{"Name":"b"}]}`, 0))
+	patched := reply(2, "", 0)
+	patched.Patches = []operator.Order{{Method: http.MethodPatch, Base: 1, Body: []byte(`{"Revision":3,"Upsert":{"Backends":[{"Name":"c"}]}}`)}}
+	require.True(t, take(t, c, time.Second, patched).Config)
+	require.Contains(t, c.Table().Backends, "b")
+	require.Contains(t, c.Table().Backends, "c")
+	broken := reply(3, "", 0)
+	broken.Patches = []operator.Order{{Method: http.MethodPatch, Base: 3, Body: []byte(`{`)}}
+	_, err := c.Take(time.Second, broken)
+	require.Error(t, err)
+	require.EqualValues(t, 3, c.Table().Revision, "the version in force stays")
+	require.Zero(t, c.Request("n", 1, 0).ConfigSeq, "the whole document is asked for")
+	older := reply(1, `{"Revision":1}`, 0)
+	take(t, c, time.Second, older)
+	require.EqualValues(t, 3, c.Table().Revision, "also then an older version is not taken")
+	take(t, c, time.Second, reply(3, `{"Revision":4}`, 0))
+	require.EqualValues(t, 4, c.Table().Revision)
+	require.EqualValues(t, 3, c.Request("n", 1, 0).ConfigSeq)
+}
+
+func rater(id string, sequence int64, state registry.State) registry.Record {
+	return registry.Record{ID: id, Backend: "b", Address: id + ":1", Sequence: sequence, State: state}
+}
+
+func TestARaterThatDrainsDoesNotComeBackFromACopyThatIsBehind(t *testing.T) {
+	c := NewCopy(true, revoke)
+	first := reply(1, `{"Revision":1}`, 0)
+	first.Records, first.Whole, first.RegistryOwner = []registry.Record{rater("a", 4, registry.Draining)}, true, 1
+	take(t, c, time.Second, first)
+	behind := reply(1, "", 0)
+	behind.Records, behind.Whole, behind.RegistryOwner = []registry.Record{rater("a", 3, registry.Ready)}, true, 2
+	require.False(t, take(t, c, time.Second, behind).Raters)
+	require.Equal(t, registry.Draining, c.Raters()[0].State)
+}
+
+func TestAControlPlaneThatRestartedEmptyIsNotAnEmptyFleet(t *testing.T) {
+	c := NewCopy(true, revoke)
+	first := reply(1, `{"Revision":1}`, 0)
+	first.Records, first.Whole = []registry.Record{rater("a", 4, registry.Ready), rater("b", 4, registry.Ready)}, true
+	take(t, c, time.Second, first)
+	empty := reply(1, "", 0)
+	empty.Whole, empty.RegistryOwner, empty.RegistryAge = true, 2, time.Second
+	take(t, c, 2*time.Second, empty)
+	require.Len(t, c.Raters(), 2)
+	old := reply(1, "", 0)
+	old.Whole, old.RegistryOwner, old.RegistryAge = true, 3, forgetUnlisted
+	old.Records = []registry.Record{rater("a", 5, registry.Ready)}
+	require.True(t, take(t, c, 3*time.Second, old).Raters)
+	require.Len(t, c.Raters(), 1, "a copy that has been there for long knows who is gone")
+}
--- a/internal/fleet/storage/damage.go
+++ b/internal/fleet/storage/damage.go
@@ -16,18 +16,23 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-func sealValue(payload []byte) string {
-	value := binary.BigEndian.AppendUint32(nil, crc32.Checksum(payload, castagnoli))
+// checksum is that of a key with its payload.
+func checksum(key string, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum([]byte(key), castagnoli), castagnoli, payload)
+}
+
+func sealValue(key string, payload []byte) string {
+	value := binary.BigEndian.AppendUint32(nil, checksum(key, payload))
 	return string(append(value, payload...))
 }
 
-// openValue gives the payload of a value and whether it is as it was written.
-func openValue(value string) ([]byte, bool) {
+// openValue gives the payload of a value and whether key and value are as they were written.
+func openValue(key, value string) ([]byte, bool) {
 	if len(value) < checksumSize {
 		return nil, false
 	}
 	payload := []byte(value[checksumSize:])
-	return payload, binary.BigEndian.Uint32([]byte(value[:checksumSize])) == crc32.Checksum(payload, castagnoli)
+	return payload, binary.BigEndian.Uint32([]byte(value[:checksumSize])) == checksum(key, payload)
 }
 
 // cutAtDamage shortens a database file to its longest beginning of whole, intact commands. What follows was never synced.
@@ -50,11 +55,11 @@
 func intactLength(content []byte) int {
 	scanner := &commandScanner{rest: content}
 	for {
-		value, err := scanner.command()
-		if err != nil {
+		parts, err := scanner.command()
+		if err != nil || parts[0] != setCommand {
 			return len(content) - len(scanner.whole())
 		}
-		if _, intact := openValue(value); !intact {
+		if _, intact := openValue(parts[1], parts[2]); !intact {
 			return len(content) - len(scanner.whole())
 		}
 		scanner.accept()
@@ -79,27 +84,29 @@
 
 func (s *commandScanner) accept() { s.begun, s.accepted = true, s.rest }
 
-// setParts is the number of parts of a set command.
-const setParts = 3
+// A set command has these parts: its name, a key and a value.
+const (
+	setParts   = 3
+	setCommand = "set"
+)
 
-func (s *commandScanner) command() (string, error) {
+func (s *commandScanner) command() (parts [setParts]string, err error) {
 	if !s.begun {
 		s.accept()
 	}
 	count, err := s.number('*')
 	if err != nil {
-		return "", err
+		return parts, err
 	}
 	if count != setParts {
-		return "", errDamaged
+		return parts, errDamaged
 	}
-	var value string
-	for range count {
-		if value, err = s.text(); err != nil {
-			return "", err
+	for i := range parts {
+		if parts[i], err = s.text(); err != nil {
+			return parts, err
 		}
 	}
-	return value, nil
+	return parts, nil
 }
 
 // number reads a line of a mark and a number.
--- a/internal/fleet/storage/storage.go
+++ b/internal/fleet/storage/storage.go
@@ -117,7 +117,7 @@
 	values := make(map[string][]byte)
 	err = database.View(func(tx *buntdb.Tx) error {
 		return tx.Ascend("", func(key, value string) bool {
-			if payload, intact := openValue(value); intact {
+			if payload, intact := openValue(key, value); intact {
 				values[key] = payload
 			}
 			return true
@@ -177,7 +177,7 @@
 			err = fmt.Errorf("storage: %v", recovered)
 		}
 	}()
-	text, err := encode(value)
+	text, err := encode(key, value)
 	if err != nil {
 		return err
 	}
@@ -411,12 +411,12 @@
 	}
 }
 
-func encode(value any) (string, error) {
+func encode(key string, value any) (string, error) {
 	var buffer bytes.Buffer
 	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
 		return "", fmt.Errorf("storage: %w", err)
 	}
-	return sealValue(buffer.Bytes()), nil
+	return sealValue(key, buffer.Bytes()), nil
 }
 
 func decode(values map[string][]byte, key string, into any) error {
--- /dev/null
+++ b/internal/fleet/storage/storage_test.go
@@ -0,0 +1,216 @@
+package storage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+)
+
+var self = replica.Member{Address: "10.0.0.1:7680", Incarnation: 42}
+
+func identityRecord() replica.Record {
+	return replica.SaveIdentity{Self: self, Founder: true, Founders: []string{self.Address}}
+}
+
+func viewRecord(epoch, seq uint64) replica.Record {
+	view := replica.View{Epoch: epoch, Voters: []replica.Member{self}, Chain: []replica.Member{self}}
+	return replica.SaveView{Proposal: replica.Proposal{View: view, Seq: seq, State: operator.NewState().Snapshot()}}
+}
+
+func entryRecord(epoch, seq uint64) replica.Record {
+	order := operator.Order{Method: http.MethodPatch, Base: int64(seq - 1), Body: fmt.Appendf(nil, `{"Revision":%d}`, seq)}
+	return replica.SaveEntry{Entry: replica.Entry{Epoch: epoch, Seq: seq, Order: order}}
+}
+
+func open(t *testing.T, dir string) (*Store, replica.Stored) {
+	t.Helper()
+	store, stored, err := Open(dir)
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	return store, stored
+}
+
+// write stores records one write at a time and gives the file's size after each.
+func write(t *testing.T, store *Store, records ...replica.Record) []int64 {
+	t.Helper()
+	var sizes []int64
+	for _, record := range records {
+		require.NoError(t, store.Write([]replica.Record{record}))
+		info, err := os.Stat(store.path(store.generation))
+		require.NoError(t, err)
+		sizes = append(sizes, info.Size())
+	}
+	return sizes
+}
+
+func story() []replica.Record {
+	ballot := replica.Ballot{Round: 3, Proposer: self}
+	proposal := viewRecord(2, 2).(replica.SaveView).Proposal
+	return []replica.Record{identityRecord(), viewRecord(1, 0), entryRecord(1, 1), entryRecord(1, 2),
+		replica.SavePromise{Epoch: 2, Ballot: ballot},
+		replica.SaveAccepted{Accepted: replica.Accepted{Ballot: ballot, Proposal: proposal}},
+		viewRecord(2, 2), entryRecord(2, 3)}
+}
+
+// held gives what a disk holds after the first records of the story.
+func held(records []replica.Record) replica.Stored {
+	var stored replica.Stored
+	for _, record := range records {
+		apply(&stored, record)
+	}
+	return stored
+}
+
+func TestWhatWasWrittenIsReadAgain(t *testing.T) {
+	dir := t.TempDir()
+	for i := range story() {
+		store, _ := open(t, dir)
+		write(t, store, story()[i])
+		store.Close()
+		_, stored := open(t, dir)
+		require.Equal(t, held(story()[:i+1]), stored, "after %d records", i+1)
+	}
+}
+
+// A loss of power leaves any part of what was written since the last sync. Whatever is cut off, and whatever stands in
+// its place, what was synced before is read, and nothing that was never written.
+func TestATornEndIsCutOff(t *testing.T) {
+	source := t.TempDir()
+	store, _ := open(t, source)
+	sizes := write(t, store, story()...)
+	store.Close()
+	content, err := os.ReadFile(store.path(store.generation))
+	require.NoError(t, err)
+	chance := rand.New(rand.NewPCG(1, 2))
+	for i := 1; i < len(sizes); i++ {
+		for range 40 {
+			torn := tear(content[:sizes[i]], int(sizes[i-1]), chance)
+			stored := readFile(t, torn)
+			before, after := held(story()[:i]), held(story()[:i+1])
+			if len(torn) == int(sizes[i]) && string(torn) == string(content[:sizes[i]]) {
+				require.Equal(t, after, stored)
+				continue
+			}
+			require.Equal(t, before, stored, "record %d, %d of %d bytes", i, len(torn), sizes[i])
+		}
+	}
+}
+
+// tear spoils a file after its synced part: cut short, zeroed, or with a part of it turned.
+func tear(content []byte, synced int, chance *rand.Rand) []byte {
+	torn := append([]byte(nil), content...)
+	at := synced + chance.IntN(len(content)-synced)
+	switch chance.IntN(3) {
+	case 0:
+		return torn[:at]
+	case 1:
+		clear(torn[at:])
+	case 2:
+		torn[at] ^= byte(1 + chance.IntN(255))
+	}
+	return torn
+}
+
+func readFile(t *testing.T, content []byte) replica.Stored {
+	t.Helper()
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "control-000001.db"), content, 0o644))
+	_, stored := open(t, dir)
+	return stored
+}
+
+func TestAnUnfinishedCompactionIsPassedOver(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := open(t, dir)
+	write(t, store, story()...)
+	old, err := os.ReadFile(store.path(store.generation))
+	require.NoError(t, err)
+	generation := store.generation
+	require.NoError(t, store.compact())
+	whole, err := os.ReadFile(store.path(store.generation))
+	require.NoError(t, err)
+	store.Close()
+	for size := 0; size < len(whole); size += 7 {
+		dir := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(dir, fmt.Sprintf("control-%06d.db", generation)), old, 0o644))
+		require.NoError(t, os.WriteFile(filepath.Join(dir, fmt.Sprintf("control-%06d.db", generation+1)), whole[:size], 0o644))
+		second, stored := open(t, dir)
+		require.Equal(t, held(story()), stored, "%d of %d bytes", size, len(whole))
+		write(t, second, entryRecord(2, 4))
+		second.Close()
+		_, stored = open(t, dir)
+		require.Len(t, stored.Entries, 2, "the next write stands above the unfinished file")
+	}
+}
+
+func TestTheOldGenerationMayStillBeThere(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := open(t, dir)
+	write(t, store, story()...)
+	old, err := os.ReadFile(store.path(store.generation))
+	require.NoError(t, err)
+	path := store.path(store.generation)
+	require.NoError(t, store.compact())
+	write(t, store, entryRecord(2, 4))
+	store.Close()
+	require.NoError(t, os.WriteFile(path, old, 0o644)) // its removal was lost with the power
+	_, stored := open(t, dir)
+	require.Len(t, stored.Entries, 2)
+}
+
+func TestRecordsOfAnEarlierEpochAreVoid(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := open(t, dir)
+	write(t, store, story()[:6]...)
+	write(t, store, viewRecord(2, 1))
+	store.Close()
+	_, stored := open(t, dir)
+	require.Empty(t, stored.Entries, "entry 2 of epoch 1 follows seq 1, but is not of this epoch")
+	require.Nil(t, stored.Accepted)
+	require.Zero(t, stored.Promised)
+}
+
+func TestAWriteThatFailsLeavesWhatWasThere(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := open(t, dir)
+	write(t, store, story()[:3]...)
+	require.NoError(t, store.file.Close()) // the sync will fail
+	require.Error(t, store.Write([]replica.Record{entryRecord(1, 2)}))
+	require.NoError(t, store.Recover())
+	write(t, store, entryRecord(1, 2))
+	store.Close()
+	_, stored := open(t, dir)
+	require.Equal(t, held(story()[:4]), stored)
+}
+
+func TestManyEntriesAreFoldedIntoTheirBase(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := open(t, dir)
+	write(t, store, identityRecord(), viewRecord(1, 0))
+	const orders = 3*mostEntries + 5
+	for seq := uint64(1); seq <= orders; seq++ {
+		write(t, store, entryRecord(1, seq))
+	}
+	require.LessOrEqual(t, len(store.held.Entries), mostEntries)
+	store.Close()
+	_, stored := open(t, dir)
+	machine, err := replica.New(replica.DefaultOptions(), stored, 1)
+	require.NoError(t, err)
+	require.EqualValues(t, orders, machine.Status().Seq)
+	names, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	require.Len(t, names, 1, "old generations are gone")
+}
+
+func TestOneEmptyFolderIsAnEmptyDisk(t *testing.T) {
+	_, stored := open(t, filepath.Join(t.TempDir(), "new"))
+	require.Equal(t, replica.Stored{}, stored)
+}
