Let a deputy give out allowance while the owner is silent

Change: owners show their buckets to the chain every 100 ms; the next in the hash's order gives a bounded part while the owner has not been heard for 250 ms, and goes on with that copy when it becomes the owner. Heartbeats every 150 ms, suspicion after 700 ms.

--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -12,7 +12,6 @@
 
 // TakeRequest asks for room.
 type TakeRequest struct {
-	Epoch    uint64 // the view by which the node chose the owner
 	Tenant   string
 	Rate     float64 // the tenant's limit as the node knows it
 	Burst    float64
@@ -20,24 +19,41 @@
 	Ahead    float64 // for those to come
 	Returned float64 // what was granted before and not used
 	Urgent   bool    // the need is for requests of the highest rank
+	Deputy   bool    // the owner does not answer
 	Revision int64   // of the configuration that the limit is from
 }
 
 // TakeReply grants room.
 type TakeReply struct {
 	Granted float64
-	Owner   bool          // the process asked owns the tenant
+	Owner   bool          // the process asked is the owner, or its deputy while the owner is silent
 	Wait    time.Duration // when the need can be met, where nothing was granted
 }
 
-// What the rules tolerate beyond a limit is given out in parts: one makes the bucket deeper, one is what a new owner begins
-// with that does not know what the one before gave out. The rest is for nodes that spend from their even part while no owner
-// answers, and for a second new owner in the same window.
+// What the rules tolerate beyond a limit is given out in parts: one makes the bucket deeper, one is what a deputy may give
+// while the owner is silent, and may still be giving to others. The rest is for nodes that spend from their even part while
+// neither answers, and for a new owner that knows nothing of the bucket before.
 const (
-	tolerancePart = 0.5
+	tolerancePart = 0.45
+	deputyPart    = 0.35
 	newOwnerPart  = 0.2
 )
 
+// deputyAfter is how long the owner must not have been heard before its deputy gives out room.
+const deputyAfter = 250 * time.Millisecond
+
+// mirrorLife is how long a copy of another owner's bucket is of use.
+const mirrorLife = 30 * time.Second
+
+// MethodReflect is the method by which an owner shows its buckets to those that may come after it.
+const MethodReflect = "Allowance.Reflect"
+
+// Reflection is an owner's buckets.
+type Reflection struct {
+	Epoch   uint64
+	Buckets []HandOver
+}
+
 // MethodHandOver is the method by which an owner hands a bucket to the next one.
 const MethodHandOver = "Allowance.HandOver"
 
@@ -91,18 +107,26 @@
 type Owner struct {
 	tolerance Tolerance
 	buckets   map[string]*bucket
+	mirrors   map[string]*mirror
+}
+
+// mirror is a copy of another owner's bucket.
+type mirror struct {
+	bucket
+	heardAt time.Duration
+	given   float64 // as the deputy, since it was heard
 }
 
 // NewOwner makes an owner of nothing.
 func NewOwner(tolerance Tolerance) *Owner {
-	return &Owner{tolerance: tolerance, buckets: map[string]*bucket{}}
+	return &Owner{tolerance: tolerance, buckets: map[string]*bucket{}, mirrors: map[string]*mirror{}}
 }
 
 // Begin makes a tenant's bucket, if it has none, so that it fills before the first request comes.
 func (o *Owner) Begin(now time.Duration, tenant string, rate, burst float64, revision int64) *bucket {
 	b := o.buckets[tenant]
 	if b == nil {
-		b = &bucket{level: newOwnerPart * o.tolerance.beyond(rate, burst), rate: rate, burst: o.tolerance.burst(rate, burst), revision: revision, at: now}
+		b = o.first(now, tenant, rate, burst, revision)
 		o.buckets[tenant] = b
 	}
 	b.fill(now)
@@ -122,6 +146,56 @@
 	return names
 }
 
+// first is the bucket of a tenant that this owner has only just got: as the owner before showed it, if that was not long ago.
+func (o *Owner) first(now time.Duration, tenant string, rate, burst float64, revision int64) *bucket {
+	if m := o.mirrors[tenant]; m != nil {
+		delete(o.mirrors, tenant)
+		if now-m.heardAt < mirrorLife {
+			b := m.bucket
+			return &b
+		}
+	}
+	level := newOwnerPart * o.tolerance.beyond(rate, burst)
+	return &bucket{level: level, rate: rate, burst: o.tolerance.burst(rate, burst), revision: revision, at: now}
+}
+
+// Reflection shows the buckets.
+func (o *Owner) Reflection(now time.Duration) []HandOver {
+	shown := make([]HandOver, 0, len(o.buckets))
+	for tenant, b := range o.buckets {
+		b.fill(now)
+		shown = append(shown, HandOver{Tenant: tenant, Level: b.level, Rate: b.rate, Burst: b.burst, Revision: b.revision})
+	}
+	return shown
+}
+
+// Reflect takes what another owner shows.
+func (o *Owner) Reflect(now time.Duration, shown []HandOver) {
+	for _, h := range shown {
+		if !o.Has(h.Tenant) {
+			o.mirrors[h.Tenant] = &mirror{bucket: bucket{level: h.Level, rate: h.Rate, burst: h.Burst, revision: h.Revision, at: now}, heardAt: now}
+		}
+	}
+}
+
+// TakeAsDeputy answers a request for room while the owner is silent. What is given is bounded: the owner may be giving
+// to nodes that still reach it.
+func (o *Owner) TakeAsDeputy(now time.Duration, r *TakeRequest) TakeReply {
+	m := o.mirrors[r.Tenant]
+	if m == nil || now-m.heardAt < deputyAfter || now-m.heardAt > mirrorLife {
+		return TakeReply{}
+	}
+	m.fill(now)
+	left := deputyPart*o.tolerance.beyond(r.Rate, r.Burst) - m.given
+	least := m.least(r)
+	if r.Need > left || m.level < least {
+		return TakeReply{Owner: true, Wait: max(m.until(least), deputyAfter)}
+	}
+	m.level -= r.Need
+	m.given += r.Need
+	return TakeReply{Owner: true, Granted: r.Need}
+}
+
 // Has tells whether this owner holds a tenant's bucket.
 func (o *Owner) Has(tenant string) bool { return o.buckets[tenant] != nil }
 
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -11,8 +11,9 @@
 var tolerance = Tolerance{Window: 8 * time.Second, Over: 0.1, Slack: 140_000}
 
 const (
-	rate  = 100_000.0
-	burst = 100_000.0
+	reflectEvery = 100 * time.Millisecond
+	rate         = 100_000.0
+	burst        = 100_000.0
 )
 
 func request(need float64) *TakeRequest {
@@ -96,6 +97,23 @@
 	require.InDelta(t, tolerance.burst(rate, burst)-60_000, next.buckets["t"].level, 1, "handed over twice, it counts once")
 }
 
+func TestADeputyGivesABoundedPartWhileTheOwnerIsSilent(t *testing.T) {
+	o, now := full()
+	deputy := NewOwner(tolerance)
+	deputy.Reflect(now, o.Reflection(now))
+	require.False(t, deputy.TakeAsDeputy(now+deputyAfter/2, request(5000)).Owner, "the owner was heard just now")
+	given := 0.0
+	for range 1000 {
+		urgent := request(5000)
+		urgent.Urgent = true
+		given += deputy.TakeAsDeputy(now+deputyAfter, urgent).Granted
+	}
+	require.InDelta(t, deputyPart*tolerance.beyond(rate, burst), given, 5000)
+	level := deputy.mirrors["t"].level
+	b := deputy.Begin(now+deputyAfter, "t", rate, burst, 1)
+	require.InDelta(t, level, b.level, 1, "as the owner it goes on with what is left")
+}
+
 func TestAWalletSpendsGivesBackAndAsksAhead(t *testing.T) {
 	var w Wallet
 	need, ahead := w.Ask(time.Second, 1000)
@@ -141,7 +159,11 @@
 		for now := time.Duration(0); now < 40*time.Second; now += step {
 			if now >= nextLoss { // the owner dies; the next one begins when the old one cannot be confirmed any more
 				lostAt, backAt, nextLoss = now, now+1600*time.Millisecond, now+4500*time.Millisecond
+				shown := owner.Reflection(now - reflectEvery)
 				owner = NewOwner(tolerance)
+				if chance.IntN(3) > 0 {
+					owner.Reflect(now, shown)
+				}
 			}
 			spent := 0.0
 			for i := range wallets {
@@ -155,6 +177,13 @@
 					continue
 				}
 				if lostAt > 0 && now < backAt {
+					deputy := owner.TakeAsDeputy(now, &TakeRequest{Tenant: "t", Rate: rate, Burst: burst, Need: amount, Urgent: true})
+					if deputy.Owner {
+						if deputy.Granted > 0 {
+							spent += amount
+						}
+						continue
+					}
 					if w.Fallback(now, rate, nodes, amount) {
 						spent += amount
 					}
--- a/internal/fleet/controlnode/rooms.go
+++ b/internal/fleet/controlnode/rooms.go
@@ -26,8 +26,23 @@
 	now := n.now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.mayGive(published, request.Tenant, now) {
+	switch {
+	case n.mayGive(published, request.Tenant, now):
 		*reply = n.rooms.Take(now, request)
+	case request.Deputy:
+		*reply = n.rooms.TakeAsDeputy(now, request)
+	}
+	return nil
+}
+
+// Reflect takes what the owner of some tenants' allowances shows of them.
+func (s *allowanceService) Reflect(reflection *allowance.Reflection, _ *struct{}) error {
+	n := s.node
+	published, _ := n.core.Published()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reflection.Epoch >= published.View.Epoch {
+		n.rooms.Reflect(n.now(), reflection.Buckets)
 	}
 	return nil
 }
@@ -86,6 +101,7 @@
 		for _, handed := range n.arrangeRooms(published) {
 			go n.handOver(AllowanceOwner(published.View.Chain, handed.Tenant), handed)
 		}
+		n.showRooms(published)
 		timer := time.NewTimer(watchRooms)
 		select {
 		case <-changed:
@@ -118,6 +134,24 @@
 	return handed
 }
 
+// showRooms shows the buckets of this process to the other members of the chain.
+func (n *Node) showRooms(published Published) {
+	n.mu.Lock()
+	reflection := allowance.Reflection{Epoch: published.View.Epoch, Buckets: n.rooms.Reflection(n.now())}
+	n.mu.Unlock()
+	if len(reflection.Buckets) == 0 || n.now()-published.ViewConfirmed > ownerConfirmed {
+		return
+	}
+	for _, member := range published.View.Chain {
+		if member != published.Self {
+			go func() {
+				var none struct{}
+				_ = n.pool.Call(member.Address, allowance.MethodReflect, &reflection, &none, watchRooms) // the next one follows soon
+			}()
+		}
+	}
+}
+
 // handOver hands a bucket to its new owner. One that is lost is begun anew there.
 func (n *Node) handOver(owner string, handed allowance.HandOver) {
 	var none struct{}
@@ -126,11 +160,8 @@
 	}
 }
 
-// AllowanceOwner is the address of the member that owns a tenant's allowance.
+// AllowanceOwner is the address of the member that owns a tenant's allowance. The one that follows in the hash's order is
+// its deputy, and the owner in the chain without it.
 func AllowanceOwner(chain []replica.Member, tenant string) string {
-	addresses := make([]string, len(chain))
-	for i, member := range chain {
-		addresses[i] = member.Address
-	}
-	return routing.Rendezvous(tenant, addresses)
+	return routing.Rendezvous(tenant, addresses(chain))
 }
--- a/internal/fleet/datanode/rooms.go
+++ b/internal/fleet/datanode/rooms.go
@@ -1,6 +1,7 @@
 package datanode
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +12,7 @@
 
 // The figures of asking for allowance.
 const (
-	takeWait      = 150 * time.Millisecond
+	takeWait      = 100 * time.Millisecond
 	returnEvery   = 500 * time.Millisecond
 	silentFor     = 500 * time.Millisecond // an owner that did not answer is not asked again for so long
 	mostQuotaWait = 5 * time.Second
@@ -36,7 +37,8 @@
 	return &rooms{node: n, wallets: map[string]*wallet{}, silent: map[string]time.Duration{}}
 }
 
-// Spend takes an amount from a tenant's allowance.
+// Spend takes an amount from a tenant's allowance: from what is held, else from its owner, else from the owner's deputy,
+// else from this node's even part of the limit.
 func (r *rooms) Spend(tenant *operator.Tenant, revision int64, amount float64, urgent bool) (bool, time.Duration) {
 	now := r.node.now()
 	r.mu.Lock()
@@ -45,22 +47,12 @@
 		r.mu.Unlock()
 		return true, 0
 	}
-	owner := r.owner(tenant.Name)
-	epoch, _ := r.node.follower.members()
 	need, ahead := w.Ask(now, amount)
-	request := allowance.TakeRequest{Epoch: epoch, Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst, Need: need,
-		Ahead: ahead, Revision: revision, Urgent: urgent}
-	asked := now >= r.silent[owner]
 	r.mu.Unlock()
-	if !asked {
-		return r.fallBack(w, tenant, amount)
-	}
-	var reply allowance.TakeReply
-	err := r.node.pool.Call(owner, allowance.MethodTake, &request, &reply, takeWait)
-	if err != nil || !reply.Owner {
-		r.mu.Lock()
-		r.silent[owner] = r.node.now() + silentFor
-		r.mu.Unlock()
+	request := allowance.TakeRequest{Tenant: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst, Need: need, Ahead: ahead,
+		Revision: revision, Urgent: urgent}
+	reply := r.ask(&request)
+	if !reply.Owner {
 		return r.fallBack(w, tenant, amount)
 	}
 	r.mu.Lock()
@@ -73,6 +65,40 @@
 	return false, min(reply.Wait, mostQuotaWait)
 }
 
+// ask asks the owner, and its deputy where the owner is silent.
+func (r *rooms) ask(request *allowance.TakeRequest) allowance.TakeReply {
+	chain := r.chain()
+	for range 2 {
+		owner := routing.Rendezvous(request.Tenant, chain)
+		if owner == "" {
+			break
+		}
+		if reply := r.askOne(owner, request); reply.Owner {
+			return reply
+		}
+		request.Deputy, request.Ahead = true, 0
+		chain = slices.DeleteFunc(chain, func(address string) bool { return address == owner })
+	}
+	return allowance.TakeReply{}
+}
+
+// askOne asks one control process, unless it was found silent just now.
+func (r *rooms) askOne(address string, request *allowance.TakeRequest) allowance.TakeReply {
+	r.mu.Lock()
+	silent := r.node.now() < r.silent[address]
+	r.mu.Unlock()
+	if silent {
+		return allowance.TakeReply{}
+	}
+	var reply allowance.TakeReply
+	if err := r.node.pool.Call(address, allowance.MethodTake, request, &reply, takeWait); err != nil {
+		r.mu.Lock()
+		r.silent[address] = r.node.now() + silentFor
+		r.mu.Unlock()
+	}
+	return reply
+}
+
 // fallBack spends from this node's even part of the limit, while the owner does not answer.
 func (r *rooms) fallBack(w *wallet, tenant *operator.Tenant, amount float64) (bool, time.Duration) {
 	nodes := r.node.follower.nodes()
@@ -103,8 +129,8 @@
 	return w
 }
 
-// owner is the control process that owns a tenant's allowance.
-func (r *rooms) owner(tenant string) string {
+// chain are the members of the chain as far as is known here.
+func (r *rooms) chain() []string {
 	_, members := r.node.follower.members()
 	var chain []string
 	for _, member := range members {
@@ -112,7 +138,7 @@
 			chain = append(chain, member.Address)
 		}
 	}
-	return routing.Rendezvous(tenant, chain)
+	return chain
 }
 
 // run gives back what was granted and not used.
@@ -120,7 +146,7 @@
 	for range time.Tick(returnEvery) {
 		for _, request := range r.unused() {
 			var reply allowance.TakeReply
-			_ = r.node.pool.Call(r.owner(request.Tenant), allowance.MethodTake, &request, &reply, takeWait)
+			_ = r.node.pool.Call(routing.Rendezvous(request.Tenant, r.chain()), allowance.MethodTake, &request, &reply, takeWait)
 		}
 	}
 }
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -23,7 +23,7 @@
 
 // DefaultOptions are the project's defaults.
 func DefaultOptions() Options {
-	return Options{Core: true, Heartbeat: 200 * time.Millisecond, SuspectAfter: 800 * time.Millisecond,
+	return Options{Core: true, Heartbeat: 150 * time.Millisecond, SuspectAfter: 700 * time.Millisecond,
 		AddAfter: 500 * time.Millisecond, DropAfter: 2 * time.Second, RetryAfter: 300 * time.Millisecond, AttemptFor: time.Second,
 		FoundingGrace: 3 * time.Second}
 }
