--- a/internal/fleet/routing/backlog.go
+++ b/internal/fleet/routing/backlog.go
@@ -16,7 +16,7 @@
 	baseMemory    = 0.05                  // the same for the time to the first token of short prompts
 	shortPrompt   = 1500                  // tokens up to which a prompt is short
 	usualBase     = 50 * time.Millisecond // before any short prompt was answered
-	announceLeast = 4000                  // tokens from which on other nodes are told of a prompt
+	announceLeast = 2000                  // tokens from which on other nodes are told of a prompt
 	slackOfAim    = 0.6                   // part of the aim up to which a prompt stays at home
 	rereadWeight  = 3.0                   // times the time to read a shared part anew that a move must gain
 	mostMoves     = 4                     // raters after home that are looked at
