--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -35,8 +35,8 @@
 // neither answers, and for a new owner that knows nothing of the bucket before.
 const (
 	tolerancePart = 0.45
-	deputyPart    = 0.35
-	newOwnerPart  = 0.2
+	deputyPart    = 0.3
+	newOwnerPart  = 0.25
 )
 
 // deputyAfter is how long the owner must not have been heard before its deputy gives out room.
--- a/lab/live/clients/wire.go
+++ b/lab/live/clients/wire.go
@@ -51,7 +51,7 @@
 	node    int
 	address string
 	most    int // 0 = no limit
-	stray   func(w *wire, r result)
+	stray   func(w *wire, last uint64, r result)
 
 	mu   sync.Mutex
 	idle []*wire // the one used last is last
@@ -172,11 +172,11 @@
 		r := w.answer(err)
 		r.at = w.pool.stage.Clock.Now()
 		w.mu.Lock()
-		asked, closed := w.asked, w.closed
+		asked, closed, last := w.asked, w.closed, w.last
 		w.asked = nil
 		w.mu.Unlock()
 		if asked == nil && err == nil && !closed {
-			w.pool.stray(w, r) // nobody asked
+			w.pool.stray(w, last, r) // nobody asked
 			r.keep = false
 		}
 		if !r.keep {
