--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -44,6 +44,7 @@
 	circleCommand,
 	policiesCommand,
 	pointsCommand, roomsCommand, lifeCommand, newcomerCommand,
+	fleetScaleCommand,
 }
 
 // The ways in which a command can end badly, beside those that have no status of their own.
--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	keptOrders      = 64                     // newest orders that are kept for nodes that are a few versions behind
 )
 
+// errDiskFailed says that the disk refused a write and has not been tried again yet.
+var errDiskFailed = errors.New("the disk refuses writes")
+
 // MethodDeliver is the method by which members hand each other messages.
 const MethodDeliver = "Peer.Deliver"
 
@@ -141,9 +145,11 @@
 		out := pending[0](r.clock())
 		pending = pending[1:]
 		if err := r.write(out.Save); err != nil {
-			r.log.Error("disk write failed; leaving the chain until it works again", "err", err)
+			if !errors.Is(err, errDiskFailed) {
+				r.log.Error("disk write failed; leaving the chain until it works again", "err", err)
+				r.failedAt = r.clock()
+			}
 			r.machine.Rollback(before)
-			r.failedAt = r.clock()
 			continue
 		}
 		r.keepOrders(out.Save)
@@ -161,8 +167,11 @@
 }
 
 func (r *Replicator) write(records []replica.Record) error {
-	if r.store == nil || len(records) == 0 {
+	switch {
+	case r.store == nil || len(records) == 0:
 		return nil
+	case !r.machine.Healthy() && !r.leaving:
+		return errDiskFailed
 	}
 	return r.store.Write(records)
 }
--- a/internal/fleet/controlnode/rooms.go
+++ b/internal/fleet/controlnode/rooms.go
@@ -29,8 +29,8 @@
 	switch {
 	case n.mayGive(published, request.Tenant, now):
 		*reply = n.rooms.Take(now, request)
-	case request.Deputy:
-		*reply = n.rooms.TakeAsDeputy(now, request)
+	case request.Deputy || AllowanceOwner(published.View.Chain, request.Tenant) == published.Self.Address:
+		*reply = n.rooms.TakeAsDeputy(now, request) // also while the owner before may not have stopped yet
 	}
 	return nil
 }
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -72,8 +72,28 @@
 // Leased tells whether the configuration may be used now.
 func (n *Node) Leased() bool { return n.now() < time.Duration(n.follower.leaseEnd.Load()) }
 
+// leaseLeft is how long the configuration may still be used.
+func (n *Node) leaseLeft() time.Duration { return time.Duration(n.follower.leaseEnd.Load()) - n.now() }
+
+// A node whose lease runs out because it does not reach the control plane sends its clients elsewhere before it must refuse
+// them: it calls itself not ready with so much of the lease left, and then has clients close their connections.
+const (
+	notReadyPart = 0.55
+	closePart    = 0.35
+)
+
+// hasLease tells whether so much of the lease is left, in parts of RevokeMs.
+func (n *Node) hasLease(part float64) bool {
+	return n.leaseLeft() > time.Duration(part*float64(n.settings.Bounds.Revoke))
+}
+
 // ready tells whether the platform may hand new connections to this node.
-func (n *Node) ready() bool { return !n.stopping.Load() && n.Table() != nil && n.Leased() }
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.Table() != nil && n.hasLease(notReadyPart)
+}
+
+// wantsClosed tells whether clients are to close their connections.
+func (n *Node) wantsClosed() bool { return n.closing.Load() || !n.hasLease(closePart) }
 
 // Run serves until the context ends, then stops in order.
 func (n *Node) Run(ctx context.Context) error {
@@ -115,7 +135,7 @@
 
 func (n *Node) server() *http.Server {
 	handler := &proxy.Handler{Config: n, Placer: n.placer, Rooms: n.rooms, Retries: n.retries, Raters: rater.NewClient(),
-		Figures: n.figures, Log: n.log, Closing: n.closing.Load}
+		Figures: n.figures, Log: n.log, Closing: n.wantsClosed}
 	limits := n.Table().Limits
 	return &http.Server{Handler: n.counted(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout,
 		IdleTimeout: time.Duration(idleSlack * float64(limits.IdleTimeout)), MaxHeaderBytes: limits.HeaderBytes,
@@ -159,8 +179,8 @@
 	if table := n.Table(); table != nil {
 		body.Revision = table.Revision
 	}
-	if left := time.Duration(n.follower.leaseEnd.Load()) - n.now(); n.settings.Bounds.Closed {
-		body.LeaseLeft = left.Round(time.Millisecond).String()
+	if n.settings.Bounds.Closed {
+		body.LeaseLeft = n.leaseLeft().Round(time.Millisecond).String()
 	} else {
 		body.LeaseLeft = "not needed"
 	}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -28,6 +28,9 @@
 
 // Pool keeps a connection to each peer.
 type Pool struct {
+	// Wrap, if set, is put round each new connection, to count its bytes.
+	Wrap func(net.Conn) net.Conn
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
@@ -54,7 +57,7 @@
 // Call calls a method of a peer and waits for the answer at most so long.
 func (p *Pool) Call(address, method string, args, reply any, wait time.Duration) error {
 	one := p.peer(address)
-	client, err := one.connect(address)
+	client, err := one.connect(address, p.Wrap)
 	if err != nil {
 		return err
 	}
@@ -85,7 +88,7 @@
 	}
 }
 
-func (one *peer) connect(address string) (*rpc.Client, error) {
+func (one *peer) connect(address string, wrap func(net.Conn) net.Conn) (*rpc.Client, error) {
 	if !one.mu.TryLock() {
 		return nil, ErrBusy
 	}
@@ -97,6 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if wrap != nil {
+		connection = wrap(connection)
+	}
 	one.client = rpc.NewClient(connection)
 	return one.client, nil
 }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -150,6 +150,15 @@
 
 func (f *Fleet) address(m *Machine, port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 
+// Internal is a control process's address for internal calls.
+func (f *Fleet) Internal(m *Machine) string { return f.address(m, f.ports.internal) }
+
+// ControlAddress is a control process's address for raters and the operator.
+func (f *Fleet) ControlAddress(m *Machine) string { return f.address(m, f.ports.control) }
+
+// Process is the process id of a machine's program.
+func (m *Machine) Process() int { return m.command.Process.Pid }
+
 // Front is the address of a machine for clients.
 func (f *Fleet) Front(m *Machine) string { return f.address(m, f.ports.front) }
 
