--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -188,7 +188,10 @@
 	m.fill(now)
 	left := deputyPart*o.tolerance.beyond(r.Rate, r.Burst) - m.given
 	least := m.least(r)
-	if r.Need > left || m.level < least {
+	if r.Need > left { // nodes have their even parts
+		return TakeReply{}
+	}
+	if m.level < least {
 		return TakeReply{Owner: true, Wait: max(m.until(least), deputyAfter)}
 	}
 	m.level -= r.Need
@@ -326,9 +329,9 @@
 // owner was found silent.
 func (w *Wallet) Fallback(now time.Duration, rate float64, nodes int, amount float64) bool {
 	part := rate / float64(max(1, nodes))
-	since := max(w.fallAt, w.answeredAt, now-lookBack)
-	if w.fallAt > w.answeredAt {
-		since = w.fallAt
+	since := w.fallAt
+	if w.fallAt <= w.answeredAt { // the owner has only just fallen silent
+		since = now - lookBack
 	}
 	w.fallback += part * (now - since).Seconds()
 	w.fallAt = now
--- a/internal/fleet/datanode/placer.go
+++ b/internal/fleet/datanode/placer.go
@@ -136,6 +136,14 @@
 	}
 }
 
+// Unreachable takes the news that the rater of an attempt could not be reached, and tells the other nodes.
+func (p *placer) Unreachable(name string, ticket *routing.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.services[name].Unreachable(p.now(), ticket)
+	p.announce(distribution.Notice{Service: name, Reading: routing.Reading{Rater: ticket.Rater.ID, Down: true}})
+}
+
 // raterStatus tells people of one rater.
 type raterStatus struct {
 	ID       string
--- a/internal/fleet/datanode/rooms.go
+++ b/internal/fleet/datanode/rooms.go
@@ -1,6 +1,7 @@
 package datanode
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -16,8 +17,12 @@
 	returnEvery   = 500 * time.Millisecond
 	silentFor     = 500 * time.Millisecond // an owner that did not answer is not asked again for so long
 	mostQuotaWait = 5 * time.Second
+	askTries      = 4
+	askPause      = 25 * time.Millisecond
 )
 
+var errSilent = errors.New("the control process was found silent just now")
+
 // rooms keeps the node's part of the tenants' allowances.
 type rooms struct {
 	node *Node
@@ -65,38 +70,55 @@
 	return false, min(reply.Wait, mostQuotaWait)
 }
 
-// ask asks the owner, and its deputy where the owner is silent.
+// ask asks the owner, and its deputy where the owner is silent. While the ownership moves from one process to another that are
+// both there, neither gives for some milliseconds: then both are asked again.
 func (r *rooms) ask(request *allowance.TakeRequest) allowance.TakeReply {
+	for try := range askTries {
+		reply, answered := r.askInTurn(request)
+		if reply.Owner || !answered || try == askTries-1 {
+			return reply
+		}
+		time.Sleep(askPause)
+	}
+	return allowance.TakeReply{}
+}
+
+// askInTurn asks owner and deputy once. It also tells whether any of them answered at all.
+func (r *rooms) askInTurn(request *allowance.TakeRequest) (reply allowance.TakeReply, answered bool) {
 	chain := r.chain()
+	asked := *request
 	for range 2 {
-		owner := routing.Rendezvous(request.Tenant, chain)
+		owner := routing.Rendezvous(asked.Tenant, chain)
 		if owner == "" {
 			break
 		}
-		if reply := r.askOne(owner, request); reply.Owner {
-			return reply
+		reply, err := r.askOne(owner, &asked)
+		if reply.Owner {
+			return reply, true
 		}
-		request.Deputy, request.Ahead = true, 0
+		answered = answered || err == nil
+		asked.Deputy, asked.Ahead = true, 0
 		chain = slices.DeleteFunc(chain, func(address string) bool { return address == owner })
 	}
-	return allowance.TakeReply{}
+	return allowance.TakeReply{}, answered
 }
 
 // askOne asks one control process, unless it was found silent just now.
-func (r *rooms) askOne(address string, request *allowance.TakeRequest) allowance.TakeReply {
+func (r *rooms) askOne(address string, request *allowance.TakeRequest) (allowance.TakeReply, error) {
 	r.mu.Lock()
 	silent := r.node.now() < r.silent[address]
 	r.mu.Unlock()
 	if silent {
-		return allowance.TakeReply{}
+		return allowance.TakeReply{}, errSilent
 	}
 	var reply allowance.TakeReply
-	if err := r.node.pool.Call(address, allowance.MethodTake, request, &reply, takeWait); err != nil {
+	err := r.node.pool.Call(address, allowance.MethodTake, request, &reply, takeWait)
+	if err != nil {
 		r.mu.Lock()
 		r.silent[address] = r.node.now() + silentFor
 		r.mu.Unlock()
 	}
-	return reply
+	return reply, err
 }
 
 // fallBack spends from this node's even part of the limit, while the owner does not answer.
--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"linenwheel.dev/linenwheel/decide"
@@ -127,6 +128,9 @@
 			result = decide.NotSent
 		}
 		c.end(ticket, result, routing.Load{})
+		if !c.clientGone() {
+			c.handler.Placer.Unreachable(c.service, ticket)
+		}
 		if ctx.Err() != nil {
 			return failed, faults.New(c.outOfTime(), "")
 		}
@@ -135,6 +139,9 @@
 	c.sends++
 	c.mayRun = true
 	c.handler.Raters.Forget(ticket.Rater.Address)
+	if errors.Is(err, syscall.ETIMEDOUT) {
+		c.handler.Placer.Unreachable(c.service, ticket)
+	}
 	switch {
 	case c.clientGone():
 		c.end(ticket, decide.Cancelled, routing.Load{})
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -33,6 +33,7 @@
 	Place(service string, request *routing.Request) *routing.Ticket
 	Begun(service string, ticket *routing.Ticket)
 	End(service string, ticket *routing.Ticket, result routing.Result, load routing.Load)
+	Unreachable(service string, ticket *routing.Ticket)
 }
 
 // Allowances keep the tenants' limits.
--- a/internal/fleet/proxy/handler_test.go
+++ b/internal/fleet/proxy/handler_test.go
@@ -69,7 +69,8 @@
 	return nil
 }
 
-func (f *fixture) Begun(string, *routing.Ticket) {}
+func (f *fixture) Begun(string, *routing.Ticket)       {}
+func (f *fixture) Unreachable(string, *routing.Ticket) {}
 
 func (f *fixture) End(_ string, _ *routing.Ticket, result routing.Result, _ routing.Load) {
 	f.mu.Lock()
--- a/internal/fleet/rater/connection.go
+++ b/internal/fleet/rater/connection.go
@@ -16,8 +16,9 @@
 
 // The figures of connections.
 const (
-	dialTimeout   = 500 * time.Millisecond
-	usualIdle     = 10 * time.Second // how long a connection is kept where the rater states nothing
+	dialTimeout   = 250 * time.Millisecond
+	userTimeout   = 600 * time.Millisecond // after which unacknowledged bytes end a connection
+	usualIdle     = 10 * time.Second       // how long a connection is kept where the rater states nothing
 	idleMargin    = 1200 * time.Millisecond
 	mostIdlePer   = 32
 	readerBuffer  = 4 << 10
@@ -33,7 +34,7 @@
 }
 
 func dial(address string, within time.Duration) (*connection, error) {
-	conn, err := transport.Dial(address, min(dialTimeout, within))
+	conn, err := transport.Dial(address, min(dialTimeout, within), userTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -34,7 +34,7 @@
 
 // The parts of a heartbeat interval after which a silent rater is late, and after which it is dropped.
 const (
-	lateIntervals = 2.5
+	lateIntervals = 1.8
 	goneIntervals = 12
 	goneKept      = 30 * time.Second // so long a rater that left is remembered, against late heartbeats
 )
--- a/internal/fleet/routing/backlog.go
+++ b/internal/fleet/routing/backlog.go
@@ -28,6 +28,7 @@
 	Rater  string
 	Tokens float64
 	Ended  bool
+	Down   bool          // instead: the rater could not be reached
 	Ago    time.Duration // since it was sent, or since it ended
 }
 
--- a/internal/fleet/routing/service.go
+++ b/internal/fleet/routing/service.go
@@ -59,6 +59,8 @@
 	rater   Rater
 	backend decide.BackendID
 	ours    int // requests of this node that it holds
+	heardAt time.Duration
+	suspect suspicion
 }
 
 // Service places the requests of one service. It is not safe for concurrent use.
@@ -193,6 +195,10 @@
 // Heard takes what other nodes told of long prompts.
 func (s *Service) Heard(now time.Duration, readings []Reading) {
 	for _, one := range readings {
+		if one.Down {
+			s.heardDown(now, one.Rater)
+			continue
+		}
 		if one.Ended {
 			s.backlog.end(one.Rater, one.ID)
 			continue
@@ -211,7 +217,7 @@
 		}
 		m := s.byID[s.actions.chosen]
 		ticket := &Ticket{request: r.ID, backend: s.actions.chosen, sent: now}
-		if m != nil && !m.rater.Late && !slices.Contains(request.Exclude, m.rater.ID) {
+		if m != nil && !m.suspected(now) && !m.rater.Late && !slices.Contains(request.Exclude, m.rater.ID) {
 			return s.ticket(ticket, m, request.Own)
 		}
 		s.balancer.Outcome(now, decide.Outcome{Request: r.ID, Backend: ticket.backend, Over: true, Result: decide.NotSent})
@@ -221,14 +227,15 @@
 	return s.placeAnywhere(now, request, r)
 }
 
-// placeAnywhere takes the rater with the least of this node's requests where the balancer has put all others away.
+// placeAnywhere takes the rater with the least of this node's requests where the balancer has put all others away. One that
+// is suspected is better than none.
 func (s *Service) placeAnywhere(now time.Duration, request *Request, r decide.Request) *Ticket {
 	var best *member
 	for _, m := range s.sorted() {
 		if !s.allowed(m, request) || !s.balancer.Usable(now, m.backend) {
 			continue
 		}
-		if best == nil || m.ours < best.ours {
+		if best == nil || best.suspected(now) && !m.suspected(now) || best.suspected(now) == m.suspected(now) && m.ours < best.ours {
 			best = m
 		}
 	}
@@ -270,7 +277,7 @@
 func (s *Service) rank(now time.Duration, request *Request) []ranked {
 	var order []ranked
 	for _, m := range s.sorted() {
-		if !s.allowed(m, request) || !s.balancer.Usable(now, m.backend) {
+		if !s.allowed(m, request) || m.suspected(now) || !s.balancer.Usable(now, m.backend) {
 			continue
 		}
 		order = append(order, ranked{m, hashUnit(request.Prefix, m.rater.ID)})
@@ -341,6 +348,9 @@
 func (s *Service) Begun(now time.Duration, t *Ticket) {
 	s.actions.now = now
 	s.balancer.Begun(now, t.request, 0, now-t.sent)
+	if m := s.members[t.Rater.ID]; m != nil {
+		m.answered(now)
+	}
 	s.backlog.read(now, t.Rater.ID, t.reading(), t.alone)
 }
 
@@ -356,6 +366,9 @@
 	s.actions.now = now
 	if m := s.members[t.Rater.ID]; m != nil && m.backend == t.backend {
 		m.ours--
+		if result == decide.Good || result == decide.Full {
+			m.answered(now)
+		}
 	}
 	unread = s.backlog.end(t.Rater.ID, t.reading())
 	outcome := decide.Outcome{Request: t.request, Backend: t.backend, Over: true, Latency: now - t.sent, Result: result}
--- a/internal/fleet/routing/service_test.go
+++ b/internal/fleet/routing/service_test.go
@@ -189,6 +189,54 @@
 	require.Greater(t, placesAfter, 100)
 }
 
+func TestARaterThatANodeCouldNotReachIsLeftAloneByAll(t *testing.T) {
+	a, b := newTestService(t, 9, 1), newTestService(t, 9, 2)
+	now := time.Second
+	home := a.Place(now, prefixed("k"))
+	a.End(now, home, decide.NoConnect, Load{})
+	a.Unreachable(now, home)
+	b.Heard(now, []Reading{{Rater: home.Rater.ID, Down: true}})
+	for _, s := range []*Service{a, b} {
+		moved := s.Place(now+time.Millisecond, prefixed("k"))
+		require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
+		s.End(now, moved, decide.Good, Load{})
+		back := s.Place(now+suspectMost, prefixed("k"))
+		require.Equal(t, home.Rater.ID, back.Rater.ID, "it is tried again after a while")
+		s.End(now, back, decide.Good, Load{})
+	}
+}
+
+func TestOneNodesBadLinksCondemnNoRaterForAll(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := time.Second
+	heard := s.Place(now, prefixed("k"))
+	s.Begun(now, heard)
+	s.End(now, heard, decide.Good, Load{})
+	s.Heard(now+trustOwn/2, []Reading{{Rater: heard.Rater.ID, Down: true}})
+	again := s.Place(now+trustOwn/2, prefixed("k"))
+	require.Equal(t, heard.Rater.ID, again.Rater.ID, "what this node hears from it goes before")
+	s.End(now, again, decide.Good, Load{})
+	now += time.Minute
+	for _, rater := range list(9) {
+		s.Heard(now, []Reading{{Rater: rater.ID, Down: true}})
+	}
+	suspected := 0
+	for _, m := range s.members {
+		if m.suspected(now) {
+			suspected++
+		}
+	}
+	require.LessOrEqual(t, suspected, 4, "less than half of them")
+}
+
+func TestASuspectedRaterIsBetterThanNone(t *testing.T) {
+	s := newTestService(t, 1, 1)
+	only := s.Place(time.Second, prefixed("k"))
+	s.End(time.Second, only, decide.NotSent, Load{})
+	s.Unreachable(time.Second, only)
+	require.NotNil(t, s.Place(time.Second, prefixed("k")))
+}
+
 func TestRendezvousSpreadsEvenlyAndStably(t *testing.T) {
 	places := []string{"a", "b", "c"}
 	counts := map[string]int{}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -96,7 +96,7 @@
 	if one.client != nil {
 		return one.client, nil
 	}
-	connection, err := Dial(address, dialTimeout)
+	connection, err := Dial(address, dialTimeout, userTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -116,23 +116,26 @@
 	_ = client.Close()
 }
 
-// Dial makes a TCP connection that ends when its bytes are not acknowledged for a while.
-func Dial(address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setUserTimeout}
+// Dial makes a TCP connection that ends when its bytes are not acknowledged for so long.
+func Dial(address string, timeout, unacknowledged time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: userTimeoutOf(unacknowledged)}
 	return dialer.Dial("tcp4", address)
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
+// userTimeoutOf sets the time for which bytes of a socket may stay unacknowledged.
+func userTimeoutOf(unacknowledged time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
 }
 
 // Listen opens a listener whose connections end when their bytes are not acknowledged for a while.
 func Listen(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAlive: -1, Control: setUserTimeout}
+	config := net.ListenConfig{KeepAlive: -1, Control: userTimeoutOf(userTimeout)}
 	return config.Listen(context.Background(), "tcp4", address)
 }
 
