Found and run a control plane of more members than seeds; bound what is announced

Need: the grown deployments have six or eight machines with a disk of which two may be lost at once, and ninety nodes on a tenth to half of a core. The seeds agree on the first view, whose members are all that can vote (600 ms are given for further ones, 3 s at the most); a chain with fewer copies than F+1 takes no order. Tests: any two of six members wiped at once, seeds that can be no voters, too few copies, 25 drawn histories of six members.

--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -72,8 +72,11 @@
 
 type distributionService struct{ node *Node }
 
-// mostHold bounds how long an answer waits for news.
-const mostHold = 2 * time.Second
+// The figures of the long poll.
+const (
+	mostHold     = 2 * time.Second      // that an answer waits for news
+	noticeGather = 5 * time.Millisecond // that one with notices of long prompts waits for more of them
+)
 
 // Poll answers a node of the data plane as soon as there is news for it.
 func (s *distributionService) Poll(request *distribution.PollRequest, reply *distribution.PollReply) error {
@@ -84,9 +87,13 @@
 		published, changed := n.core.Published()
 		n.mu.Lock()
 		news := n.news
-		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving ||
-			n.notices.news(request.ReadingSeq, request.Session)
+		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving
+		notices := n.notices.news(request.ReadingSeq, request.Session)
 		n.mu.Unlock()
+		if notices && !fresh {
+			time.Sleep(noticeGather)
+			break
+		}
 		if fresh || published.Seq > request.ConfigSeq && published.StateConfirmed > 0 {
 			break
 		}
--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -34,6 +34,7 @@
 	leaseEnd   atomic.Int64
 	configured chan struct{}
 	current    atomic.Pointer[string] // the control process that is being asked
+	nodesHint  atomic.Int64           // about how many nodes of the data plane there are
 
 	mu    sync.Mutex
 	copy  *distribution.Copy
@@ -44,6 +45,7 @@
 func newFollower(n *Node) *follower {
 	f := &follower{node: n, copy: distribution.NewCopy(n.settings.Bounds.Closed, n.settings.Bounds.Revoke),
 		configured: make(chan struct{}), avoid: map[string]time.Duration{}}
+	f.nodesHint.Store(1)
 	f.setSeeds(n.settings)
 	return f
 }
@@ -154,6 +156,7 @@
 	}
 	f.leaseEnd.Store(int64(f.copy.LeaseEnd()))
 	f.node.retries.setNodes(f.copy.Nodes())
+	f.nodesHint.Store(int64(f.copy.Nodes()))
 	if change.Raters || change.Config {
 		f.node.placer.update(f.copy.Table(), f.copy.Raters(), f.copy.Nodes())
 	}
--- a/internal/fleet/replica/chain.go
+++ b/internal/fleet/replica/chain.go
@@ -27,7 +27,7 @@
 // serve takes orders from the queue until one is under way.
 func (m *Machine) serve() Output {
 	var out Output
-	for len(m.queue) > 0 && m.seq == m.committed && !m.sealed() && m.view.Head() == m.self {
+	for len(m.queue) > 0 && m.takesOrders() {
 		next := m.queue[0]
 		if revision, taken := m.agreed.Taken(next.order.Digest()); taken {
 			m.queue = m.queue[1:]
@@ -45,6 +45,12 @@
 	return out
 }
 
+// takesOrders tells whether this member may take an order now: it is the head of a chain with copies enough, and has none
+// under way.
+func (m *Machine) takesOrders() bool {
+	return m.seq == m.committed && !m.sealed() && m.view.Head() == m.self && len(m.view.Chain) > m.options.Tolerated
+}
+
 // store takes an entry into this member's copy and hands it on.
 func (m *Machine) store(entry Entry, state *operator.State) Output {
 	m.seq, m.state, m.last = entry.Seq, state, &entry
--- a/internal/fleet/replica/explore_test.go
+++ b/internal/fleet/replica/explore_test.go
@@ -140,6 +140,32 @@
 	}
 }
 
+// playGrown draws a history of six members of whom two may be lost at once.
+func playGrown(seed uint64) *world {
+	w := newWorld(seed, 3)
+	w.tolerated = 2
+	for i := range 3 {
+		n := &node{address: fmt.Sprintf("n%d", i)}
+		w.nodes = append(w.nodes, n)
+		w.after(time.Duration(w.rand.IntN(300))*time.Millisecond, func() { w.start(n) })
+	}
+	w.runUntil(3 * time.Second)
+	w.after(0, func() { w.operate(1) })
+	w.after(0, func() { w.operate(2) })
+	w.after(300*time.Millisecond, w.trouble)
+	w.after(500*time.Millisecond, w.trouble)
+	w.runUntil(25 * time.Second)
+	w.settle()
+	return w
+}
+
+func TestHistoriesOfSixMembersKeepEveryPromise(t *testing.T) {
+	for seed := range histories() / 4 {
+		w := playGrown(seed)
+		require.Empty(t, w.problems(), "seed %d", seed)
+	}
+}
+
 func TestHistoriesKeepEveryPromise(t *testing.T) {
 	acknowledged := 0
 	for seed := range histories() {
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -18,14 +18,15 @@
 	DropAfter     time.Duration // that a voter beyond the wanted number must be gone before it loses its vote
 	RetryAfter    time.Duration // before an unanswered entry is sent again, and between the turns of proposers
 	AttemptFor    time.Duration // that a proposal may take
-	FoundingGrace time.Duration // that founders wait for all of them before a majority founds
+	FoundingPause time.Duration // that founders wait for further members once there are as many as wanted
+	FoundingGrace time.Duration // that founders wait for all of them before a majority founds with those that are there
 }
 
 // DefaultOptions are the project's defaults.
 func DefaultOptions() Options {
 	return Options{Core: true, Heartbeat: 150 * time.Millisecond, SuspectAfter: 700 * time.Millisecond,
 		AddAfter: 500 * time.Millisecond, DropAfter: 2 * time.Second, RetryAfter: 300 * time.Millisecond, AttemptFor: time.Second,
-		FoundingGrace: 3 * time.Second}
+		FoundingPause: 600 * time.Millisecond, FoundingGrace: 3 * time.Second}
 }
 
 // durable is the part of a member that is on its disk. Its values are never changed in place, so that a copy of the
--- a/internal/fleet/replica/plan.go
+++ b/internal/fleet/replica/plan.go
@@ -20,19 +20,34 @@
 	return next, stuck || !sameSet(voters, m.view.Voters) || !sameSet(chain, m.view.Chain)
 }
 
-// planFounding gives the first view: all founders, or a majority of them after a while.
+// planFounding gives the first view. The founders, that is the seeds, agree on it; its members are all processes that can be
+// voters and are reached: the wanted number of them, or after a while enough to take orders.
 func (m *Machine) planFounding() (View, bool) {
-	founders := []Member{m.self}
-	for _, address := range m.founders {
-		p := m.peers[address]
-		if p != nil && p.liveSince > 0 && p.status.Founder && p.status.Epoch == 0 {
-			founders = append(founders, p.member)
+	var voters []Member
+	if m.options.Core {
+		voters = append(voters, m.self)
+	}
+	foundersHere := 1
+	for address, p := range m.peers {
+		if p.liveSince == 0 || p.status.Epoch > 0 {
+			continue
+		}
+		if p.status.Founder && slices.Contains(m.founders, address) {
+			foundersHere++
 		}
+		if p.status.Core {
+			voters = append(voters, p.member)
+		}
+	}
+	slices.SortFunc(voters, compareMembers)
+	view := View{Epoch: 1, Voters: voters, Chain: voters}
+	if len(voters) == 0 || foundersHere < majority(len(m.founders)) {
+		return view, false
 	}
-	slices.SortFunc(founders, compareMembers)
-	all := len(founders) == len(m.founders)
-	enough := len(founders) >= majority(len(m.founders)) && m.now-m.started > m.options.FoundingGrace
-	return View{Epoch: 1, Voters: founders, Chain: founders}, all || enough
+	waited := m.now - m.started
+	all := foundersHere == len(m.founders) && len(voters) >= m.wantedVoters() && waited > m.options.FoundingPause
+	enough := len(voters) > m.options.Tolerated && waited > m.options.FoundingGrace
+	return view, all || enough
 }
 
 func compareMembers(a, b Member) int {
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,6 +96,77 @@
 	require.Empty(t, w.problems())
 }
 
+// grown gives a world of six members of whom two may be lost; three of them are the seeds.
+func grown(t *testing.T, seed uint64, outside int) *world {
+	t.Helper()
+	w := newWorld(seed, 3)
+	w.tolerated = 2
+	for i := range 3 + outside {
+		n := &node{address: fmt.Sprintf("n%d", i), outside: i >= 3}
+		w.nodes = append(w.nodes, n)
+		w.after(time.Duration(w.rand.IntN(300))*time.Millisecond, func() { w.start(n) })
+	}
+	w.runUntil(4 * time.Second)
+	require.Len(t, w.view().Chain, 6)
+	return w
+}
+
+func TestSixMembersBearTheLossOfAnyTwoAtOnce(t *testing.T) {
+	for first := range 6 {
+		for second := first + 1; second < 6; second++ {
+			w := grown(t, uint64(first*6+second), 0)
+			w.submitUntilTaken(t, 0, 1)
+			w.wipe(w.nodes[first])
+			w.wipe(w.nodes[second])
+			took := w.submitUntilTaken(t, 1, 2)
+			require.Less(t, took, 2*time.Second)
+			w.start(w.nodes[first])
+			w.start(w.nodes[second])
+			w.runUntil(w.now + 5*time.Second)
+			require.Len(t, w.view().Chain, 6)
+			require.Empty(t, w.problems())
+		}
+	}
+}
+
+func TestSeedsThatCanBeNoVotersLetTheOthersFound(t *testing.T) {
+	for outside := range 4 {
+		w := newWorld(7, 3)
+		for i := range outside {
+			w.nodes[i].outside = true
+		}
+		for i := range 3 {
+			n := &node{address: fmt.Sprintf("n%d", i)}
+			w.nodes = append(w.nodes, n)
+			w.after(time.Duration(w.rand.IntN(300))*time.Millisecond, func() { w.start(n) })
+		}
+		w.runUntil(5 * time.Second)
+		require.Len(t, w.view().Voters, 6-outside)
+		for _, n := range w.nodes {
+			require.Equal(t, !n.outside, n.machine.InChain())
+			require.EqualValues(t, w.view().Epoch, n.machine.View().Epoch, "also those outside know the view")
+		}
+		w.submitUntilTaken(t, 0, 1)
+		require.Empty(t, w.problems())
+	}
+}
+
+func TestAChainWithTooFewCopiesTakesNoOrders(t *testing.T) {
+	w := grown(t, 31, 0)
+	for _, n := range w.nodes[:4] {
+		w.crash(n)
+	}
+	w.submit(w.order(0, 1, "too few"))
+	w.runUntil(w.now + 10*time.Second)
+	require.Empty(t, w.ackedAt)
+	for _, n := range w.nodes[:4] {
+		w.start(n)
+	}
+	w.runUntil(w.now + 4*time.Second)
+	w.submitUntilTaken(t, 0, 1)
+	require.Empty(t, w.problems())
+}
+
 func TestAnOrderIsStoredByTheWholeChainBeforeItIsAcknowledged(t *testing.T) {
 	w := founded(t, 3, 3)
 	w.submitUntilTaken(t, 1, 2)
--- a/internal/fleet/replica/world_test.go
+++ b/internal/fleet/replica/world_test.go
@@ -15,15 +15,16 @@
 // world plays members, their disks and their network in virtual time. It is told of every order and answer, and notes what
 // must never be.
 type world struct {
-	rand    *rand.Rand
-	now     time.Duration
-	events  events
-	lastSeq int
-	nodes   []*node
-	cuts    map[[2]string]bool // from, to
-	planted planted
-	seeds   []string
-	slowest time.Duration // that a message takes
+	rand      *rand.Rand
+	now       time.Duration
+	events    events
+	lastSeq   int
+	nodes     []*node
+	cuts      map[[2]string]bool // from, to
+	planted   planted
+	seeds     []string
+	tolerated int
+	slowest   time.Duration // that a message takes
 
 	lastID   uint64
 	pending  map[uint64]operator.Order
@@ -55,6 +56,7 @@
 	disk    Stored
 	up      bool
 	frozen  bool
+	outside bool // it can be no voter
 	badDisk bool
 	founder bool
 	held    []func() // events that wait for a frozen node
@@ -85,7 +87,7 @@
 const worldTick = 50 * time.Millisecond
 
 func newWorld(seed uint64, members int) *world {
-	w := &world{slowest: 2 * time.Millisecond, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Millisecond, cuts: map[[2]string]bool{}, pending: map[uint64]operator.Order{},
+	w := &world{tolerated: 1, slowest: 2 * time.Millisecond, rand: rand.New(rand.NewPCG(seed, 1)), now: time.Millisecond, cuts: map[[2]string]bool{}, pending: map[uint64]operator.Order{},
 		acked: map[operator.Digest]int64{}, ackBases: map[int64]operator.Digest{}, views: map[uint64]string{}}
 	for i := range members {
 		w.seeds = append(w.seeds, fmt.Sprintf("m%d", i))
@@ -118,7 +120,7 @@
 
 func (w *world) options() Options {
 	options := DefaultOptions()
-	options.Tolerated = 1
+	options.Tolerated = w.tolerated
 	options.Seeds = w.seeds
 	return options
 }
@@ -135,7 +137,9 @@
 		n.founder = false
 	}
 	n.noted = 0
-	machine, err := New(w.options(), n.disk, w.now)
+	options := w.options()
+	options.Core = !n.outside
+	machine, err := New(options, n.disk, w.now)
 	if err != nil {
 		w.fail("%s cannot start: %v", n.address, err)
 		return
