--- a/internal/fleet/allowance/allowance.go
+++ b/internal/fleet/allowance/allowance.go
@@ -34,9 +34,9 @@
 // while the owner is silent, and may still be giving to others. The rest is for nodes that spend from their even part while
 // neither answers, and for a new owner that knows nothing of the bucket before.
 const (
-	tolerancePart = 0.45
-	deputyPart    = 0.3
-	newOwnerPart  = 0.25
+	tolerancePart = 0.4
+	deputyPart    = 0.2
+	newOwnerPart  = 0.2
 )
 
 // deputyAfter is how long the owner must not have been heard before its deputy gives out room.
@@ -110,7 +110,8 @@
 	mirrors   map[string]*mirror
 }
 
-// mirror is a copy of another owner's bucket.
+// mirror is a copy of another owner's bucket. It does not fill: what the limit allows while the owner is silent is left to the
+// nodes, each of which spends its even part.
 type mirror struct {
 	bucket
 	heardAt time.Duration
@@ -152,6 +153,7 @@
 		delete(o.mirrors, tenant)
 		if now-m.heardAt < mirrorLife {
 			b := m.bucket
+			b.at = now
 			return &b
 		}
 	}
@@ -185,7 +187,6 @@
 	if m == nil || now-m.heardAt < deputyAfter || now-m.heardAt > mirrorLife {
 		return TakeReply{}
 	}
-	m.fill(now)
 	left := deputyPart*o.tolerance.beyond(r.Rate, r.Burst) - m.given
 	least := m.least(r)
 	if r.Need > left { // nodes have their even parts
@@ -265,11 +266,11 @@
 
 // The figures of a node's wallet.
 const (
-	aheadFor     = 0.2             // seconds of recent use that are asked for ahead of need
-	useMemory    = 2.0             // seconds after which use weighs 1/e
-	lookBack     = time.Second / 4 // for which a node has its even part of when the owner falls silent
-	mostFallback = 2.0             // seconds of its even part that a node may save up meanwhile
-	keepFor      = time.Second / 2 // after which what was granted and not used is given back
+	aheadFor     = 0.1                    // seconds of recent use that are asked for ahead of need
+	useMemory    = 2.0                    // seconds after which use weighs 1/e
+	lookBack     = time.Second * 15 / 100 // for which a node has its even part of when the owner falls silent
+	mostFallback = 2.0                    // seconds of its even part that a node may save up meanwhile
+	keepFor      = time.Second / 2        // after which what was granted and not used is given back
 )
 
 // Wallet is the room that a node holds for one tenant.
--- a/internal/fleet/allowance/allowance_test.go
+++ b/internal/fleet/allowance/allowance_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -110,6 +111,7 @@
 	}
 	require.InDelta(t, deputyPart*tolerance.beyond(rate, burst), given, 5000)
 	level := deputy.mirrors["t"].level
+	deputy.mirrors["t"].at -= time.Second // it does not fill meanwhile
 	b := deputy.Begin(now+deputyAfter, "t", rate, burst, 1)
 	require.InDelta(t, level, b.level, 1, "as the owner it goes on with what is left")
 }
@@ -147,6 +149,12 @@
 
 // The sum over all nodes and owners stays within what the rules tolerate in every window, whatever becomes of the owners.
 func TestTheSumStaysWithinTheToleranceThroughLossesOfTheOwner(t *testing.T) {
+	for _, rate := range []float64{50_000, 100_000, 300_000} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) { checkSum(t, rate, rate) })
+	}
+}
+
+func checkSum(t *testing.T, rate, burst float64) {
 	const nodes, step = 12, 10 * time.Millisecond
 	for seed := range uint64(60) {
 		chance := rand.New(rand.NewPCG(seed, 9))
--- a/internal/fleet/controlnode/gossip.go
+++ b/internal/fleet/controlnode/gossip.go
@@ -1,8 +1,8 @@
 package controlnode
 
 import (
-	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +14,7 @@
 	gossipEvery  = 400 * time.Millisecond
 	gossipWait   = 350 * time.Millisecond
 	spreadWait   = 300 * time.Millisecond // that a rater's news waits for the other copies before it is acknowledged
+	callerLife   = 3 * time.Second
 	methodGossip = "Registry.Exchange"
 )
 
@@ -38,22 +39,25 @@
 type gossiper struct {
 	node *Node
 
-	mu    sync.Mutex
-	zone  map[string]string
-	owner map[string]uint64
-	since map[string]uint64
+	mu     sync.Mutex
+	zone   map[string]string
+	owner  map[string]uint64
+	since  map[string]uint64
+	calls  map[string]time.Duration // when another process last called
+	silent string                   // the raters that were last logged as not heard
 }
 
 func newGossiper(n *Node) *gossiper {
-	g := &gossiper{node: n, zone: map[string]string{}, owner: map[string]uint64{}, since: map[string]uint64{}}
+	g := &gossiper{node: n, zone: map[string]string{}, owner: map[string]uint64{}, since: map[string]uint64{},
+		calls: map[string]time.Duration{}}
 	g.zone[n.settings.SelfInternal()] = n.settings.Zone
 	return g
 }
 
-func (g *gossiper) zones() map[string]string {
+func (g *gossiper) zoneOf(address string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return maps.Clone(g.zone)
+	return g.zone[address]
 }
 
 // others are the internal addresses of the other control processes.
@@ -70,6 +74,21 @@
 			others = append(others, seed)
 		}
 	}
+	return g.withCallers(others)
+}
+
+// withCallers adds the processes that are neither voters nor seeds and have called not long ago.
+func (g *gossiper) withCallers(others []string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for address, at := range g.calls {
+		switch {
+		case g.node.now()-at > callerLife:
+			delete(g.calls, address)
+		case !slices.Contains(others, address):
+			others = append(others, address)
+		}
+	}
 	return others
 }
 
@@ -88,13 +107,33 @@
 	fresh := n.raters.Fresh(n.now())
 	if n.raters.Expire(n.now()) {
 		n.announce()
+		g.logSilent()
 	}
+	n.expireSessions()
 	n.mu.Unlock()
 	for _, address := range g.others() {
 		go g.exchange(address, fresh, gossipWait)
 	}
 }
 
+// logSilent logs which raters have been silent for long, when they are others than before. The lock is held.
+func (g *gossiper) logSilent() {
+	late, silent := g.node.raters.Quiet()
+	if names := strings.Join(silent, " "); names != g.silent {
+		g.silent = names
+		g.node.log.Info("raters not heard", "silent", silent, "late", late)
+	}
+}
+
+// expireSessions forgets nodes of the data plane that have not polled for a while. The lock is held.
+func (n *Node) expireSessions() {
+	for session, polled := range n.sessions {
+		if n.now()-polled > sessionLife {
+			delete(n.sessions, session)
+		}
+	}
+}
+
 // spread hands records to all other copies and waits for those that answer soon.
 func (g *gossiper) spread(records []registry.Record) {
 	others := g.others()
@@ -137,6 +176,7 @@
 	n := g.node
 	g.mu.Lock()
 	g.zone[request.Address] = request.Zone
+	g.calls[request.Address] = n.now()
 	g.mu.Unlock()
 	n.merge(request.Records)
 	since := request.Since
--- a/internal/fleet/controlnode/http.go
+++ b/internal/fleet/controlnode/http.go
@@ -223,7 +223,7 @@
 	published, _ := n.core.Published()
 	now := n.now()
 	n.mu.Lock()
-	raters, sessions := len(n.raters.Since(now, 0)), len(n.sessions)
+	raters, sessions := n.raters.Size(), len(n.sessions)
 	n.mu.Unlock()
 	confirmed := "never"
 	if published.ViewConfirmed > 0 {
--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -187,14 +187,13 @@
 
 // members are the processes of the control plane, the chain first.
 func (n *Node) members(view replica.View) []distribution.ControlMember {
-	zones := n.peers.zones()
 	var members []distribution.ControlMember
 	for _, member := range view.Chain {
-		members = append(members, distribution.ControlMember{Address: member.Address, Zone: zones[member.Address], InChain: true})
+		members = append(members, distribution.ControlMember{Address: member.Address, Zone: n.peers.zoneOf(member.Address), InChain: true})
 	}
 	for _, member := range view.Voters {
 		if !slices.Contains(view.Chain, member) {
-			members = append(members, distribution.ControlMember{Address: member.Address, Zone: zones[member.Address]})
+			members = append(members, distribution.ControlMember{Address: member.Address, Zone: n.peers.zoneOf(member.Address)})
 		}
 	}
 	return members
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -128,11 +128,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sessions[request.Session] = now
-	for session, polled := range n.sessions {
-		if now-polled > sessionLife {
-			delete(n.sessions, session)
-		}
-	}
 	reply.Sessions, reply.Leaving = len(n.sessions)*max(1, len(published.View.Chain)), n.leaving
 	reply.RegistryOwner, reply.RegistryVersion, reply.RegistryAge = n.owner, n.raters.Version(), now
 	since := request.RegistryVersion
--- a/internal/fleet/distribution/client.go
+++ b/internal/fleet/distribution/client.go
@@ -129,7 +129,7 @@
 		record = gone
 	}
 	c.raters[record.ID] = record
-	return known.State != record.State || known.Late != record.Late || known.Address != record.Address
+	return known.State != record.State || known.Late != record.Late || known.Silent != record.Silent || known.Address != record.Address
 }
 
 // dropUnlisted forgets raters that a copy of the registry does not list although it has been there for long. One that was
@@ -162,13 +162,22 @@
 // Confirmed tells whether the last answer confirmed the configuration.
 func (c *Copy) Confirmed() bool { return c.confirmed }
 
-// Raters are the raters that have not left.
+// Raters are the raters that have not left and have been heard. Where control has heard of less than half of them, it is
+// taken to be at fault: then all count.
 func (c *Copy) Raters() []registry.Record {
 	raters := make([]registry.Record, 0, len(c.raters))
+	silent := 0
 	for _, record := range c.raters {
-		if record.State != registry.Gone {
-			raters = append(raters, record)
+		if record.State == registry.Gone {
+			continue
 		}
+		raters = append(raters, record)
+		if record.Silent {
+			silent++
+		}
+	}
+	if 2*silent <= len(raters) {
+		raters = slices.DeleteFunc(raters, func(r registry.Record) bool { return r.Silent })
 	}
 	slices.SortFunc(raters, func(a, b registry.Record) int {
 		switch {
--- a/internal/fleet/distribution/copy_test.go
+++ b/internal/fleet/distribution/copy_test.go
@@ -107,3 +107,31 @@
 	require.True(t, take(t, c, 3*time.Second, old).Raters)
 	require.Len(t, c.Raters(), 1, "a copy that has been there for long knows who is gone")
 }
+
+func TestSilentRatersAreLeftOutUnlessMostAreSilent(t *testing.T) {
+	c := NewCopy(true, revoke)
+	first := reply(1, `{"Revision":1}`, 0)
+	first.Whole, first.RegistryOwner = true, 1
+	for _, id := range []string{"a", "b", "c", "d"} {
+		first.Records = append(first.Records, rater(id, 1, registry.Ready))
+	}
+	take(t, c, time.Second, first)
+	quiet := func(ids ...string) *PollReply {
+		r := reply(1, "", 0)
+		r.RegistryOwner = 1
+		for _, id := range ids {
+			one := rater(id, 1, registry.Ready)
+			one.Silent = true
+			r.Records = append(r.Records, one)
+		}
+		return r
+	}
+	require.True(t, take(t, c, time.Second, quiet("a", "b")).Raters)
+	require.Len(t, c.Raters(), 2)
+	take(t, c, time.Second, quiet("c"))
+	require.Len(t, c.Raters(), 4, "it is the control plane that does not hear")
+	back := reply(1, "", 0)
+	back.Records = []registry.Record{rater("a", 2, registry.Ready)}
+	back.RegistryOwner = 1
+	require.True(t, take(t, c, time.Second, back).Raters, "one that is heard again is back")
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -3,6 +3,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -27,16 +28,20 @@
 	Slots      int
 	State      State
 	Late       bool // no heartbeat for longer than usual
+	Silent     bool // none for so long that it is taken for lost, until one comes
 	WarmupLeft time.Duration
 	Sequence   int64
 	HeardAgo   time.Duration // when copied: since its last heartbeat
 }
 
-// The parts of a heartbeat interval after which a silent rater is late, and after which it is dropped.
+// The parts of a heartbeat interval after which a silent rater is late, after which it is taken for lost, and after which it
+// is forgotten.
 const (
-	lateIntervals = 1.8
-	goneIntervals = 12
-	goneKept      = 30 * time.Second // so long a rater that left is remembered, against late heartbeats
+	lateIntervals   = 1.8
+	silentIntervals = 12
+	forgetIntervals = 100
+	leastChanges    = 64               // that are kept before those that count no more are dropped
+	goneKept        = 30 * time.Second // so long a rater that left is remembered, against late heartbeats
 )
 
 type entry struct {
@@ -45,11 +50,18 @@
 	version uint64
 }
 
+// change is that an entry changed.
+type change struct {
+	version uint64
+	id      string
+}
+
 // Registry is one copy.
 type Registry struct {
 	interval time.Duration
 	version  uint64
 	entries  map[string]*entry
+	changes  []change        // in the order of their versions; only an entry's newest one counts
 	fresh    map[string]bool // heard since the last call of Fresh
 }
 
@@ -63,7 +75,7 @@
 
 // Heartbeat takes a heartbeat, and tells whether it changed what others want to hear of.
 func (r *Registry) Heartbeat(now time.Duration, record Record) bool {
-	record.HeardAgo, record.Late = 0, false
+	record.HeardAgo, record.Late, record.Silent = 0, false, false
 	r.fresh[record.ID] = true
 	return r.put(now, record)
 }
@@ -73,13 +85,13 @@
 	r.fresh[id] = true
 	e := r.entries[id]
 	if e == nil {
-		r.entries[id] = &entry{record: Record{ID: id, State: Gone}, heard: now, version: r.next()}
+		r.entries[id] = &entry{record: Record{ID: id, State: Gone}, heard: now, version: r.next(id)}
 		return true
 	}
 	if e.record.State == Gone {
 		return false
 	}
-	e.record.State, e.heard, e.version = Gone, now, r.next()
+	e.record.State, e.heard, e.version = Gone, now, r.next(id)
 	return true
 }
 
@@ -94,16 +106,24 @@
 	return changed
 }
 
-func (r *Registry) next() uint64 {
+// next gives the version of a change of an entry.
+func (r *Registry) next(id string) uint64 {
 	r.version++
+	r.changes = append(r.changes, change{r.version, id})
+	if len(r.changes) > 2*len(r.entries)+leastChanges {
+		r.changes = slices.DeleteFunc(r.changes, func(c change) bool {
+			e := r.entries[c.id]
+			return c.version != r.version && (e == nil || e.version != c.version)
+		})
+	}
 	return r.version
 }
 
 func (r *Registry) put(heard time.Duration, record Record) bool {
 	e := r.entries[record.ID]
 	if e == nil {
-		record.Late = false
-		r.entries[record.ID] = &entry{record: record, heard: heard, version: r.next()}
+		record.Late, record.Silent = false, false
+		r.entries[record.ID] = &entry{record: record, heard: heard, version: r.next(record.ID)}
 		r.displace(&record)
 		return true
 	}
@@ -116,15 +136,16 @@
 	if record.State == Gone && record.Backend == "" {
 		record = was
 	}
-	record.State, record.Late = state, was.Late && heard < e.heard
+	stale := heard < e.heard
+	record.State, record.Late, record.Silent = state, was.Late && stale, was.Silent && stale
 	record.Sequence = max(record.Sequence, was.Sequence)
 	e.record = record
 	same := was.State == record.State && was.Address == record.Address && was.Backend == record.Backend &&
-		was.Late == record.Late && was.Slots == record.Slots && (was.WarmupLeft > 0) == (record.WarmupLeft > 0)
+		was.Late == record.Late && was.Silent == record.Silent && was.Slots == record.Slots && (was.WarmupLeft > 0) == (record.WarmupLeft > 0)
 	if same {
 		return false
 	}
-	e.version = r.next()
+	e.version = r.next(record.ID)
 	return true
 }
 
@@ -135,7 +156,7 @@
 	}
 	for _, e := range r.entries {
 		if e.record.Address == newcomer.Address && e.record.ID != newcomer.ID && e.record.State != Gone && newcomer.Address != "" {
-			e.record.State, e.version = Gone, r.next()
+			e.record.State, e.version = Gone, r.next(e.record.ID)
 		}
 	}
 }
@@ -148,25 +169,54 @@
 		silent := now - e.heard
 		switch {
 		case e.record.State == Gone:
-			if silent > goneKept+goneIntervals*r.interval {
+			if silent > goneKept+silentIntervals*r.interval {
 				delete(r.entries, id)
 			}
-		case silent > goneIntervals*r.interval:
-			e.record.State, e.version = Gone, r.next()
-		case silent > time.Duration(lateIntervals*float64(r.interval)) && !e.record.Late:
-			e.record.Late, e.version = true, r.next()
-		case e.record.Late && silent <= r.interval:
-			e.record.Late, e.version = false, r.next()
+		case silent > forgetIntervals*r.interval: // other copies may have heard it: that it left is not to be told
+			delete(r.entries, id)
+		case silent > silentIntervals*r.interval:
+			r.mark(e, true, true)
+		case silent > time.Duration(lateIntervals*float64(r.interval)):
+			r.mark(e, true, false)
+		default:
+			r.mark(e, false, false)
 		}
 	}
 	return r.version != before
 }
 
+// mark notes how long a rater has been silent. A silent one that is heard again is as before.
+func (r *Registry) mark(e *entry, late, silent bool) {
+	if e.record.Late == late && e.record.Silent == silent {
+		return
+	}
+	e.record.Late, e.record.Silent, e.version = late, silent, r.next(e.record.ID)
+}
+
+// Quiet gives the ids of the raters that are late or silent.
+func (r *Registry) Quiet() (late, silent []string) {
+	for id, e := range r.entries {
+		switch {
+		case e.record.State == Gone:
+		case e.record.Silent:
+			silent = append(silent, id)
+		case e.record.Late:
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	slices.Sort(silent)
+	return late, silent
+}
+
 // Since gives the records that changed after a version, in the order of their ids.
 func (r *Registry) Since(now time.Duration, version uint64) []Record {
+	first, _ := slices.BinarySearchFunc(r.changes, version, func(c change, version uint64) int {
+		return cmp.Compare(c.version, version+1)
+	})
 	var records []Record
-	for _, e := range r.entries {
-		if e.version > version {
+	for _, c := range r.changes[first:] {
+		if e := r.entries[c.id]; e != nil && e.version == c.version {
 			records = append(records, e.copy(now))
 		}
 	}
@@ -187,6 +237,9 @@
 	return records
 }
 
+// Size is the number of raters that are known.
+func (r *Registry) Size() int { return len(r.entries) }
+
 // One gives one record.
 func (r *Registry) One(now time.Duration, id string) (Record, bool) {
 	e := r.entries[id]
@@ -202,12 +255,4 @@
 	return record
 }
 
-func compareRecords(a, b Record) int {
-	switch {
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	}
-	return 0
-}
+func compareRecords(a, b Record) int { return cmp.Compare(a.ID, b.ID) }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -30,12 +31,13 @@
 
 // Options describe a fleet.
 type Options struct {
-	Control  int
-	Data     int
-	Raters   int
-	Binaries string // folder of linenwheel-control and linenwheel-data
-	Folder   string // for settings, disks and logs
-	Subnet   byte   // second byte of the machines' loopback addresses, so that fleets do not meet
+	Control   int
+	Data      int
+	Raters    int
+	Binaries  string        // folder of linenwheel-control and linenwheel-data
+	Folder    string        // for settings, disks and logs
+	Heartbeat time.Duration // of raters; 0 = a short one
+	Subnet    byte          // second byte of the machines' loopback addresses, so that fleets do not meet
 }
 
 // Machine is one process on an address of its own.
@@ -138,7 +140,7 @@
 	line("Seeds", strings.Join(seeds, ","))
 	line("Bootstrap", first)
 	line("CountsForQuorum", true)
-	line("HeartbeatMs", heartbeatEvery.Milliseconds())
+	line("HeartbeatMs", cmp.Or(f.options.Heartbeat, heartbeatEvery).Milliseconds())
 	line("FaultTolerance.Machines", (f.options.Control-1)/2)
 	line("Bounds.GraceS", graceSeconds)
 	line("Bounds.Closed", true)
--- a/lab/fleetscale/run.go
+++ b/lab/fleetscale/run.go
@@ -85,7 +85,7 @@
 
 // Play measures one size. Binaries is the folder of the programs, folder one for settings and disks.
 func Play(ctx context.Context, size Size, binaries, folder string, subnet byte) (Result, error) {
-	f, err := fleet.Start(fleet.Options{Control: 3, Binaries: binaries, Folder: folder, Subnet: subnet})
+	f, err := fleet.Start(fleet.Options{Control: 3, Binaries: binaries, Folder: folder, Subnet: subnet, Heartbeat: heartbeat})
 	if err != nil {
 		return Result{}, err
 	}
