--- /dev/null
+++ b/internal/fleet/controlnode/node_test.go
@@ -0,0 +1,130 @@
+package controlnode
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/allowance"
+	"linenwheel.dev/linenwheel/internal/fleet/distribution"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
+	"linenwheel.dev/linenwheel/internal/fleet/replica"
+)
+
+func TestHeartbeatsThatCannotBeReadAreRefusedAndChangeNothing(t *testing.T) {
+	n := newAlone(t, 0, 1)
+	version := n.raters.Version()
+	for name, body := range map[string]string{
+		"no JSON":    `{"Backend":`,
+		"no backend": `{"Address":"10.0.0.1:1"}`,
+		"no address": `{"Backend":"llm"}`,
+		"wrong type": `{"Backend":"llm","Address":"10.0.0.1:1","Slots":"many"}`,
+	} {
+		answer := call(n, http.MethodPut, "/-/instances/x", body)
+		require.Equal(t, http.StatusBadRequest, answer.Code, name)
+		require.Contains(t, answer.Body.String(), "Error", name)
+	}
+	require.Equal(t, version, n.raters.Version())
+}
+
+func TestARaterDrainsAndLeaves(t *testing.T) {
+	n := newAlone(t, 0, 2)
+	drains := `{"Backend":"llm","Address":"10.0.0.1:1","State":"draining","Sequence":7}`
+	require.Equal(t, http.StatusOK, call(n, http.MethodPut, "/-/instances/i1", drains).Code)
+	require.Equal(t, http.StatusOK, call(n, http.MethodDelete, "/-/instances/i0", "").Code)
+	require.Equal(t, http.StatusOK, call(n, http.MethodDelete, "/-/instances/i0", "").Code, "once more")
+	reply, _ := poll(t, n, nil)
+	states := map[string]registry.State{}
+	for _, record := range reply.Records {
+		states[record.ID] = record.State
+	}
+	require.Equal(t, map[string]registry.State{"i0": registry.Gone, "i1": registry.Draining}, states)
+}
+
+func order(n *Node, base int, body string) int {
+	request := fmt.Sprint(base)
+	recorder := callWith(n, http.MethodPatch, "/-/config", body, request)
+	return recorder.Code
+}
+
+func TestOrdersOfTheOperator(t *testing.T) {
+	n := newAlone(t, 0, 0)
+	require.Equal(t, http.StatusOK, order(n, 1, `{"Revision":3}`))
+	require.Equal(t, http.StatusOK, order(n, 1, `{"Revision":3}`), "the same order again")
+	require.Equal(t, http.StatusPreconditionFailed, order(n, 1, `{"Revision":4}`))
+	require.Equal(t, http.StatusBadRequest, order(n, 3, `{"Revision":3}`))
+	require.Equal(t, http.StatusBadRequest, order(n, 3, `{`))
+	require.Equal(t, http.StatusBadRequest, callWith(n, http.MethodPatch, "/-/config", `{"Revision":5}`, "x").Code, "If-Match")
+	require.Equal(t, http.StatusOK, order(n, 1, `{"Revision":3}`), "also after others")
+	read := call(n, http.MethodGet, "/-/config", "")
+	require.Equal(t, http.StatusOK, read.Code)
+	require.JSONEq(t, `{"Revision":3,"Backends":[{"Name":"llm"}]}`, read.Body.String())
+	require.Contains(t, call(n, http.MethodGet, "/-/status", "").Body.String(), `"Revision":3`)
+}
+
+func TestAPollBringsPatchesToANodeThatIsAFewVersionsBehind(t *testing.T) {
+	n := newAlone(t, 0, 0)
+	first, _ := poll(t, n, nil)
+	require.NotEmpty(t, first.Document)
+	require.True(t, first.Confirmed)
+	for revision := 2; revision < 5; revision++ {
+		require.Equal(t, http.StatusOK, order(n, revision-1, fmt.Sprintf(`{"Revision":%d}`, revision)))
+	}
+	next, _ := poll(t, n, first)
+	require.Empty(t, next.Document)
+	require.Len(t, next.Patches, 3)
+	for revision := 5; revision < 5+2*keptOrders; revision++ {
+		require.Equal(t, http.StatusOK, order(n, revision-1, fmt.Sprintf(`{"Revision":%d}`, revision)))
+	}
+	far, _ := poll(t, n, first)
+	require.Empty(t, far.Patches)
+	require.NotEmpty(t, far.Document, "one that is far behind gets the whole")
+}
+
+func TestNoticesGoToAllNodesButTheirSender(t *testing.T) {
+	var l notices
+	l.add(time.Second, &distribution.Announcement{Session: 1, Notices: make([]distribution.Notice, 2)})
+	l.add(2*time.Second, &distribution.Announcement{Session: 2, Notices: make([]distribution.Notice, 1)})
+	require.True(t, l.news(0, 1))
+	require.Len(t, l.since(2*time.Second, 0, 1), 1)
+	require.Len(t, l.since(2*time.Second, 0, 2), 2)
+	require.Equal(t, time.Second, l.since(2*time.Second, 0, 2)[0].Reading.Ago)
+	require.False(t, l.news(3, 9))
+	l.add(time.Minute, &distribution.Announcement{Session: 1})
+	require.Empty(t, l.list, "old ones are dropped")
+}
+
+func TestAnOwnerThatIsNotConfirmedGivesNothing(t *testing.T) {
+	n := newAlone(t, 0, 0)
+	published, _ := n.core.Published()
+	now := n.now()
+	published.ViewConfirmed = now
+	published.AllHere = true
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.False(t, n.mayGive(published, "t", now), "the one before may still hand its bucket over")
+	require.True(t, n.mayGive(published, "t", now+handOverWait))
+	require.False(t, n.mayGive(published, "t", now+ownerConfirmed+time.Millisecond))
+	published.ViewConfirmed = now + time.Second
+	published.AllHere = false
+	require.False(t, n.mayGive(published, "u", now+time.Second), "another may still give")
+	published.ViewConfirmed += ownerWait
+	require.True(t, n.mayGive(published, "u", now+time.Second+ownerWait))
+	published.View.Chain = []replica.Member{{Address: "another"}}
+	require.False(t, n.mayGive(published, "t", now+time.Second))
+}
+
+func TestABucketThatIsHandedOverIsTakenByANewerViewOnly(t *testing.T) {
+	n := newAlone(t, 0, 0)
+	service := &allowanceService{n}
+	published, _ := n.core.Published()
+	handed := allowance.HandOver{Epoch: published.View.Epoch - 1, Tenant: "t", Level: 5, Rate: 1, Burst: 10}
+	require.NoError(t, service.HandOver(&handed, &struct{}{}))
+	require.False(t, n.rooms.Has("t"))
+	handed.Epoch++
+	require.NoError(t, service.HandOver(&handed, &struct{}{}))
+	require.True(t, n.rooms.Has("t"))
+}
--- a/internal/fleet/controlnode/slope_test.go
+++ b/internal/fleet/controlnode/slope_test.go
@@ -49,8 +49,12 @@
 }
 
 func call(n *Node, method, path, body string) *httptest.ResponseRecorder {
+	return callWith(n, method, path, body, "0")
+}
+
+func callWith(n *Node, method, path, body, match string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(method, path, strings.NewReader(body))
-	request.Header.Set("If-Match", "0")
+	request.Header.Set("If-Match", match)
 	recorder := httptest.NewRecorder()
 	n.router().ServeHTTP(recorder, request)
 	return recorder
