Ask for the whole configuration where patches come without their base

In a node the copy lives as long as the process, so it could not happen there; the copy now says so and asks for the whole document all the same, and the lab takes an answer into the copy that asked. Test: TestPatchesWithoutTheirBaseAskForTheWhole (a nil pointer before).

--- a/internal/fleet/distribution/client.go
+++ b/internal/fleet/distribution/client.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -14,6 +15,9 @@
 	forgetUnlisted = 15 * time.Second // a copy of the registry that is older and does not list a rater knows that it is gone
 )
 
+// errNoBase says that patches came for a configuration that the node does not have.
+var errNoBase = errors.New("patches without the configuration that they build on")
+
 // Copy is a node's copy of what the control plane gives out. It is pure and not safe for concurrent use.
 type Copy struct {
 	seq       uint64
@@ -87,6 +91,10 @@
 		state = operator.NewState()
 		state.Document = document
 	} else {
+		if state == nil {
+			c.wantWhole = true
+			return errNoBase
+		}
 		for _, order := range reply.Patches {
 			next, err := state.Follow(order)
 			if err != nil {
--- a/internal/fleet/distribution/copy_test.go
+++ b/internal/fleet/distribution/copy_test.go
@@ -135,3 +135,14 @@
 	back.RegistryOwner = 1
 	require.True(t, take(t, c, time.Second, back).Raters, "one that is heard again is back")
 }
+
+func TestPatchesWithoutTheirBaseAskForTheWhole(t *testing.T) {
+	c := NewCopy(true, revoke)
+	patched := reply(2, "", 0)
+	patched.Patches = []operator.Order{{Method: http.MethodPatch, Base: 1, Body: []byte(`{"Revision":3}`)}}
+	_, err := c.Take(time.Second, patched)
+	require.ErrorIs(t, err, errNoBase)
+	require.Nil(t, c.Table())
+	take(t, c, time.Second, reply(2, `{"Revision":3}`, 0))
+	require.EqualValues(t, 3, c.Table().Revision)
+}
--- a/lab/fleetscale/hollow.go
+++ b/lab/fleetscale/hollow.go
@@ -88,7 +88,8 @@
 	if !n.copy.Confirmed() {
 		hold = 0
 	}
-	request := n.copy.Request(n.name, n.session, hold)
+	asked := n.copy
+	request := asked.Request(n.name, n.session, hold)
 	n.mu.Unlock()
 	sent := time.Since(n.begin)
 	var reply distribution.PollReply
@@ -97,12 +98,12 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	change, err := n.copy.Take(sent, &reply)
+	change, err := asked.Take(sent, &reply)
 	if err != nil {
 		return err
 	}
 	if change.Config {
-		n.inForce(n.copy.Table().Revision, time.Now())
+		n.inForce(asked.Table().Revision, time.Now())
 	}
 	if reply.Leaving || !reply.Confirmed {
 		return fmt.Errorf("%s is not confirmed", address)
