--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -17,6 +17,7 @@
 const (
 	pollHold     = 700 * time.Millisecond
 	pollGrace    = 400 * time.Millisecond // beyond the hold after which a control process counts as silent
+	pollMost     = 5 * time.Second        // that an answer may take while its bytes come
 	staleAfter   = 800 * time.Millisecond // a control process that confirmed its view longer ago is cut off
 	avoidFor     = 3 * time.Second
 	pauseMin     = 20 * time.Millisecond
@@ -130,7 +131,7 @@
 	f.mu.Unlock()
 	sent := f.node.now()
 	var reply distribution.PollReply
-	err := f.node.pool.Call(address, distribution.MethodPoll, &request, &reply, hold+pollGrace)
+	err := f.node.pool.CallLarge(address, distribution.MethodPoll, &request, &reply, hold+pollGrace, pollMost)
 	if err == nil {
 		err = f.take(sent, &reply)
 	}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,8 +17,9 @@
 
 // The figures of connections.
 const (
-	dialTimeout = 400 * time.Millisecond
-	userTimeout = time.Second // after which unacknowledged bytes end a connection
+	dialTimeout  = 400 * time.Millisecond
+	userTimeout  = time.Second            // after which unacknowledged bytes end a connection
+	stalledAfter = 250 * time.Millisecond // without a byte, after which a large answer is taken to have stalled
 )
 
 // ErrTimeout says that a call was not answered in time: whether it was carried out is not known.
@@ -38,6 +40,21 @@
 type peer struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	readAt atomic.Int64 // when bytes last came, in nanoseconds
+}
+
+// watched notes when bytes come.
+type watched struct {
+	net.Conn
+	readAt *atomic.Int64
+}
+
+func (w watched) Read(into []byte) (int, error) {
+	n, err := w.Conn.Read(into)
+	if n > 0 {
+		w.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
 }
 
 // NewPool makes an empty pool.
@@ -56,6 +73,16 @@
 
 // Call calls a method of a peer and waits for the answer at most so long.
 func (p *Pool) Call(address, method string, args, reply any, wait time.Duration) error {
+	return p.call(address, method, args, reply, wait, 0)
+}
+
+// CallLarge is Call for answers that may be large: as long as bytes come, it waits up to a longer time for the rest. A small
+// link takes seconds for an answer that was ready at once, and to ask again would only begin anew.
+func (p *Pool) CallLarge(address, method string, args, reply any, wait, most time.Duration) error {
+	return p.call(address, method, args, reply, wait, most-wait)
+}
+
+func (p *Pool) call(address, method string, args, reply any, wait, more time.Duration) error {
 	one := p.peer(address)
 	client, err := one.connect(address, p.Wrap)
 	if err != nil {
@@ -64,19 +91,30 @@
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	select {
-	case <-call.Done:
-		var answered rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &answered) {
-			one.drop(client)
+	for {
+		select {
+		case <-call.Done:
+			var answered rpc.ServerError
+			if call.Error != nil && !errors.As(call.Error, &answered) {
+				one.drop(client)
+			}
+			return call.Error
+		case <-timer.C:
+			if more <= 0 || !one.receiving() {
+				one.drop(client)
+				return ErrTimeout
+			}
+			more -= stalledAfter
+			timer.Reset(stalledAfter)
 		}
-		return call.Error
-	case <-timer.C:
-		one.drop(client)
-		return ErrTimeout
 	}
 }
 
+// receiving tells whether bytes came not long ago.
+func (one *peer) receiving() bool {
+	return time.Since(time.Unix(0, one.readAt.Load())) < stalledAfter
+}
+
 // Forget closes the connection to a peer.
 func (p *Pool) Forget(address string) {
 	one := p.peer(address)
@@ -103,7 +141,7 @@
 	if wrap != nil {
 		connection = wrap(connection)
 	}
-	one.client = rpc.NewClient(connection)
+	one.client = rpc.NewClient(watched{connection, &one.readAt})
 	return one.client, nil
 }
 
--- /dev/null
+++ b/internal/fleet/transport/transport_test.go
@@ -0,0 +1,73 @@
+package transport
+
+import (
+	"bytes"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Service answers with as many bytes as it is asked for, or never.
+type Service struct{ hang chan struct{} }
+
+// Bytes answers with so many bytes.
+func (s *Service) Bytes(count int, reply *[]byte) error {
+	if count < 0 {
+		<-s.hang
+		return nil
+	}
+	*reply = bytes.Repeat([]byte("x"), count)
+	return nil
+}
+
+// slow lets bytes through in small pieces, as a small link does.
+type slow struct{ net.Conn }
+
+func (s slow) Read(into []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	return s.Conn.Read(into[:min(len(into), 4096)])
+}
+
+func serve(t *testing.T) (string, *Pool) {
+	t.Helper()
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	service := &Service{hang: make(chan struct{})}
+	go func() { _ = Serve(listener, map[string]any{"Test": service}) }()
+	t.Cleanup(func() {
+		close(service.hang)
+		_ = listener.Close()
+	})
+	return listener.Addr().String(), NewPool()
+}
+
+func TestALargeAnswerOverASmallLinkIsWaitedForWhileItsBytesCome(t *testing.T) {
+	const size, wait = 400_000, 50 * time.Millisecond // about half a second over the link below
+	address, pool := serve(t)
+	pool.Wrap = func(c net.Conn) net.Conn { return slow{c} }
+	var reply []byte
+	require.ErrorIs(t, pool.Call(address, "Test.Bytes", size, &reply, wait), ErrTimeout)
+	reply = nil
+	require.NoError(t, pool.CallLarge(address, "Test.Bytes", size, &reply, wait, time.Minute))
+	require.Len(t, reply, size)
+}
+
+func TestAPeerThatSaysNothingIsGivenUpInTime(t *testing.T) {
+	address, pool := serve(t)
+	var reply []byte
+	begin := time.Now()
+	require.ErrorIs(t, pool.CallLarge(address, "Test.Bytes", -1, &reply, 50*time.Millisecond, time.Minute), ErrTimeout)
+	require.Less(t, time.Since(begin), 10*time.Second)
+	require.NoError(t, pool.Call(address, "Test.Bytes", 3, &reply, time.Minute), "the next call has a connection of its own")
+}
+
+func TestAPeerThatIsNotThere(t *testing.T) {
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	var reply []byte
+	require.Error(t, NewPool().Call(address, "Test.Bytes", 3, &reply, time.Minute))
+}
