Format the replicator

Cause: the constant that the last change of Go code lengthened moved a column of comments; make lint would fail on it.

--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -18,7 +18,7 @@
 const (
 	tickEvery       = 50 * time.Millisecond
 	inboxSize       = 512
-	deliverWait     = 2 * time.Second // a whole configuration may be on its way over a small, busy link
+	deliverWait     = 2 * time.Second        // a whole configuration may be on its way over a small, busy link
 	confirmWait     = 700 * time.Millisecond // after which a refusal or a read that cannot be confirmed is given up
 	recoverInterval = 500 * time.Millisecond // between attempts to write to a disk that failed
 	keptOrders      = 64                     // newest orders that are kept for nodes that are a few versions behind
