--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -38,6 +38,7 @@
 	core     *Replicator
 	peers    *gossiper
 	owner    uint64 // names this process's copy of the registry
+	updates  updates
 
 	mu       sync.Mutex
 	raters   *registry.Registry
@@ -86,13 +87,19 @@
 	return binary.BigEndian.Uint64(bytes[:])>>1 + 1
 }
 
+// The part of a machine's link that a snapshot on its way may take.
+const (
+	transferPart    = 0.3
+	bytesPerMegabit = 1e6 / 8
+)
+
 // machine makes the replica. A disk that is empty makes it a new member; it may found the first view only where the
 // platform says that the whole system starts for the first time.
 func (n *Node) machine(stored replica.Stored) (*replica.Machine, error) {
 	set := n.settings
 	seeds := n.seedAddresses(set)
 	if stored.Self.Address != set.SelfInternal() {
-		stored = replica.Stored{Self: replica.Member{Address: set.SelfInternal(), Incarnation: randomNumber()}}
+		stored = replica.Stored{Self: replica.Member{Address: set.SelfInternal(), Incarnation: randomNumber(), Domain: set.Domain()}}
 		stored.Founder = set.Bootstrap && slices.Contains(seeds, set.SelfInternal())
 		if stored.Founder {
 			stored.Founders = seeds
@@ -105,9 +112,12 @@
 		}
 	}
 	options := replica.DefaultOptions()
-	options.Tolerated = set.Machines
+	options.Tolerated = set.Tolerated()
 	options.Seeds = seeds
 	options.Core = set.Counts || set.DataDir != ""
+	if set.LinkMbps > 0 {
+		options.TransferRate = int(set.LinkMbps * transferPart * bytesPerMegabit)
+	}
 	return replica.New(options, stored, n.now())
 }
 
@@ -151,8 +161,10 @@
 
 // The figures of the planned stop.
 const (
-	leaveFor = 1200 * time.Millisecond // for the other members to agree on a view without this one
-	closeFor = 500 * time.Millisecond
+	leaveLeast = 300 * time.Millisecond // for nodes to turn to others
+	leavePause = 25 * time.Millisecond
+	graceKept  = 2 * time.Second // of the time until the process is killed, for what comes after the hand-over
+	closeFor   = 500 * time.Millisecond
 )
 
 // leave hands over: the chain goes on without this member, nodes turn to others, then calls end.
@@ -163,7 +175,7 @@
 	n.announce()
 	n.mu.Unlock()
 	n.core.Leave()
-	time.Sleep(leaveFor)
+	n.awaitRelease()
 	ctx, cancel := context.WithTimeout(context.Background(), closeFor)
 	defer cancel()
 	err := server.Shutdown(ctx)
@@ -174,6 +186,21 @@
 	return errors.Join(err, internal.Close())
 }
 
+// awaitRelease waits until the other members go on without this one. A member that is one of the last copies, or whose vote
+// nobody can take, stays for as long as the platform lets it.
+func (n *Node) awaitRelease() {
+	time.Sleep(leaveLeast)
+	deadline := time.Now().Add(n.settings.Bounds.Grace - graceKept - leaveLeast)
+	for time.Now().Before(deadline) {
+		if published, _ := n.core.Published(); published.Released {
+			n.log.Info("the other members go on without this one")
+			return
+		}
+		time.Sleep(leavePause)
+	}
+	n.log.Warn("leaving without having been replaced: the time is over")
+}
+
 // TakeSettings takes a settings file that has changed while the process runs: the seeds may be others.
 func (n *Node) TakeSettings(set *settings.Settings) {
 	n.core.SetSeeds(n.seedAddresses(set))
--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -18,10 +18,8 @@
 const (
 	tickEvery       = 50 * time.Millisecond
 	inboxSize       = 512
-	deliverWait     = 2 * time.Second        // a whole configuration may be on its way over a small, busy link
 	confirmWait     = 700 * time.Millisecond // after which a refusal or a read that cannot be confirmed is given up
 	recoverInterval = 500 * time.Millisecond // between attempts to write to a disk that failed
-	keptOrders      = 64                     // newest orders that are kept for nodes that are a few versions behind
 )
 
 // errDiskFailed says that the disk refused a write and has not been tried again yet.
@@ -40,6 +38,8 @@
 	ViewConfirmed  time.Duration
 	StateConfirmed time.Duration
 	AllHere        bool // every other voter is known to be in this view
+	Released       bool // this member may end: the others go on without it
+	copied         replica.Copy
 }
 
 // orderResult is the end of an order.
@@ -48,21 +48,11 @@
 	err      error
 }
 
-type refusal struct {
-	reply replica.Reply
-	since time.Duration
-}
-
-type readWait struct {
-	since time.Duration
-	done  chan<- *operator.State // nil state: it could not be confirmed
-}
-
 // Replicator drives one replica: it owns its goroutine, its disk and its messages.
 type Replicator struct {
 	clock   func() time.Duration
 	log     *log.Logger
-	pool    *transport.Pool
+	outbox  *outbox
 	store   *storage.Store // nil: nothing is kept over the end of the process
 	machine *replica.Machine
 	inbox   chan func()
@@ -70,29 +60,19 @@
 
 	// Of the goroutine.
 	waiting  map[uint64]chan<- orderResult
-	refusals []refusal
-	reads    []readWait
+	pending  confirmations
 	lastID   uint64
 	failedAt time.Duration
-	leaving  bool
-	orders   []placedOrder
 
 	mu        sync.Mutex
 	published Published
-	kept      []placedOrder
 	changed   chan struct{}
 }
 
-// placedOrder is a committed order with the place that it led to.
-type placedOrder struct {
-	seq   uint64
-	order operator.Order
-}
-
 // NewReplicator makes a replicator; Run drives it.
 func NewReplicator(clock func() time.Duration, logger *log.Logger, pool *transport.Pool, store *storage.Store,
 	machine *replica.Machine) *Replicator {
-	r := &Replicator{clock: clock, log: logger, pool: pool, store: store, machine: machine, inbox: make(chan func(), inboxSize),
+	r := &Replicator{clock: clock, log: logger, outbox: newOutbox(pool), store: store, machine: machine, inbox: make(chan func(), inboxSize),
 		stopped: make(chan struct{}), waiting: map[uint64]chan<- orderResult{}, changed: make(chan struct{})}
 	r.publish()
 	return r
@@ -118,7 +98,10 @@
 }
 
 // Stop ends Run.
-func (r *Replicator) Stop() { close(r.stopped) }
+func (r *Replicator) Stop() {
+	close(r.stopped)
+	r.outbox.close()
+}
 
 // enqueue hands work to the goroutine; false: it is too far behind.
 func (r *Replicator) enqueue(work func()) bool {
@@ -152,13 +135,13 @@
 			r.machine.Rollback(before)
 			continue
 		}
-		r.keepOrders(out.Save)
+		r.logViews(out.Save)
 		for _, envelope := range out.Send {
 			if envelope.To.Address == r.machine.Self().Address {
 				pending = append(pending, func(now time.Duration) replica.Output { return r.machine.Step(now, envelope) })
 				continue
 			}
-			go r.post(envelope)
+			r.outbox.post(envelope)
 		}
 		for _, reply := range out.Replies {
 			r.end(reply)
@@ -170,20 +153,15 @@
 	switch {
 	case r.store == nil || len(records) == 0:
 		return nil
-	case !r.machine.Healthy() && !r.leaving:
+	case !r.machine.Healthy():
 		return errDiskFailed
 	}
 	return r.store.Write(records)
 }
 
-func (r *Replicator) post(envelope replica.Envelope) {
-	var none struct{}
-	_ = r.pool.Call(envelope.To.Address, MethodDeliver, &envelope, &none, deliverWait) // the machine sends again what matters
-}
-
 // recoverDisk tries whether a disk that failed takes writes again.
 func (r *Replicator) recoverDisk() {
-	if r.machine.Healthy() || r.leaving || r.clock()-r.failedAt < recoverInterval {
+	if r.machine.Healthy() || r.clock()-r.failedAt < recoverInterval {
 		return
 	}
 	r.failedAt = r.clock()
@@ -196,21 +174,17 @@
 	r.machine.SetHealthy()
 }
 
-// keepOrders keeps the orders that were stored, for nodes that are a few versions behind.
-func (r *Replicator) keepOrders(records []replica.Record) {
+// logViews logs the views that were stored.
+func (r *Replicator) logViews(records []replica.Record) {
 	for _, record := range records {
 		switch record := record.(type) {
-		case replica.SaveEntry:
-			r.orders = append(r.orders, placedOrder{record.Entry.Seq, record.Entry.Order})
-		case replica.SaveView: // what was not committed may have been replaced
-			r.orders = nil
+		case replica.SaveView:
 			r.log.Info("view", "epoch", record.Proposal.View.Epoch, "chain", addresses(record.Proposal.View.Chain),
-				"voters", addresses(record.Proposal.View.Voters))
+				"voters", addresses(record.Proposal.View.Voters), "seq", record.Proposal.Base.Seq)
+		case replica.SaveSnapshot:
+			r.log.Info("snapshot taken over", "seq", record.Snapshot.Seq)
 		}
 	}
-	if len(r.orders) > keptOrders {
-		r.orders = append([]placedOrder(nil), r.orders[len(r.orders)-keptOrders:]...)
-	}
 }
 
 func addresses(members []replica.Member) []string {
@@ -221,63 +195,17 @@
 	return list
 }
 
-// end gives an order its result. One that is refused waits until it is sure that this member's view is the newest one.
-func (r *Replicator) end(reply replica.Reply) {
-	if reply.Unconfirmed {
-		r.refusals = append(r.refusals, refusal{reply, r.clock()})
-		r.step(r.machine.Beat)
-		return
-	}
-	if done := r.waiting[reply.ID]; done != nil {
-		done <- orderResult{reply.Revision, reply.Err}
-		delete(r.waiting, reply.ID)
-	}
-}
-
-// settle answers refusals and reads that have been confirmed, or that could not be in time.
-func (r *Replicator) settle() {
-	now := r.clock()
-	viewConfirmed := r.machine.ViewConfirmed()
-	var refusals []refusal
-	for _, one := range r.refusals {
-		switch {
-		case viewConfirmed > one.since:
-			one.reply.Unconfirmed = false
-			r.end(one.reply)
-		case now-one.since > confirmWait:
-			r.end(replica.Reply{ID: one.reply.ID, Err: faults.New(faults.Undecided, "the view could not be confirmed")})
-		default:
-			refusals = append(refusals, one)
-		}
-	}
-	r.refusals = refusals
-	stateConfirmed := r.machine.StateConfirmed()
-	var reads []readWait
-	for _, one := range r.reads {
-		switch {
-		case stateConfirmed > one.since:
-			_, state := r.machine.Agreed()
-			one.done <- state
-		case now-one.since > confirmWait:
-			one.done <- nil
-		default:
-			reads = append(reads, one)
-		}
-	}
-	r.reads = reads
-}
-
 func (r *Replicator) publish() {
 	seq, state := r.machine.Agreed()
 	next := Published{Self: r.machine.Self(), View: r.machine.View(), Healthy: r.machine.Healthy(), Seq: seq, State: state,
-		ViewConfirmed: r.machine.ViewConfirmed(), StateConfirmed: r.machine.StateConfirmed(), AllHere: r.machine.AllHere()}
+		ViewConfirmed: r.machine.ViewConfirmed(), StateConfirmed: r.machine.StateConfirmed(), AllHere: r.machine.AllHere(), Released: r.machine.Released(),
+		copied: r.machine.Copy()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	news := next.Seq != r.published.Seq || next.View.Epoch != r.published.View.Epoch ||
 		(next.StateConfirmed > 0) != (r.published.StateConfirmed > 0)
 	r.published = next
 	if news {
-		r.kept = r.orders
 		close(r.changed)
 		r.changed = make(chan struct{})
 	}
@@ -291,19 +219,15 @@
 }
 
 // OrdersSince gives the committed orders that lead from one place to another, nil where they are not all kept.
-func (r *Replicator) OrdersSince(from, to uint64) []operator.Order {
-	r.mu.Lock()
-	kept := r.kept
-	r.mu.Unlock()
-	var orders []operator.Order
-	for _, placed := range kept {
-		if placed.seq > from && placed.seq <= to {
-			orders = append(orders, placed.order)
-		}
-	}
-	if uint64(len(orders)) != to-from {
+func (p *Published) OrdersSince(from, to uint64) []operator.Order {
+	entries := p.copied.Between(from, to)
+	if entries == nil {
 		return nil
 	}
+	orders := make([]operator.Order, len(entries))
+	for i, entry := range entries {
+		orders[i] = entry.Order
+	}
 	return orders
 }
 
@@ -334,39 +258,12 @@
 	}
 }
 
-// Read gives the newest committed state, confirmed after this call began.
-func (r *Replicator) Read() (*operator.State, error) {
-	done := make(chan *operator.State, 1)
-	queued := r.enqueue(func() {
-		r.reads = append(r.reads, readWait{r.clock(), done})
-		r.step(r.machine.Beat)
-	})
-	if !queued {
-		return nil, faults.New(faults.Undecided, "this member is behind")
-	}
-	timer := time.NewTimer(confirmWait + tickEvery*2)
-	defer timer.Stop()
-	select {
-	case state := <-done:
-		if state == nil {
-			return nil, faults.New(faults.Undecided, "the state could not be confirmed")
-		}
-		return state, nil
-	case <-timer.C:
-		return nil, faults.New(faults.Undecided, "this member is behind")
-	}
-}
-
 // SetSeeds takes seeds that were exchanged.
 func (r *Replicator) SetSeeds(addresses []string) {
 	r.enqueue(func() { r.machine.SetSeeds(addresses) })
 }
 
-// Leave has the other members go on without this one.
+// Leave has the other members go on without this one. Published tells when they do.
 func (r *Replicator) Leave() {
-	r.enqueue(func() {
-		r.leaving = true
-		r.machine.Rollback(r.machine.Checkpoint())
-		r.step(r.machine.Beat)
-	})
+	r.enqueue(func() { r.step(r.machine.Leave) })
 }
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -76,6 +76,7 @@
 const (
 	mostHold     = 2 * time.Second      // that an answer waits for news
 	noticeGather = 5 * time.Millisecond // that one with notices of long prompts waits for more of them
+	mostPatches  = 64                   // orders in one answer; a node that is further behind gets the whole document
 )
 
 // Poll answers a node of the data plane as soon as there is news for it.
@@ -117,13 +118,7 @@
 	reply.ConfirmedAgo = now - published.StateConfirmed
 	reply.ConfigSeq = request.ConfigSeq
 	if reply.Confirmed && published.Seq > request.ConfigSeq {
-		reply.ConfigSeq = published.Seq
-		if request.ConfigSeq > 0 {
-			reply.Patches = n.core.OrdersSince(request.ConfigSeq, published.Seq)
-		}
-		if reply.Patches == nil {
-			reply.Document = published.State.Document.JSON()
-		}
+		n.fillConfig(&published, request, reply)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -139,3 +134,13 @@
 	reply.ReadingSeq = n.notices.last
 	reply.Records = n.raters.Since(now, since)
 }
+
+// fillConfig writes what leads to the newest configuration.
+func (n *Node) fillConfig(published *Published, request *distribution.PollRequest, reply *distribution.PollReply) {
+	update, err := n.updates.get(published, request.ConfigSeq)
+	if err != nil {
+		n.log.Error("configuration not given out", "err", err)
+		return
+	}
+	reply.ConfigSeq, reply.Update = published.Seq, update
+}
--- a/internal/fleet/distribution/client.go
+++ b/internal/fleet/distribution/client.go
@@ -82,9 +82,14 @@
 	if reply.ConfigSeq < c.seq || reply.ConfigSeq == c.seq && !c.wantWhole {
 		return nil
 	}
+	whole, patches, err := reply.Update.Read()
+	if err != nil {
+		c.wantWhole = true
+		return err
+	}
 	state := c.state
-	if reply.Document != nil {
-		document, err := operator.ParseDocument(reply.Document)
+	if whole != nil {
+		document, err := operator.ParseDocument(whole)
 		if err != nil {
 			return err
 		}
@@ -95,7 +100,7 @@
 			c.wantWhole = true
 			return errNoBase
 		}
-		for _, order := range reply.Patches {
+		for _, order := range patches {
 			next, err := state.Follow(order)
 			if err != nil {
 				c.wantWhole = true
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -3,6 +3,9 @@
 package distribution
 
 import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
 	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
@@ -31,8 +34,7 @@
 	ConfirmedAgo time.Duration
 
 	ConfigSeq uint64
-	Document  []byte           // the whole configuration, or
-	Patches   []operator.Order // the orders that lead from the asked one to this one
+	Update    Update // what leads from the asked configuration to this one
 
 	RegistryOwner   uint64
 	RegistryVersion uint64
@@ -49,6 +51,44 @@
 	Leaving  bool            // this control process is about to end
 }
 
+// Update is a configuration on its way, encoded once for all nodes that need the same one; empty where there is nothing new.
+type Update []byte
+
+// updateContent is what an Update holds.
+type updateContent struct {
+	Document []byte           // the whole configuration, or
+	Patches  []operator.Order // the orders that lead from the asked one to it
+}
+
+// NewUpdate encodes a whole configuration, or the orders that lead to it.
+func NewUpdate(document []byte, patches []operator.Order) (Update, error) {
+	content := updateContent{Patches: patches}
+	if document != nil {
+		content.Document = operator.Compress(document)
+	}
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(content); err != nil {
+		return nil, fmt.Errorf("distribution: %w", err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Read gives the whole configuration, or the orders that lead to it.
+func (u Update) Read() (document []byte, patches []operator.Order, err error) {
+	if len(u) == 0 {
+		return nil, nil, nil
+	}
+	var content updateContent
+	if err := gob.NewDecoder(bytes.NewReader(u)).Decode(&content); err != nil {
+		return nil, nil, fmt.Errorf("distribution: %w", err)
+	}
+	if content.Document == nil {
+		return nil, content.Patches, nil
+	}
+	document, err = operator.Decompress(content.Document)
+	return document, nil, err
+}
+
 // MethodAnnounce is the method by which a node tells of long prompts, MethodRelay that by which control processes hand it on.
 const (
 	MethodAnnounce = "Distribution.Announce"
--- a/internal/fleet/operator/state.go
+++ b/internal/fleet/operator/state.go
@@ -10,9 +10,13 @@
 	"linenwheel.dev/linenwheel/internal/fleet/faults"
 )
 
-// mostTaken bounds the orders that are remembered: an order is sent again within seconds, a day has some hundreds.
+// mostTaken bounds the orders that are remembered: an order is sent again within seconds, and at 41,000 changes a day so many
+// are 2.4 hours. What is asked again later is not refused either: see State.horizon.
 const mostTaken = 4096
 
+// digestSize is the length of the digests of orders and histories, in bytes.
+const digestSize = 16
+
 // Order is one call of the operator that changes the configuration.
 type Order struct {
 	Method string // PUT for a whole document, PATCH for named items
@@ -31,7 +35,7 @@
 	binary.BigEndian.PutUint64(base[:], uint64(o.Base))
 	hash.Write(base[:])
 	hash.Write(o.Body)
-	return Digest(hash.Sum(nil)[:16])
+	return Digest(hash.Sum(nil)[:digestSize])
 }
 
 // State is the replicated state: the current document and the orders that were taken. It is never changed once made.
@@ -39,6 +43,10 @@
 	Document *Document
 	taken    *immutable.Map[string, int64] // digest to the revision that it made
 	order    *immutable.List[string]       // digests, oldest first
+	// horizon is the revision that the newest forgotten order made, 0 where none was forgotten. Whether an order that builds
+	// on an earlier version was taken is not known any more, so it is neither acknowledged nor refused.
+	horizon int64
+	history Digest
 }
 
 // NewState is the state before the first order.
@@ -46,6 +54,17 @@
 	return &State{Document: Empty(), taken: immutable.NewMap[string, int64](nil), order: immutable.NewList[string]()}
 }
 
+// History names the sequence of all orders that led to this state: two states with the same one are the same.
+func (s *State) History() Digest { return s.history }
+
+// follow gives the history after one more order.
+func (d Digest) follow(order Digest) Digest {
+	hash := sha256.New()
+	hash.Write([]byte(d))
+	hash.Write([]byte(order))
+	return Digest(hash.Sum(nil)[:digestSize])
+}
+
 // Taken tells whether the same order was taken before, and which revision it made.
 func (s *State) Taken(digest Digest) (int64, bool) { return s.taken.Get(string(digest)) }
 
@@ -55,6 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if order.Base < s.horizon {
+		return nil, faults.New(faults.Undecided, "the order builds on %d; what was taken before %d is not remembered", order.Base, s.horizon)
+	}
 	if order.Base != s.Document.Revision {
 		return nil, faults.New(faults.VersionConflict, "the order builds on %d, %d is current", order.Base, s.Document.Revision)
 	}
@@ -80,11 +102,13 @@
 func (s *State) remember(document *Document, digest Digest) *State {
 	taken := s.taken.Set(string(digest), document.Revision)
 	order := s.order.Append(string(digest))
+	horizon := s.horizon
 	for order.Len() > mostTaken {
+		horizon, _ = taken.Get(order.Get(0))
 		taken = taken.Delete(order.Get(0))
 		order = order.Slice(1, order.Len())
 	}
-	return &State{Document: document, taken: taken, order: order}
+	return &State{Document: document, taken: taken, order: order, horizon: horizon, history: s.history.follow(digest)}
 }
 
 // Snapshot is a state in plain form, to be stored or sent.
@@ -92,11 +116,13 @@
 	Document []byte
 	Digests  []string
 	Made     []int64
+	Horizon  int64
+	History  Digest
 }
 
 // Snapshot gives the state in plain form.
 func (s *State) Snapshot() Snapshot {
-	snapshot := Snapshot{Document: s.Document.JSON()}
+	snapshot := Snapshot{Document: s.Document.JSON(), Horizon: s.horizon, History: s.history}
 	for iterator := s.order.Iterator(); !iterator.Done(); {
 		_, digest := iterator.Next()
 		made, _ := s.taken.Get(digest)
@@ -123,6 +149,7 @@
 		order.Append(digest)
 	}
 	s.taken, s.order = taken.Map(), order.List()
+	s.horizon, s.history = snapshot.Horizon, snapshot.History
 	return s, nil
 }
 
@@ -132,5 +159,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &State{Document: next, taken: s.taken, order: s.order}, nil
+	return &State{Document: next, taken: s.taken, order: s.order, horizon: s.horizon, history: s.history}, nil
 }
--- a/internal/fleet/replica/agreement.go
+++ b/internal/fleet/replica/agreement.go
@@ -3,19 +3,22 @@
 import (
 	"slices"
 	"time"
-
-	"linenwheel.dev/linenwheel/internal/fleet/operator"
 )
 
 // attempt is a proposal that this member is trying to have agreed.
 type attempt struct {
-	epoch    uint64
-	ballot   Ballot
-	view     View // what it wants, where no voter has accepted anything else
-	since    time.Duration
-	promises map[Member]Promise
-	proposal *Proposal // set once a majority has promised
-	accepts  map[Member]bool
+	epoch     uint64
+	ballot    Ballot
+	view      View // what it wants, where no voter has accepted anything else
+	since     time.Duration
+	promises  map[Member]Promise
+	base      Position // with which the wanted view begins; its source has it
+	source    Member
+	begun     time.Duration // since when the chain is asked to store the base; 0 = not yet
+	askedAt   time.Duration
+	installed map[Member]bool
+	proposal  *Proposal // set once it is put to the vote
+	accepts   map[Member]bool
 }
 
 // voted finds the voter that a message came from.
@@ -38,10 +41,7 @@
 		return Output{Send: []Envelope{m.send(from, Reject{Epoch: body.Epoch, Promised: m.promised})}}
 	}
 	out := m.promise(body.Ballot)
-	reply := Promise{Epoch: body.Epoch, Ballot: body.Ballot, Accepted: m.accepted, InChain: m.holdsAll()}
-	if reply.InChain {
-		reply.Seq, reply.State = m.seq, m.state.Snapshot()
-	}
+	reply := Promise{Epoch: body.Epoch, Ballot: body.Ballot, Accepted: m.accepted, Holds: m.holdsAll(), Position: m.copied.newest()}
 	out.Send = append(out.Send, m.send(from, reply))
 	return out
 }
@@ -55,7 +55,7 @@
 }
 
 // holdsAll tells whether this member's copy has every committed order.
-func (m *Machine) holdsAll() bool { return m.view.Epoch == 0 || m.InChain() }
+func (m *Machine) holdsAll() bool { return m.view.Epoch == 0 || m.follows() }
 
 func (m *Machine) promise(ballot Ballot) Output {
 	if !m.sealed() {
@@ -77,6 +77,9 @@
 	if body.Ballot.compare(m.promised) < 0 {
 		return Output{Send: []Envelope{m.send(from, Reject{Epoch: epoch, Promised: m.promised})}}
 	}
+	if slices.Contains(body.Proposal.View.Chain, m.self) && !m.copied.holds(body.Proposal.Base) {
+		return Output{} // it is put to the vote only once the whole chain has its state
+	}
 	out := m.promise(body.Ballot)
 	m.accepted = &Accepted{Ballot: body.Ballot, Proposal: body.Proposal}
 	out.Save = append(out.Save, SaveAccepted{Accepted: *m.accepted})
@@ -88,15 +91,11 @@
 	if proposal.View.Epoch <= m.view.Epoch {
 		return Output{}
 	}
-	state, err := operator.FromSnapshot(proposal.State)
-	if err != nil {
-		return Output{}
-	}
-	m.view, m.baseSeq, m.base = proposal.View, proposal.Seq, state
-	m.seq, m.state, m.last = proposal.Seq, state, nil
-	m.committed, m.agreed, m.pendingSince = proposal.Seq, state, 0
+	m.view, m.base = proposal.View, proposal.Base
+	m.settleOn(proposal.Base)
 	m.promised, m.accepted, m.round = Ballot{}, nil, 0
 	m.attempt, m.wishSince, m.sealedAt = nil, 0, 0
+	m.transfer.install = nil
 	for _, p := range m.peers {
 		p.confirmedAt = 0
 	}
@@ -104,12 +103,24 @@
 	return Output{Save: []Record{SaveView{Proposal: proposal}}}
 }
 
+// settleOn brings the copy to the state with which an agreed view begins, if it is there: an uncommitted entry either is
+// part of that state, and committed with it, or was given up.
+func (m *Machine) settleOn(base Position) {
+	if m.copied.newest() == base {
+		m.copied = m.copied.commit(base.Seq)
+	} else {
+		m.copied = m.copied.drop()
+	}
+	m.holds = m.copied.passes(base)
+	m.pendingSince = 0
+}
+
 // ---- The proposer ----
 
 // reconfigure proposes another view where one is wanted, or completes one that was begun and left.
 func (m *Machine) reconfigure() Output {
 	if m.attempt != nil && m.now-m.attempt.since < m.options.AttemptFor {
-		return Output{}
+		return m.pushInstall()
 	}
 	m.attempt = nil
 	if !m.mayPropose() || m.now < m.attemptAfter || !m.reachesMajority() {
@@ -155,7 +166,7 @@
 func (m *Machine) propose(view View) Output {
 	m.round++
 	m.attempt = &attempt{epoch: m.view.Epoch + 1, ballot: Ballot{Round: m.round, Proposer: m.self}, view: view, since: m.now,
-		promises: map[Member]Promise{}, accepts: map[Member]bool{}}
+		promises: map[Member]Promise{}, installed: map[Member]bool{}, accepts: map[Member]bool{}}
 	m.attemptAfter = m.now + m.options.RetryAfter
 	return m.ask(Prepare{Epoch: m.attempt.epoch, Ballot: m.attempt.ballot})
 }
@@ -176,41 +187,130 @@
 func (m *Machine) onPromise(from Member, body Promise) Output {
 	a := m.attempt
 	voter, known := m.voted(from)
-	if a == nil || !known || body.Epoch != a.epoch || body.Ballot != a.ballot || a.proposal != nil {
+	if a == nil || !known || body.Epoch != a.epoch || body.Ballot != a.ballot || a.proposal != nil || a.begun > 0 {
 		return Output{}
 	}
 	a.promises[voter] = body
 	if len(a.promises) < majority(len(m.voters())) {
 		return Output{}
 	}
-	proposal, found := a.choose()
-	if !found {
+	if accepted := a.accepted(); accepted != nil {
+		return m.vote(accepted.Proposal)
+	}
+	if !a.chooseBase(m) {
 		return Output{}
 	}
-	a.proposal = &proposal
-	return m.ask(Accept{Ballot: a.ballot, Proposal: proposal})
+	a.begun = m.now
+	return m.askInstall()
 }
 
-// choose gives what must be proposed after a majority has promised: what was accepted under the highest ballot, or the
-// wanted view with the longest copy.
-func (a *attempt) choose() (Proposal, bool) {
-	var accepted *Accepted
-	var source *Promise
+// accepted gives what must be proposed again: what was accepted under the highest ballot.
+func (a *attempt) accepted() *Accepted {
+	var highest *Accepted
 	for _, promise := range a.promises {
-		if p := promise.Accepted; p != nil && (accepted == nil || p.Ballot.compare(accepted.Ballot) > 0) {
-			accepted = p
+		if p := promise.Accepted; p != nil && (highest == nil || p.Ballot.compare(highest.Ballot) > 0) {
+			highest = p
+		}
+	}
+	return highest
+}
+
+// chooseBase chooses the longest copy among the promises as the state with which the wanted view begins.
+func (a *attempt) chooseBase(m *Machine) bool {
+	found := false
+	for voter, promise := range a.promises {
+		if !promise.Holds || found && promise.Position.Seq < a.base.Seq {
+			continue
 		}
-		if promise.InChain && (source == nil || promise.Seq > source.Seq) {
-			source = &promise
+		if found && promise.Position.Seq == a.base.Seq && voter.Address > a.source.Address {
+			continue
 		}
+		a.base, a.source, found = promise.Position, voter, true
 	}
-	if accepted != nil {
-		return accepted.Proposal, true
+	if a.source.Address == m.self.Address {
+		a.source = m.self
 	}
-	if source == nil {
-		return Proposal{}, false
+	return found
+}
+
+// askInstall asks the members of the wanted chain that have not answered to store the state with which it begins.
+func (m *Machine) askInstall() Output {
+	a := m.attempt
+	a.askedAt = m.now
+	body := Install{Epoch: a.epoch, Ballot: a.ballot, Base: a.base, Source: a.source}
+	var out Output
+	for _, member := range a.view.Chain {
+		if !a.installed[member] {
+			out.Send = append(out.Send, m.send(member, body))
+		}
 	}
-	return Proposal{View: a.view, Seq: source.Seq, State: source.State}, true
+	return out
+}
+
+// installPause is the part of RetryAfter after which a member of the wanted chain is asked again.
+const installPause = 3
+
+// pushInstall asks again for what has not been stored, and goes on without those that are too slow.
+func (m *Machine) pushInstall() Output {
+	a := m.attempt
+	if a.begun == 0 || a.proposal != nil {
+		return Output{}
+	}
+	if m.now-a.begun >= m.options.InstallFor {
+		return m.voteWithout()
+	}
+	if m.now-a.askedAt < m.options.RetryAfter/installPause {
+		return Output{}
+	}
+	return m.askInstall()
+}
+
+// voteWithout puts the wanted view to the vote with the part of its chain that has the state. A newcomer that has not gets
+// no vote either: then the attempt ends, and the next one leaves it out.
+func (m *Machine) voteWithout() Output {
+	a := m.attempt
+	var chain []Member
+	for _, member := range a.view.Chain {
+		if a.installed[member] {
+			chain = append(chain, member)
+			continue
+		}
+		if p := m.peers[member.Address]; p != nil {
+			p.slowUntil = m.now + slowFor
+		}
+		if !slices.Contains(m.view.Voters, member) {
+			m.attempt = nil
+		}
+	}
+	if m.attempt == nil || len(chain) < m.leastChain(len(a.view.Voters)) {
+		m.attempt = nil
+		return Output{}
+	}
+	a.view.Chain = chain
+	return m.vote(Proposal{View: a.view, Base: a.base})
+}
+
+// slowFor is how long a member that did not store a state in time is left out of plans.
+const slowFor = 2 * time.Second
+
+func (m *Machine) onInstalled(from Member, body Installed) Output {
+	a := m.attempt
+	if a == nil || a.proposal != nil || body.Epoch != a.epoch || body.Ballot != a.ballot || body.Base != a.base {
+		return Output{}
+	}
+	a.installed[from] = true
+	for _, member := range a.view.Chain {
+		if !a.installed[member] {
+			return Output{}
+		}
+	}
+	return m.vote(Proposal{View: a.view, Base: a.base})
+}
+
+// vote puts a proposal to the vote.
+func (m *Machine) vote(proposal Proposal) Output {
+	m.attempt.proposal = &proposal
+	return m.ask(Accept{Ballot: m.attempt.ballot, Proposal: proposal})
 }
 
 func (m *Machine) onReject(body Reject) Output {
--- a/internal/fleet/replica/chain.go
+++ b/internal/fleet/replica/chain.go
@@ -29,18 +29,19 @@
 	var out Output
 	for len(m.queue) > 0 && m.takesOrders() {
 		next := m.queue[0]
-		if revision, taken := m.agreed.Taken(next.order.Digest()); taken {
+		if revision, taken := m.copied.agreed.Taken(next.order.Digest()); taken {
 			m.queue = m.queue[1:]
 			out.Replies = append(out.Replies, Reply{ID: next.id, Revision: revision})
 			continue
 		}
-		state, err := m.state.Apply(next.order)
+		state, err := m.copied.state.Apply(next.order)
 		if err != nil {
 			m.queue = m.queue[1:]
 			out.Replies = append(out.Replies, Reply{ID: next.id, Err: err, Unconfirmed: true})
 			continue
 		}
-		out.add(m.store(Entry{Epoch: m.view.Epoch, Seq: m.seq + 1, Order: next.order}, state))
+		stored, _ := m.store(Entry{Epoch: m.view.Epoch, Seq: m.copied.seq + 1, Order: next.order, History: state.History()})
+		out.add(stored)
 	}
 	return out
 }
@@ -48,49 +49,51 @@
 // takesOrders tells whether this member may take an order now: it is the head of a chain with copies enough, and has none
 // under way.
 func (m *Machine) takesOrders() bool {
-	return m.seq == m.committed && !m.sealed() && m.view.Head() == m.self && len(m.view.Chain) > m.options.Tolerated
+	return !m.copied.pending() && m.holds && !m.sealed() && m.view.Head() == m.self && len(m.view.Chain) > m.options.Tolerated
 }
 
-// store takes an entry into this member's copy and hands it on.
-func (m *Machine) store(entry Entry, state *operator.State) Output {
-	m.seq, m.state, m.last = entry.Seq, state, &entry
+// store takes an entry into this member's copy and hands it on; false: it does not follow this copy.
+func (m *Machine) store(entry Entry) (Output, bool) {
+	next, err := m.copied.add(entry)
+	if err != nil {
+		return Output{}, false
+	}
+	m.copied = next
 	m.pendingSince, m.sentAt = m.now, m.now
 	out := Output{Save: []Record{SaveEntry{Entry: entry}}}
 	out.add(m.forward())
-	return out
+	return out, true
 }
 
 // forward hands the newest entry to the next member, or tells that it is committed.
 func (m *Machine) forward() Output {
 	place := slices.Index(m.view.Chain, m.self)
-	if m.last == nil || place < 0 {
+	last, kept := m.copied.last()
+	if !kept || place < 0 || last.Epoch != m.view.Epoch || last.Seq != m.copied.seq {
 		return Output{}
 	}
 	if place+1 < len(m.view.Chain) {
-		return Output{Send: []Envelope{m.send(m.view.Chain[place+1], Append{Entry: *m.last})}}
+		return Output{Send: []Envelope{m.send(m.view.Chain[place+1], Append{Entry: last})}}
 	}
 	var out Output
 	for _, member := range m.view.Chain[:place] {
-		out.Send = append(out.Send, m.send(member, Committed{Epoch: m.view.Epoch, Seq: m.seq}))
+		out.Send = append(out.Send, m.send(member, Committed{Epoch: m.view.Epoch, Seq: m.copied.seq}))
 	}
-	out.add(m.commit(m.seq))
+	out.add(m.commit(m.copied.seq))
 	return out
 }
 
 func (m *Machine) onAppend(entry Entry) Output {
-	if entry.Epoch != m.view.Epoch || m.sealed() || !m.InChain() || !m.healthy {
+	if entry.Epoch != m.view.Epoch || m.sealed() || !m.follows() || !m.healthy {
 		return Output{}
 	}
 	switch {
-	case entry.Seq == m.seq+1:
-		state, err := m.state.Apply(entry.Order)
-		if err != nil { // the head applied it to the same state
-			return Output{}
-		}
-		out := m.commit(m.seq) // the head sends one entry at a time
-		out.add(m.store(entry, state))
+	case entry.Seq == m.copied.seq+1:
+		out := m.commit(m.copied.seq) // the head sends one entry at a time
+		stored, _ := m.store(entry)
+		out.add(stored)
 		return out
-	case entry.Seq == m.seq:
+	case entry.position() == m.copied.newest():
 		return m.forward()
 	}
 	return Output{}
@@ -105,16 +108,16 @@
 
 // commit notes that an entry is on every member of the chain.
 func (m *Machine) commit(seq uint64) Output {
-	if seq != m.seq || seq <= m.committed {
+	if seq != m.copied.seq || !m.copied.pending() {
 		return Output{}
 	}
-	m.committed, m.agreed, m.pendingSince = seq, m.state, 0
+	m.copied, m.pendingSince = m.copied.commit(seq), 0
 	return m.serve()
 }
 
 // learnCommitted finds, after a start, that the whole chain has the newest entry.
 func (m *Machine) learnCommitted() {
-	if m.seq == m.committed || !m.InChain() {
+	if !m.copied.pending() || !m.follows() {
 		return
 	}
 	for _, member := range m.view.Chain {
@@ -122,11 +125,11 @@
 			continue
 		}
 		p := m.peers[member.Address]
-		if p == nil || p.member != member || p.status.Epoch != m.view.Epoch || p.status.Seq < m.seq {
+		if p == nil || p.member != member || p.status.Epoch != m.view.Epoch || p.status.Seq < m.copied.seq {
 			return
 		}
 	}
-	m.committed, m.agreed, m.pendingSince = m.seq, m.state, 0
+	m.copied, m.pendingSince = m.copied.commit(m.copied.seq), 0
 }
 
 // resend hands an entry down again that is not committed yet, and takes orders that had to wait.
@@ -134,7 +137,7 @@
 	if m.view.Head() != m.self {
 		return m.refuseQueue()
 	}
-	if m.seq == m.committed {
+	if !m.copied.pending() {
 		return m.serve()
 	}
 	if m.sealed() || m.now-m.sentAt < m.options.RetryAfter {
--- a/internal/fleet/replica/liveness.go
+++ b/internal/fleet/replica/liveness.go
@@ -34,9 +34,9 @@
 	return Output{Send: []Envelope{m.send(to, Decided{Proposal: m.proposal()})}}
 }
 
-// proposal is the present view with a state that its chain has agreed on.
+// proposal is the present view as it was agreed.
 func (m *Machine) proposal() Proposal {
-	return Proposal{View: m.view, Seq: m.committed, State: m.agreed.Snapshot()}
+	return Proposal{View: m.view, Base: m.base}
 }
 
 func (m *Machine) onHeartbeatReply(from Member, body HeartbeatReply) Output {
@@ -57,7 +57,9 @@
 		p.confirmedAt = max(p.confirmedAt, body.Stamp)
 	}
 	m.learnCommitted()
-	return m.bringUp(from, body.Status)
+	out := m.bringUp(from, body.Status)
+	out.add(m.pull())
+	return out
 }
 
 // watchPeers notes which peers have stopped answering.
@@ -103,18 +105,6 @@
 	return m.reachable(member) && m.now-m.peers[member.Address].liveSince >= m.options.AddAfter
 }
 
-// goneFor is how long a member has not answered.
-func (m *Machine) goneFor(member Member) time.Duration {
-	if m.reachable(member) {
-		return 0
-	}
-	p := m.peers[member.Address]
-	if p == nil || p.liveSince > 0 { // another process answers at its address
-		return m.options.DropAfter
-	}
-	return m.now - p.goneSince
-}
-
 // see tells whether two members reach each other, as far as is known here.
 func (m *Machine) see(a, b Member) bool {
 	return m.sees(a, b) && m.sees(b, a)
@@ -168,10 +158,10 @@
 // StateConfirmed is the newest time at which Agreed was certainly the newest committed state, 0 = unknown. A member of
 // the chain has every order that is committed; one that it does not know to be committed may have been since it came.
 func (m *Machine) StateConfirmed() time.Duration {
-	if !m.InChain() {
+	if !m.follows() {
 		return 0
 	}
-	if m.seq == m.committed {
+	if !m.copied.pending() {
 		return m.confirmed()
 	}
 	return min(m.confirmed(), m.pendingSince)
@@ -217,3 +207,27 @@
 	m.options.Seeds = addresses
 	m.Know(addresses)
 }
+
+// Leave tells the other members that this one is about to end for good, so that they go on without it.
+func (m *Machine) Leave(now time.Duration) Output {
+	m.leaving = true
+	return m.Beat(now)
+}
+
+// Released tells whether a member that leaves is needed no more: it is no copy of the chain, it has no vote that another
+// could take, and a majority of the voters has gone over to that view.
+func (m *Machine) Released() bool {
+	if m.view.Epoch == 0 || !m.options.Core {
+		return true
+	}
+	if m.InChain() || m.sealed() || m.isVoter() && len(m.standby()) > 0 {
+		return false
+	}
+	here := 0
+	for _, voter := range m.view.Voters {
+		if voter != m.self && m.reachable(voter) && m.peers[voter.Address].status.Epoch >= m.view.Epoch {
+			here++
+		}
+	}
+	return here >= majority(len(m.view.Voters))
+}
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -15,35 +15,33 @@
 	Heartbeat     time.Duration // between heartbeats
 	SuspectAfter  time.Duration // without an answered heartbeat
 	AddAfter      time.Duration // that a peer must be reachable before it is taken in
-	DropAfter     time.Duration // that a voter beyond the wanted number must be gone before it loses its vote
-	RetryAfter    time.Duration // before an unanswered entry is sent again, and between the turns of proposers
+	RetryAfter    time.Duration // before an unanswered message is sent again, and between the turns of proposers
 	AttemptFor    time.Duration // that a proposal may take
+	InstallFor    time.Duration // of it, for the chain to store the state with which it begins
 	FoundingPause time.Duration // that founders wait for further members once there are as many as wanted
 	FoundingGrace time.Duration // that founders wait for all of them before a majority founds with those that are there
+	TransferRate  int           // bytes a second at which a snapshot is pulled
 }
 
 // DefaultOptions are the project's defaults.
 func DefaultOptions() Options {
 	return Options{Core: true, Heartbeat: 150 * time.Millisecond, SuspectAfter: 700 * time.Millisecond,
-		AddAfter: 500 * time.Millisecond, DropAfter: 2 * time.Second, RetryAfter: 300 * time.Millisecond, AttemptFor: time.Second,
-		FoundingPause: 600 * time.Millisecond, FoundingGrace: 3 * time.Second}
+		AddAfter: 500 * time.Millisecond, RetryAfter: 300 * time.Millisecond, AttemptFor: time.Second,
+		InstallFor: 500 * time.Millisecond, FoundingPause: 600 * time.Millisecond, FoundingGrace: 3 * time.Second,
+		TransferRate: 4 << 20}
 }
 
 // durable is the part of a member that is on its disk. Its values are never changed in place, so that a copy of the
 // struct is a copy of the whole.
 type durable struct {
-	self      Member
-	founder   bool
-	view      View
-	baseSeq   uint64
-	base      *operator.State
-	seq       uint64
-	state     *operator.State
-	last      *Entry // the newest entry of this epoch
-	promised  Ballot
-	accepted  *Accepted
-	committed uint64
-	agreed    *operator.State // the state at committed
+	self     Member
+	founder  bool
+	view     View
+	base     Position // with which the view's chain begins
+	holds    bool     // the copy has passed through the base
+	copied   Copy
+	promised Ballot
+	accepted *Accepted
 }
 
 // Machine is one member. It is not safe for concurrent use.
@@ -52,6 +50,7 @@
 	durable
 	founders     []string // the addresses whose majority agrees on the first view
 	healthy      bool
+	leaving      bool
 	now          time.Duration
 	started      time.Duration
 	pendingSince time.Duration // when the uncommitted entry came; 0 = before this start
@@ -64,6 +63,7 @@
 	wishSince    time.Duration // since when another view is wanted
 	round        uint64        // the highest round seen for the next epoch
 	queue        []submission
+	transfer     transfer
 }
 
 // peer is what a member knows of another control process.
@@ -74,6 +74,7 @@
 	liveSince   time.Duration // 0 = not reachable
 	confirmedAt time.Duration // when the newest heartbeat was sent that it answered from our epoch, not sealed
 	goneSince   time.Duration
+	slowUntil   time.Duration // it was to take a place and did not store the state in time
 }
 
 type submission struct {
@@ -86,25 +87,11 @@
 	m := &Machine{options: options, healthy: true, now: now, started: now, peers: map[string]*peer{}}
 	m.self, m.founder, m.promised, m.accepted = stored.Self, stored.Founder, stored.Promised, stored.Accepted
 	m.founders = stored.Founders
-	m.base = operator.NewState()
-	if stored.Base != nil {
-		state, err := operator.FromSnapshot(stored.Base.State)
-		if err != nil {
-			return nil, err
-		}
-		m.view, m.baseSeq, m.base = stored.Base.View, stored.Base.Seq, state
+	if stored.View != nil {
+		m.view, m.base = stored.View.View, stored.View.Base
 	}
-	m.seq, m.state, m.committed, m.agreed = m.baseSeq, m.base, m.baseSeq, m.base
-	for i := range stored.Entries {
-		entry := stored.Entries[i]
-		if entry.Epoch != m.view.Epoch || entry.Seq != m.seq+1 {
-			continue
-		}
-		state, err := m.state.Apply(entry.Order)
-		if err != nil {
-			return nil, err
-		}
-		m.seq, m.state, m.last = entry.Seq, state, &entry
+	if err := m.load(&stored); err != nil {
+		return nil, err
 	}
 	m.round = m.promised.Round
 	m.Know(options.Seeds)
@@ -113,6 +100,31 @@
 	return m, nil
 }
 
+// load makes the copy from what is on the disk. Entries that another view has replaced are passed over.
+func (m *Machine) load(stored *Stored) error {
+	copied, err := loadCopy(stored.Snapshot)
+	if err != nil {
+		return err
+	}
+	m.copied = copied
+	m.holds = m.copied.passes(m.base)
+	for i := range stored.Entries {
+		entry := stored.Entries[i]
+		if entry.Seq > m.base.Seq && (entry.Epoch != m.view.Epoch || !m.holds) {
+			break
+		}
+		next, err := m.copied.add(entry)
+		if err != nil { // it follows an entry that was replaced
+			break
+		}
+		m.copied = next
+		if m.copied.newest() == m.base {
+			m.copied, m.holds = m.copied.commit(m.base.Seq), true
+		}
+	}
+	return nil
+}
+
 // Know adds addresses of control processes.
 func (m *Machine) Know(addresses []string) {
 	for _, address := range addresses {
@@ -138,17 +150,24 @@
 func (m *Machine) Healthy() bool { return m.healthy }
 
 // Agreed is the newest state that this member knows to be committed, with its place.
-func (m *Machine) Agreed() (uint64, *operator.State) { return m.committed, m.agreed }
+func (m *Machine) Agreed() (uint64, *operator.State) { return m.copied.committed, m.copied.agreed }
+
+// Copy is this member's copy of the replicated state.
+func (m *Machine) Copy() Copy { return m.copied }
 
 // Status is what this member tells of itself.
 func (m *Machine) Status() Status {
-	return Status{Epoch: m.view.Epoch, Sealed: m.sealed(), Seq: m.seq, Healthy: m.healthy, Core: m.options.Core,
-		Founder: m.founder, Young: m.now-m.started < m.options.SuspectAfter, Live: m.liveAddresses()}
+	return Status{Epoch: m.view.Epoch, Sealed: m.sealed(), Holds: m.view.Epoch > 0 && m.holds, Seq: m.copied.seq,
+		Committed: m.copied.committed, Healthy: m.healthy, Core: m.options.Core, Founder: m.founder, Leaving: m.leaving,
+		Young: m.now-m.started < m.options.SuspectAfter, Live: m.liveAddresses()}
 }
 
 // InChain tells whether this member is in the chain of its view.
 func (m *Machine) InChain() bool { return slices.Contains(m.view.Chain, m.self) }
 
+// follows tells whether this member gets the orders of its view down the chain, rather than by pulling them.
+func (m *Machine) follows() bool { return m.InChain() && m.holds }
+
 func (m *Machine) sealed() bool { return m.promised.Round > 0 }
 
 func (m *Machine) isVoter() bool {
@@ -180,6 +199,7 @@
 func (m *Machine) Rollback(to Durable) {
 	m.durable = to.part
 	m.attempt = nil
+	m.transfer = transfer{}
 	m.healthy = false
 }
 
@@ -203,6 +223,10 @@
 		return m.onPromise(envelope.From, body)
 	case Reject:
 		return m.onReject(body)
+	case Install:
+		return m.onInstall(envelope.From, body)
+	case Installed:
+		return m.onInstalled(envelope.From, body)
 	case Accept:
 		return m.onAccept(envelope.From, body)
 	case AcceptReply:
@@ -213,6 +237,12 @@
 		return m.onAppend(body.Entry)
 	case Committed:
 		return m.onCommitted(body)
+	case Pull:
+		return m.onPull(envelope.From, body)
+	case Orders:
+		return m.onOrders(envelope.From, body)
+	case Piece:
+		return m.onPiece(envelope.From, body)
 	}
 	return Output{}
 }
@@ -227,6 +257,7 @@
 	}
 	out.add(m.resend())
 	out.add(m.reconfigure())
+	out.add(m.pull())
 	return out
 }
 
--- a/internal/fleet/replica/plan.go
+++ b/internal/fleet/replica/plan.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// nearEnough is how many orders a copy may be behind to be brought up within an attempt.
+const nearEnough = 32
+
 // plan gives the view that this member would have, and whether it differs from the present one.
 func (m *Machine) plan() (View, bool) {
 	if m.view.Epoch == 0 {
@@ -20,12 +23,12 @@
 	return next, stuck || !sameSet(voters, m.view.Voters) || !sameSet(chain, m.view.Chain)
 }
 
-// planFounding gives the first view. The founders, that is the seeds, agree on it; its members are all processes that can be
-// voters and are reached: the wanted number of them, or after a while enough to take orders.
+// planFounding gives the first view. The founders, that is the seeds, agree on it; its members are chosen among all
+// processes that can be voters and are reached: the wanted number of them, or after a while enough to take orders.
 func (m *Machine) planFounding() (View, bool) {
-	var voters []Member
+	var candidates []Member
 	if m.options.Core {
-		voters = append(voters, m.self)
+		candidates = append(candidates, m.self)
 	}
 	foundersHere := 1
 	for address, p := range m.peers {
@@ -35,18 +38,19 @@
 		if p.status.Founder && slices.Contains(m.founders, address) {
 			foundersHere++
 		}
-		if p.status.Core {
-			voters = append(voters, p.member)
+		if p.status.Core && m.now >= p.slowUntil {
+			candidates = append(candidates, p.member)
 		}
 	}
-	slices.SortFunc(voters, compareMembers)
+	slices.SortFunc(candidates, compareMembers)
+	voters := m.fillSeats(nil, candidates)
 	view := View{Epoch: 1, Voters: voters, Chain: voters}
 	if len(voters) == 0 || foundersHere < majority(len(m.founders)) {
 		return view, false
 	}
 	waited := m.now - m.started
-	all := foundersHere == len(m.founders) && len(voters) >= m.wantedVoters() && waited > m.options.FoundingPause
-	enough := len(voters) > m.options.Tolerated && waited > m.options.FoundingGrace
+	all := foundersHere == len(m.founders) && len(candidates) >= m.wantedVoters() && waited > m.options.FoundingPause
+	enough := len(candidates) > m.options.Tolerated && waited > m.options.FoundingGrace
 	return view, all || enough
 }
 
@@ -54,7 +58,9 @@
 	return cmp.Or(cmp.Compare(a.Address, b.Address), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
-// wantedVoters is the number of voters of which a majority survives the losses that are tolerated.
+// wantedVoters is the number of voters of which a majority survives the losses that are tolerated. It is odd: one voter
+// more would raise the majority, but not the number of losses that it survives, and would let a cut into halves leave
+// none.
 func (m *Machine) wantedVoters() int { return 2*m.options.Tolerated + 1 }
 
 // leastChain is the least length of a chain: one copy more than may be lost, and long enough to share a member with
@@ -63,55 +69,122 @@
 	return max(min(m.options.Tolerated+1, voters), voters-majority(voters)+1)
 }
 
-// planVoters takes newcomers in and lets voters go that will not come back.
+// planVoters gives a place to members that stand by and takes it from those that leave or are gone. A place changes hands
+// within one view, so that the number of voters stays odd and no vote is held by a member whose successor is in.
 func (m *Machine) planVoters() []Member {
 	voters := slices.Clone(m.view.Voters)
-	for _, joiner := range m.joiners() {
-		if i := slices.IndexFunc(voters, func(v Member) bool { return v.Address == joiner.Address }); i >= 0 {
-			voters[i] = joiner // the disk of the old one is gone
-			continue
+	standby := m.standby()
+	for i, voter := range voters {
+		next := slices.IndexFunc(standby, func(s Member) bool { return s.Address == voter.Address })
+		if next >= 0 { // the disk of the one before is gone
+			voters[i] = standby[next]
+			standby = slices.Delete(standby, next, next+1)
 		}
-		if i := m.longestGone(voters); i >= 0 && len(voters) >= m.wantedVoters() {
-			voters[i] = joiner
-			continue
+	}
+	for i, voter := range voters {
+		if len(standby) == 0 {
+			break
+		}
+		if m.vacant(voter) {
+			next := farthest(slices.Delete(slices.Clone(voters), i, i+1), standby)
+			voters[i] = standby[next]
+			standby = slices.Delete(standby, next, next+1)
 		}
-		voters = append(voters, joiner)
 	}
+	return m.fillSeats(m.dropSurplus(voters), standby)
+}
+
+// dropSurplus takes the vote of those beyond the wanted number: the gone and the leaving first.
+func (m *Machine) dropSurplus(voters []Member) []Member {
 	for len(voters) > m.wantedVoters() {
-		i := m.longestGone(voters)
-		if i < 0 {
-			break
+		surplus := slices.IndexFunc(voters, m.vacant)
+		if surplus < 0 {
+			surplus = len(voters) - 1
 		}
-		voters = slices.Delete(voters, i, i+1)
+		voters = slices.Delete(voters, surplus, surplus+1)
 	}
 	return voters
 }
 
-// joiners are the processes that could vote and do not.
-func (m *Machine) joiners() []Member {
-	var joiners []Member
-	for _, p := range m.peers {
-		if p.status.Core && m.settled(p.member) && m.able(p.member) && !slices.Contains(m.view.Voters, p.member) {
-			joiners = append(joiners, p.member)
+// fillSeats adds candidates up to the wanted number of voters. It leaves the number odd, unless another vote is needed for
+// the copies that must be there.
+func (m *Machine) fillSeats(voters, candidates []Member) []Member {
+	candidates = slices.Clone(candidates)
+	room := min(m.wantedVoters(), len(voters)+len(candidates))
+	if room%2 == 0 && room > m.options.Tolerated+1 {
+		room--
+	}
+	for len(voters) < room {
+		next := farthest(voters, candidates)
+		voters = append(voters, candidates[next])
+		candidates = slices.Delete(candidates, next, next+1)
+	}
+	return voters
+}
+
+// farthest is the place of the candidate whose domain has the fewest of the voters.
+func farthest(voters, candidates []Member) int {
+	best, fewest := 0, len(voters)+1
+	for i, candidate := range candidates {
+		beside := 0
+		for _, voter := range voters {
+			if voter.Domain == candidate.Domain {
+				beside++
+			}
+		}
+		if beside < fewest {
+			best, fewest = i, beside
 		}
 	}
-	slices.SortFunc(joiners, compareMembers)
-	return joiners
+	return best
 }
 
-// longestGone is the place of the voter that has been gone longest, long enough to lose its vote; -1 = none.
-func (m *Machine) longestGone(voters []Member) int {
-	longest := -1
-	for i, voter := range voters {
-		gone := m.goneFor(voter)
-		if gone >= m.options.DropAfter && (longest < 0 || gone > m.goneFor(voters[longest])) {
-			longest = i
+// standby are the processes that could vote, do not, and have caught up.
+func (m *Machine) standby() []Member {
+	var standby []Member
+	for _, p := range m.peers {
+		if p.status.Core && m.settled(p.member) && m.able(p.member) && !m.departing(p.member) && m.caughtUp(p.member) &&
+			!slices.Contains(m.view.Voters, p.member) {
+			standby = append(standby, p.member)
 		}
 	}
-	return longest
+	slices.SortFunc(standby, compareMembers)
+	return standby
+}
+
+// caughtUp tells whether a member has nearly all that is committed, and so can store the rest within an attempt.
+func (m *Machine) caughtUp(member Member) bool {
+	if member == m.self {
+		return m.holds
+	}
+	p := m.peers[member.Address]
+	return p != nil && p.status.Epoch == m.view.Epoch && p.status.Holds && m.now >= p.slowUntil &&
+		p.status.Committed+nearEnough >= m.copied.committed
+}
+
+// departing tells whether a member has said that it is about to end for good.
+func (m *Machine) departing(member Member) bool {
+	if member == m.self {
+		return m.leaving
+	}
+	p := m.peers[member.Address]
+	return p != nil && p.member == member && p.status.Leaving
+}
+
+// vacant tells whether a voter's place may go to another: it leaves, or it does not answer any more.
+func (m *Machine) vacant(voter Member) bool {
+	if m.departing(voter) {
+		return true
+	}
+	p := m.peers[voter.Address]
+	if p != nil && p.answeredAt == 0 && m.now-m.started < 2*m.options.SuspectAfter {
+		return false // this process is too young to expect an answer
+	}
+	return !m.reachable(voter)
 }
 
-// planChain gives the voters that can serve together, those of the present chain first and in their order.
+// planChain gives the voters that can serve together, those of the present chain first and in their order. Members that
+// leave are in it only where there are too few others.
 func (m *Machine) planChain(voters []Member) []Member {
 	order := slices.DeleteFunc(slices.Clone(m.view.Chain), func(v Member) bool { return !slices.Contains(voters, v) })
 	present := len(order)
@@ -120,9 +193,18 @@
 			order = append(order, voter)
 		}
 	}
+	staying := m.fitChain(order, present, func(member Member) bool { return !m.departing(member) })
+	if len(staying) >= m.leastChain(len(voters)) {
+		return staying
+	}
+	return m.fitChain(order, present, func(Member) bool { return true })
+}
+
+// fitChain gives the members that are wanted, able and reach each other. The first of them are in the present chain.
+func (m *Machine) fitChain(order []Member, present int, wanted func(Member) bool) []Member {
 	var chain []Member
 	for i, voter := range order {
-		fit := m.able(voter) && (i < present || m.settled(voter))
+		fit := wanted(voter) && m.able(voter) && (i < present || m.settled(voter) && m.caughtUp(voter))
 		for _, other := range chain {
 			fit = fit && m.see(voter, other)
 		}
--- a/internal/fleet/replica/types.go
+++ b/internal/fleet/replica/types.go
@@ -1,13 +1,15 @@
-// Package replica is the state machine of one member of the control plane. It holds two protocols:
+// Package replica is the state machine of one member of the control plane. It holds three protocols:
 //
-//   - agreement (agreement.go): the view, that is who votes and which of the voters form the chain, is agreed an epoch at
-//     a time by a majority of the voters of the view before, as one decision of Paxos that also carries the replicated
-//     state with which the new chain begins;
+//   - agreement (agreement.go, plan.go): the view, that is who votes, which of the voters form the chain and with which
+//     state the chain begins, is agreed an epoch at a time by a majority of the voters of the view before, as one decision
+//     of Paxos. A view names its state by position and digest; it does not carry it.
 //   - chain replication (chain.go): within an epoch the head takes orders, each member stores an order before it
 //     forwards it, and the tail's copy makes it committed.
+//   - transfer (transfer.go): a member that is behind pulls what it lacks, as orders or as a snapshot in pieces.
 //
 // A voter that has promised the next epoch takes no further entry of the present one. Every chain is long enough to
-// share a member with every majority of voters, so the next view is always made from a copy with all committed orders.
+// share a member with every majority of voters, and a view is put to the vote only once each member of its chain has
+// stored the state with which it begins. So a majority always holds a copy with all committed orders.
 //
 // The package is pure: time comes from outside, what is to be stored and sent is returned, and nothing may be sent
 // before what came with it is stored.
@@ -27,6 +29,7 @@
 type Member struct {
 	Address     string // where it takes internal calls
 	Incarnation uint64
+	Domain      string // what fails together with it: its zone or region
 }
 
 // View is the agreed membership of one epoch.
@@ -65,11 +68,20 @@
 		cmp.Compare(b.Proposer.Incarnation, other.Proposer.Incarnation))
 }
 
-// Proposal is what is agreed for an epoch: the view, and the replicated state with which its chain begins.
+// Position names a state: its place in the sequence of orders, and the digest of the orders that led to it.
+type Position struct {
+	Seq     uint64
+	History operator.Digest
+}
+
+func positionOf(seq uint64, state *operator.State) Position {
+	return Position{Seq: seq, History: state.History()}
+}
+
+// Proposal is what is agreed for an epoch: the view, and the state with which its chain begins.
 type Proposal struct {
-	View  View
-	Seq   uint64
-	State operator.Snapshot
+	View View
+	Base Position
 }
 
 // Accepted is a proposal that a voter accepted.
@@ -80,9 +92,18 @@
 
 // Entry is an order in its place.
 type Entry struct {
-	Epoch uint64
+	Epoch   uint64
+	Seq     uint64
+	Order   operator.Order
+	History operator.Digest // of the state after it
+}
+
+func (e *Entry) position() Position { return Position{Seq: e.Seq, History: e.History} }
+
+// Snapshot is a whole state with its place.
+type Snapshot struct {
 	Seq   uint64
-	Order operator.Order
+	State operator.Snapshot
 }
 
 // Stored is what a member has on its disk.
@@ -90,9 +111,10 @@
 	Self     Member
 	Founder  bool     // it may vote on the first view
 	Founders []string // the addresses that may, as they were when the disk was empty
-	Base     *Proposal
-	Entries  []Entry // of the base's epoch, after its Seq
-	Promised Ballot  // for the epoch after the base's
+	View     *Proposal
+	Snapshot *Snapshot // nil: the state before the first order
+	Entries  []Entry   // after the snapshot
+	Promised Ballot    // for the epoch after the view's
 	Accepted *Accepted
 }
 
@@ -112,14 +134,17 @@
 
 // Status is what a member tells of itself.
 type Status struct {
-	Epoch   uint64
-	Sealed  bool // it has promised the next epoch
-	Seq     uint64
-	Healthy bool // its disk takes writes
-	Core    bool // it can be a voter
-	Founder bool
-	Young   bool     // it has only just started, and may not have heard of all peers yet
-	Live    []string // addresses of the peers that it reaches
+	Epoch     uint64
+	Sealed    bool // it has promised the next epoch
+	Holds     bool // its copy has the state with which the epoch began
+	Seq       uint64
+	Committed uint64
+	Healthy   bool // its disk takes writes
+	Core      bool // it can be a voter
+	Founder   bool
+	Leaving   bool     // it is about to end for good
+	Young     bool     // it has only just started, and may not have heard of all peers yet
+	Live      []string // addresses of the peers that it reaches
 }
 
 // Prepare asks a voter to promise a ballot for an epoch.
@@ -133,9 +158,8 @@
 	Epoch    uint64
 	Ballot   Ballot
 	Accepted *Accepted
-	InChain  bool // the copy below holds every committed order
-	Seq      uint64
-	State    operator.Snapshot
+	Holds    bool // the voter is in the chain, and its copy, which is at Position, has every committed order
+	Position Position
 }
 
 // Reject tells a proposer of a higher ballot.
@@ -144,6 +168,21 @@
 	Promised Ballot
 }
 
+// Install asks a member of a chain that is to be proposed to store the state with which it begins.
+type Install struct {
+	Epoch  uint64
+	Ballot Ballot
+	Base   Position
+	Source Member // has that state
+}
+
+// Installed answers Install once the state is stored.
+type Installed struct {
+	Epoch  uint64
+	Ballot Ballot
+	Base   Position
+}
+
 // Accept asks a voter to accept a proposal.
 type Accept struct {
 	Ballot   Ballot
@@ -168,6 +207,31 @@
 	Seq   uint64
 }
 
+// Pull asks a member for what leads from the sender's copy to a newer state.
+type Pull struct {
+	Have     Position
+	Want     Position // the zero position: the newest committed one
+	Snapshot Position // of which pieces have come
+	Piece    int      // the next one of them
+}
+
+// Orders answers Pull with the entries that follow the position that the sender has.
+type Orders struct {
+	From      Position
+	Entries   []Entry
+	Committed uint64
+}
+
+// Piece answers Pull with a part of an encoded snapshot.
+type Piece struct {
+	Snapshot Position
+	Index    int
+	Count    int
+	Bytes    []byte
+	Sum      [checksumSize]byte // of Bytes
+	Whole    [checksumSize]byte // of the encoded snapshot
+}
+
 // Message is one of the messages above.
 type Message any
 
@@ -178,7 +242,7 @@
 	Body Message
 }
 
-// SaveIdentity, SavePromise, SaveAccepted, SaveView and SaveEntry are what is to be stored, in order.
+// The records are what is to be stored, in order.
 type (
 	// SaveIdentity stores who the member is.
 	SaveIdentity struct {
@@ -193,10 +257,12 @@
 	}
 	// SaveAccepted stores the proposal accepted for the next epoch.
 	SaveAccepted struct{ Accepted Accepted }
-	// SaveView stores an agreed view with its state, and drops promise, accepted proposal and entries of before.
+	// SaveView stores an agreed view, and drops promise and accepted proposal of before.
 	SaveView struct{ Proposal Proposal }
-	// SaveEntry stores one entry.
+	// SaveEntry stores one entry, in place of any that has its place or a later one.
 	SaveEntry struct{ Entry Entry }
+	// SaveSnapshot stores a whole state, in place of the snapshot and the entries of before.
+	SaveSnapshot struct{ Snapshot Snapshot }
 )
 
 // Record is one of the records above.
@@ -238,8 +304,8 @@
 
 // RegisterMessages makes the messages known to gob, before the first one is sent or read.
 func RegisterMessages() {
-	for _, message := range []Message{Heartbeat{}, HeartbeatReply{}, Prepare{}, Promise{}, Reject{}, Accept{}, AcceptReply{},
-		Decided{}, Append{}, Committed{}} {
+	for _, message := range []Message{Heartbeat{}, HeartbeatReply{}, Prepare{}, Promise{}, Reject{}, Install{}, Installed{},
+		Accept{}, AcceptReply{}, Decided{}, Append{}, Committed{}, Pull{}, Orders{}, Piece{}} {
 		gob.Register(message)
 	}
 }
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -73,11 +73,25 @@
 	MaxFds       int
 	DataDir      string
 	Heartbeat    time.Duration
+	LinkMbps     float64
 	Machines     int // machines that may be lost at once
+	ZonesLost    int // zones that may be lost at once
+	RegionsLost  int // regions that may be lost at once
 	Bounds       Bounds
 	File         string
 }
 
+// Tolerated is the number of voters, each in a domain of its own, that may be lost at once.
+func (s *Settings) Tolerated() int { return max(s.Machines, s.ZonesLost, s.RegionsLost) }
+
+// Domain names what fails together with this machine: its region where regions may be lost, else its zone.
+func (s *Settings) Domain() string {
+	if s.RegionsLost > 0 {
+		return s.Region
+	}
+	return s.Zone
+}
+
 // Path is the settings file that the environment names.
 func Path() string {
 	if path := os.Getenv(Variable); path != "" {
@@ -126,7 +140,12 @@
 		MaxFds:    int(r.number("Limits.MaxFds", 1024)),
 		DataDir:   r.text("DataDir", ""),
 		Heartbeat: r.milliseconds("HeartbeatMs", 1000),
+		LinkMbps:  r.number("Limits.LinkMbps", 0),
 		Machines:  int(r.number("FaultTolerance.Machines", 0)),
+
+		ZonesLost:   int(r.number("FaultTolerance.Zones", 0)),
+		RegionsLost: int(r.number("FaultTolerance.Regions", 0)),
+
 		Bounds: Bounds{
 			Contact:          r.milliseconds("Bounds.ContactMs", 3000),
 			Ack:              r.milliseconds("Bounds.AckMs", 4000),
--- a/internal/fleet/storage/records.go
+++ b/internal/fleet/storage/records.go
@@ -31,8 +31,10 @@
 		return keyAccepted, record.Accepted
 	case replica.SaveView:
 		return keyView, record.Proposal
+	case replica.SaveSnapshot:
+		return keySnapshot, record.Snapshot
 	case replica.SaveEntry:
-		return fmt.Sprintf("%s%020d", keyEntry, record.Entry.Seq), record.Entry
+		return entryKey(record.Entry.Seq), record.Entry
 	}
 	panic(fmt.Sprintf("storage: record %T", record))
 }
@@ -47,21 +49,28 @@
 	case replica.SaveAccepted:
 		held.Accepted = &record.Accepted
 	case replica.SaveView:
-		held.Base = &record.Proposal
-		held.Entries, held.Promised, held.Accepted = nil, replica.Ballot{}, nil
+		held.View = &record.Proposal
+		held.Promised, held.Accepted = replica.Ballot{}, nil
+	case replica.SaveSnapshot:
+		held.Snapshot, held.Entries = &record.Snapshot, nil
 	case replica.SaveEntry:
-		held.Entries = append(slices.Clone(held.Entries), record.Entry)
+		held.Entries = append(beforeSeq(held.Entries, record.Entry.Seq), record.Entry)
 	}
 }
 
+// beforeSeq gives a copy of the entries that come before a place.
+func beforeSeq(entries []replica.Entry, seq uint64) []replica.Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e replica.Entry) bool { return e.Seq >= seq })
+}
+
 // records gives what is held as records.
 func records(held *replica.Stored) []replica.Record {
 	var all []replica.Record
 	if held.Self.Address != "" {
 		all = append(all, replica.SaveIdentity{Self: held.Self, Founder: held.Founder, Founders: held.Founders})
 	}
-	if held.Base != nil {
-		all = append(all, replica.SaveView{Proposal: *held.Base})
+	if held.View != nil {
+		all = append(all, replica.SaveView{Proposal: *held.View})
 	}
 	if held.Promised.Round > 0 {
 		all = append(all, replica.SavePromise{Epoch: nextEpoch(held), Ballot: held.Promised})
@@ -69,6 +78,9 @@
 	if held.Accepted != nil {
 		all = append(all, replica.SaveAccepted{Accepted: *held.Accepted})
 	}
+	if held.Snapshot != nil {
+		all = append(all, replica.SaveSnapshot{Snapshot: *held.Snapshot})
+	}
 	for _, entry := range held.Entries {
 		all = append(all, replica.SaveEntry{Entry: entry})
 	}
@@ -76,10 +88,10 @@
 }
 
 func nextEpoch(held *replica.Stored) uint64 {
-	if held.Base == nil {
+	if held.View == nil {
 		return 1
 	}
-	return held.Base.View.Epoch + 1
+	return held.View.View.Epoch + 1
 }
 
 // decodeAll gives what the values of a generation hold. Records of earlier epochs are void.
@@ -90,11 +102,8 @@
 		return held, err
 	}
 	held.Self, held.Founder, held.Founders = who.Self, who.Founder, who.Founders
-	if _, present := values[keyView]; present {
-		held.Base = &replica.Proposal{}
-		if err := decode(values, keyView, held.Base); err != nil {
-			return held, err
-		}
+	if err := decodeView(values, &held); err != nil {
+		return held, err
 	}
 	if err := decodeVote(values, &held); err != nil {
 		return held, err
@@ -102,6 +111,23 @@
 	return held, decodeEntries(values, &held)
 }
 
+func decodeView(values map[string][]byte, held *replica.Stored) error {
+	if _, present := values[keyEarlierView]; present {
+		return errEarlierFormat
+	}
+	if _, present := values[keyView]; present {
+		held.View = &replica.Proposal{}
+		if err := decode(values, keyView, held.View); err != nil {
+			return err
+		}
+	}
+	if _, present := values[keySnapshot]; present {
+		held.Snapshot = &replica.Snapshot{}
+		return decode(values, keySnapshot, held.Snapshot)
+	}
+	return nil
+}
+
 func decodeVote(values map[string][]byte, held *replica.Stored) error {
 	var promise replica.SavePromise
 	var accepted replica.Accepted
@@ -118,26 +144,31 @@
 	return nil
 }
 
+// decodeEntries gives the entries after the snapshot, up to the first one that does not follow: it is of an epoch that ended
+// before it was committed, and was replaced. The replica looks at the digests too.
 func decodeEntries(values map[string][]byte, held *replica.Stored) error {
-	if held.Base == nil {
-		return nil
+	seq := uint64(1)
+	if held.Snapshot != nil {
+		seq = held.Snapshot.Seq + 1
 	}
-	for seq := held.Base.Seq + 1; ; seq++ {
+	for ; ; seq++ {
 		var entry replica.Entry
-		key := fmt.Sprintf("%s%020d", keyEntry, seq)
+		key := entryKey(seq)
 		if _, present := values[key]; !present {
 			return nil
 		}
 		if err := decode(values, key, &entry); err != nil {
 			return err
 		}
-		if entry.Epoch != held.Base.View.Epoch {
+		if held.View == nil || entry.Seq > held.View.Base.Seq && entry.Epoch != held.View.View.Epoch {
 			return nil
 		}
 		held.Entries = append(held.Entries, entry)
 	}
 }
 
+func entryKey(seq uint64) string { return fmt.Sprintf("%s%020d", keyEntry, seq) }
+
 func encode(key string, value any) (string, error) {
 	var buffer bytes.Buffer
 	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
--- a/internal/fleet/storage/storage.go
+++ b/internal/fleet/storage/storage.go
@@ -31,11 +31,18 @@
 	keyIdentity = "identity"
 	keyPromise  = "promise"
 	keyAccepted = "accepted"
-	keyView     = "view"
+	keyView     = "agreed-view"
+	keySnapshot = "snapshot"
 	keyComplete = "complete" // the last one that a compaction writes
 	keyEntry    = "entry/"
+
+	keyEarlierView = "view" // of the format in which a view carried the state
 )
 
+// errEarlierFormat says that a disk was written before views and states were kept apart.
+var errEarlierFormat = errors.New(`key view: written by an earlier version; read the configuration back from the fleet in service, ` +
+	`start the new one on empty disks and send it the configuration`)
+
 // Store is one process's disk. It is not safe for concurrent use.
 type Store struct {
 	dir        string
@@ -74,8 +81,10 @@
 		if _, complete := values[keyComplete]; !complete {
 			continue
 		}
-		s.held, err = decodeAll(values)
-		return err
+		if s.held, err = decodeAll(values); err != nil {
+			return fmt.Errorf("storage: %s: %w", s.path(generation), err)
+		}
+		return nil
 	}
 	return nil
 }
@@ -241,12 +250,12 @@
 	return nil
 }
 
-// fold applies all entries but the newest to the base. That there is a newer one shows that they are committed.
+// fold applies all entries but the newest to the snapshot. That there is a newer one shows that they are committed.
 func fold(held *replica.Stored) error {
 	if len(held.Entries) <= mostEntries {
 		return nil
 	}
-	state, err := operator.FromSnapshot(held.Base.State)
+	state, err := snapshotState(held.Snapshot)
 	if err != nil {
 		return fmt.Errorf("storage: %w", err)
 	}
@@ -256,11 +265,18 @@
 			return fmt.Errorf("storage: entry %d: %w", entry.Seq, err)
 		}
 	}
-	held.Base = &replica.Proposal{View: held.Base.View, Seq: held.Entries[last-1].Seq, State: state.Snapshot()}
+	held.Snapshot = &replica.Snapshot{Seq: held.Entries[last-1].Seq, State: state.Snapshot()}
 	held.Entries = slices.Clone(held.Entries[last:])
 	return nil
 }
 
+func snapshotState(snapshot *replica.Snapshot) (*operator.State, error) {
+	if snapshot == nil {
+		return operator.NewState(), nil
+	}
+	return operator.FromSnapshot(snapshot.State)
+}
+
 func (s *Store) syncFolder() error {
 	folder, err := os.Open(s.dir)
 	if err != nil {
