--- a/internal/fleet/controlnode/confirmations.go
+++ b/internal/fleet/controlnode/confirmations.go
@@ -50,6 +50,8 @@
 	r.pending.refusals = nil
 	for _, one := range waiting {
 		switch {
+		case r.machine.View().Epoch != one.reply.Epoch: // it was made on a state that may have been an older one
+			r.end(replica.Reply{ID: one.reply.ID, Err: faults.New(faults.Undecided, "the view changed meanwhile")})
 		case confirmed > one.since:
 			one.reply.Unconfirmed = false
 			r.end(one.reply)
--- a/internal/fleet/controlnode/gossip.go
+++ b/internal/fleet/controlnode/gossip.go
@@ -13,7 +13,6 @@
 const (
 	gossipEvery  = 400 * time.Millisecond
 	gossipWait   = 350 * time.Millisecond
-	spreadWait   = 300 * time.Millisecond // that a rater's news waits for the other copies before it is acknowledged
 	callerLife   = 3 * time.Second
 	methodGossip = "Registry.Exchange"
 )
@@ -45,11 +44,18 @@
 	since  map[string]uint64
 	calls  map[string]time.Duration // when another process last called
 	silent string                   // the raters that were last logged as not heard
+	begun  time.Duration            // when this process began to exchange
+
+	// exchanged is when the newest exchange began that another process answered: what that process had then is here too.
+	exchanged map[string]time.Duration
+	spreading map[string]bool // the processes to which an exchange of the ordinary round is under way
+	told      map[string]bool // the raters whose leaving was acknowledged
 }
 
 func newGossiper(n *Node) *gossiper {
 	g := &gossiper{node: n, zone: map[string]string{}, owner: map[string]uint64{}, since: map[string]uint64{},
-		calls: map[string]time.Duration{}}
+		calls: map[string]time.Duration{}, exchanged: map[string]time.Duration{}, spreading: map[string]bool{}, told: map[string]bool{},
+		begun: n.now()}
 	g.zone[n.settings.SelfInternal()] = n.settings.Zone
 	return g
 }
@@ -112,8 +118,31 @@
 	n.expireSessions()
 	n.mu.Unlock()
 	for _, address := range g.others() {
-		go g.exchange(address, fresh, gossipWait)
+		if g.enter(address) {
+			go func() {
+				defer g.exit(address)
+				g.exchange(address, fresh, gossipWait)
+			}()
+		}
 	}
+	g.forgetTold()
+}
+
+// enter notes that an exchange of the ordinary round is under way; false: the one before has not ended.
+func (g *gossiper) enter(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.spreading[address] {
+		return false
+	}
+	g.spreading[address] = true
+	return true
+}
+
+func (g *gossiper) exit(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.spreading, address)
 }
 
 // logSilent logs which raters have been silent for long, when they are others than before. The lock is held.
@@ -134,41 +163,24 @@
 	}
 }
 
-// spread hands records to all other copies and waits for those that answer soon.
-func (g *gossiper) spread(records []registry.Record) {
-	others := g.others()
-	done := make(chan struct{}, len(others))
-	for _, address := range others {
-		go func() {
-			g.exchange(address, records, spreadWait)
-			done <- struct{}{}
-		}()
-	}
-	deadline := time.NewTimer(spreadWait)
-	defer deadline.Stop()
-	for range others {
-		select {
-		case <-done:
-		case <-deadline.C:
-			return
-		}
-	}
-}
-
-func (g *gossiper) exchange(address string, records []registry.Record, wait time.Duration) {
+// exchange hands records to another process and takes its news; it tells whether that answered.
+func (g *gossiper) exchange(address string, records []registry.Record, wait time.Duration) bool {
 	n := g.node
+	began := n.now()
 	g.mu.Lock()
 	request := ExchangeRequest{Address: n.settings.SelfInternal(), Zone: n.settings.Zone, Records: records,
 		Owner: g.owner[address], Since: g.since[address]}
 	g.mu.Unlock()
 	var reply ExchangeReply
 	if err := n.pool.Call(address, methodGossip, &request, &reply, wait); err != nil {
-		return
+		return false
 	}
+	n.merge(reply.Records)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.zone[address], g.owner[address], g.since[address] = reply.Zone, reply.Owner, reply.Version
-	g.mu.Unlock()
-	n.merge(reply.Records)
+	g.exchanged[address] = max(g.exchanged[address], began)
+	return true
 }
 
 // answer answers another copy's exchange.
--- a/internal/fleet/controlnode/http.go
+++ b/internal/fleet/controlnode/http.go
@@ -145,7 +145,7 @@
 	return reply.Document, nil
 }
 
-// heartbeat takes a rater's heartbeat. What is news is on every other copy that answers before it is acknowledged.
+// heartbeat takes a rater's heartbeat. That a rater leaves is acknowledged only once the rest of the control plane knows it.
 func (n *Node) heartbeat(w http.ResponseWriter, r *http.Request) {
 	record, err := readHeartbeat(chi.URLParam(r, "id"), io.LimitReader(r.Body, heartbeatMax))
 	if err != nil {
@@ -155,8 +155,7 @@
 	n.mu.Lock()
 	news := n.raters.Heartbeat(n.now(), record)
 	n.mu.Unlock()
-	n.tell(news, record.ID)
-	answerJSON(w, http.StatusOK, struct{}{})
+	n.answerRater(w, news, record.ID)
 }
 
 func (n *Node) instanceLeaves(w http.ResponseWriter, r *http.Request) {
@@ -164,22 +163,31 @@
 	n.mu.Lock()
 	news := n.raters.Leave(n.now(), id)
 	n.mu.Unlock()
-	n.tell(news, id)
-	answerJSON(w, http.StatusOK, struct{}{})
+	n.answerRater(w, news, id)
 }
 
-// tell spreads the news of one rater.
-func (n *Node) tell(news bool, id string) {
-	if !news {
-		return
-	}
+// answerRater acknowledges what a rater told of itself.
+func (n *Node) answerRater(w http.ResponseWriter, news bool, id string) {
 	n.mu.Lock()
-	n.announce()
+	if news {
+		n.announce()
+	}
 	record, known := n.raters.One(n.now(), id)
 	n.mu.Unlock()
-	if known {
-		n.peers.spread([]registry.Record{record})
+	var err error
+	switch {
+	case !known:
+	case record.State != registry.Ready:
+		err = n.peers.spreadLeaving(record)
+	case news:
+		n.peers.exchangeAll(n.peers.others(), []registry.Record{record})
 	}
+	if err != nil {
+		n.log.Info("leaving not acknowledged", "rater", id, "err", err)
+		answerError(w, err)
+		return
+	}
+	answerJSON(w, http.StatusOK, struct{}{})
 }
 
 var heartbeatReading = protojson.UnmarshalOptions{DiscardUnknown: true}
--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -143,6 +143,9 @@
 			}
 			r.outbox.post(envelope)
 		}
+		if len(out.Replies) > 0 {
+			r.publish() // who hears that an order was taken finds it here
+		}
 		for _, reply := range out.Replies {
 			r.end(reply)
 		}
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -120,6 +120,7 @@
 	if reply.Confirmed && published.Seq > request.ConfigSeq {
 		n.fillConfig(&published, request, reply)
 	}
+	reply.ListConfirmed, reply.ListConfirmedAgo = n.listAge(&published, now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sessions[request.Session] = now
@@ -135,6 +136,12 @@
 	reply.Records = n.raters.Since(now, since)
 }
 
+// listAge tells how long ago this process's list of raters was certainly whole.
+func (n *Node) listAge(published *Published, now time.Duration) (confirmed bool, ago time.Duration) {
+	at := n.peers.listConfirmed(&published.View, published.Self)
+	return at > 0, max(0, now-at)
+}
+
 // fillConfig writes what leads to the newest configuration.
 func (n *Node) fillConfig(published *Published, request *distribution.PollRequest, reply *distribution.PollReply) {
 	update, err := n.updates.get(published, request.ConfigSeq)
--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -26,6 +26,7 @@
 )
 
 var errStale = errors.New("the control process cannot confirm its view")
+var errStaleList = errors.New("the control process cannot confirm its list of raters")
 var errLeaving = errors.New("the control process is about to end")
 
 // follower keeps the node's copy of what the control plane gives out.
@@ -170,6 +171,8 @@
 		return errLeaving
 	case !reply.Confirmed || reply.ConfirmedAgo > staleAfter:
 		return errStale
+	case !reply.ListConfirmed || reply.ListConfirmedAgo > distribution.StaleList:
+		return errStaleList
 	}
 	return nil
 }
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -39,6 +39,7 @@
 	figures   *proxy.Figures
 	active    atomic.Int64 // requests under way
 	stopping  atomic.Bool
+	cutAt     atomic.Int64 // when the process ends what is still under way
 	closing   atomic.Bool
 }
 
@@ -130,16 +131,14 @@
 	}
 }
 
-// idleSlack lengthens the time after which idle clients are closed, beyond what they were promised.
-const idleSlack = 1.25
-
 func (n *Node) server() *http.Server {
 	handler := &proxy.Handler{Config: n, Placer: n.placer, Rooms: n.rooms, Retries: n.retries, Raters: rater.NewClient(),
-		Figures: n.figures, Log: n.log, Closing: n.wantsClosed}
+		Figures: n.figures, Log: n.log, Closing: n.wantsClosed, TimeLeft: n.timeLeft}
 	limits := n.Table().Limits
-	return &http.Server{Handler: n.counted(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout,
-		IdleTimeout: time.Duration(idleSlack * float64(limits.IdleTimeout)), MaxHeaderBytes: limits.HeaderBytes,
-		ErrorLog: n.log.StandardLog()}
+	idle := newIdleConnections(func() time.Duration { return n.Table().Limits.IdleTimeout })
+	go idle.run()
+	return &http.Server{Handler: n.counted(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout, IdleTimeout: -1,
+		ConnState: idle.note, MaxHeaderBytes: limits.HeaderBytes, ErrorLog: n.log.StandardLog()}
 }
 
 func (n *Node) counted(handler http.Handler) http.Handler {
@@ -198,8 +197,14 @@
 	beforeKill  = 400 * time.Millisecond
 )
 
+// timeLeft tells how long what is under way may still take before it is cut.
+func (n *Node) timeLeft() (left time.Duration, ending bool) {
+	return time.Duration(n.cutAt.Load()) - n.now(), n.stopping.Load()
+}
+
 func (n *Node) stop(server *http.Server) error {
 	begin := time.Now()
+	n.cutAt.Store(int64(n.now() + n.settings.Bounds.Grace - beforeKill))
 	n.stopping.Store(true)
 	n.log.Info("stopping", "active", n.active.Load())
 	notice := min(noticeFor, n.settings.Bounds.Grace/2)
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -36,6 +36,11 @@
 	ConfigSeq uint64
 	Update    Update // what leads from the asked configuration to this one
 
+	// ListConfirmed tells that the list of raters held everything that was acknowledged ListConfirmedAgo before this answer was
+	// written.
+	ListConfirmed    bool
+	ListConfirmedAgo time.Duration
+
 	RegistryOwner   uint64
 	RegistryVersion uint64
 	RegistryAge     time.Duration // since that copy was begun
@@ -89,6 +94,9 @@
 	return document, nil, err
 }
 
+// StaleList is the age of a list of raters from which on a node turns to another control process.
+const StaleList = 1200 * time.Millisecond
+
 // MethodAnnounce is the method by which a node tells of long prompts, MethodRelay that by which control processes hand it on.
 const (
 	MethodAnnounce = "Distribution.Announce"
--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -201,8 +202,10 @@
 }
 
 func dropHopHeaders(header http.Header) {
-	for _, name := range header.Values("Connection") {
-		header.Del(name)
+	for _, list := range header.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopHeaders {
 		header.Del(name)
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -59,6 +59,10 @@
 	Figures *Figures
 	Log     *log.Logger
 	Closing func() bool // the process is about to end: connections are not to be kept
+	// TimeLeft tells how long what is under way may still take, where the process is about to end.
+	TimeLeft func() (left time.Duration, ending bool)
+
+	streams durations
 }
 
 // call is the state of one request.
@@ -106,6 +110,9 @@
 	if err := c.authenticate(table); err != nil {
 		return err
 	}
+	if c.wouldBeCut() {
+		return faults.New(faults.ShuttingDown, "")
+	}
 	c.setDeadline()
 	if err := c.readBody(table.Limits.BodyBytes); err != nil {
 		return err
@@ -115,6 +122,15 @@
 	return c.spend(table)
 }
 
+// wouldBeCut tells whether the process ends before the answer may be expected to: another node can give the whole of it.
+func (c *call) wouldBeCut() bool {
+	if c.route.Type != operator.Streaming || c.handler.TimeLeft == nil {
+		return false
+	}
+	left, ending := c.handler.TimeLeft()
+	return ending && c.handler.streams.expect(c.route.Name) > left
+}
+
 // pathOf is the path of a request target as the client wrote it.
 func pathOf(target string) string {
 	if rest, found := strings.CutPrefix(target, "http://"); found {
@@ -209,6 +225,9 @@
 	c.refund()
 	answer := kind.Answer()
 	header := c.writer.Header()
+	if kind == faults.ShuttingDown {
+		header.Set("Connection", "close")
+	}
 	if answer.NotRun && header.Get("Retry-After") == "" {
 		header.Set("Retry-After", retryAfter(c.comeBack()))
 	}
--- a/internal/fleet/rater/connection.go
+++ b/internal/fleet/rater/connection.go
@@ -30,6 +30,7 @@
 	net.Conn
 	reader   *bufio.Reader
 	address  string
+	used     bool      // a request was sent on it
 	useUntil time.Time // the rater may close it after that
 }
 
--- a/internal/fleet/rater/exchange.go
+++ b/internal/fleet/rater/exchange.go
@@ -30,26 +30,6 @@
 	HeaderKey      = "Api-Key"
 )
 
-// Fate is what is known of a request that brought no answer.
-type Fate uint8
-
-// The fates.
-const (
-	NotSent    Fate = iota // no connection was made, or nothing was written
-	MayHaveRun             // some of it was written
-	Garbled                // bytes came that are not an answer to it
-)
-
-// Error is an exchange without an answer.
-type Error struct {
-	Fate Fate
-	Err  error
-}
-
-func (e *Error) Error() string { return fmt.Sprintf("rater: %v", e.Err) }
-
-func (e *Error) Unwrap() error { return e.Err }
-
 // Request is what is sent to a rater.
 type Request struct {
 	Method string
@@ -78,15 +58,13 @@
 	client     *Client
 	connection *connection
 	body       io.ReadCloser
+	bounded    bool // its end is told by itself, not by the end of the connection
 	reusable   bool
 	keepAlive  string
 	whole      bool
 	stop       func() bool
 }
 
-// mostStray bounds the answers of earlier requests that are passed over on a connection.
-const mostStray = 4
-
 // Do sends a request and reads the head of its answer. The connection is closed when the context ends.
 func (c *Client) Do(ctx context.Context, address string, request *Request) (*Answer, error) {
 	conn := c.pool.take(address)
@@ -115,38 +93,42 @@
 	return time.Now().Add(dialTimeout)
 }
 
+// exchange sends a request and reads the head of its answer.
 func (c *connection) exchange(request *Request) (*Answer, error) {
 	message := request.encode()
-	if written, err := c.Write(message); err != nil {
-		if written == 0 {
-			return nil, &Error{NotSent, err}
-		}
-		return nil, &Error{MayHaveRun, err}
+	judge := exchangeJudge{fresh: !c.used, id: request.Header.Get(HeaderAttempt), size: len(message)}
+	c.used = true
+	written, err := c.Write(message)
+	judge.wrote(written)
+	if err != nil {
+		return nil, judge.broken(err)
 	}
-	for range mostStray {
-		answer, err := c.readHead(request.Method)
+	for {
+		answer, err := c.readHead(request.Method, &judge)
 		if err != nil {
 			return nil, err
 		}
-		if answer.belongsTo(request) {
+		switch judge.head(answer.Status, answer.Header.Get(HeaderAttempt), answer.bounded) {
+		case ownAnswer:
 			return answer, nil
+		case unknownAnswer:
+			return nil, &Error{Garbled, errNotAttributable}
 		}
 		if _, err := io.Copy(io.Discard, answer.body); err != nil {
-			return nil, &Error{Garbled, err}
+			return nil, judge.broken(err)
 		}
 	}
-	return nil, &Error{Garbled, errors.New("answers to other requests")}
 }
 
-func (c *connection) readHead(method string) (*Answer, error) {
+func (c *connection) readHead(method string, judge *exchangeJudge) (*Answer, error) {
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, &Error{MayHaveRun, err}
+		return nil, judge.broken(err)
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		var failed net.Error
 		if errors.As(err, &failed) || errors.Is(err, io.ErrUnexpectedEOF) {
-			return nil, &Error{MayHaveRun, err}
+			return nil, judge.broken(err)
 		}
 		return nil, &Error{Garbled, err}
 	}
@@ -155,17 +137,11 @@
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Load: parseLoad(response.Header.Get(HeaderLoad)),
 		Length: response.ContentLength, connection: c, body: response.Body, keepAlive: response.Header.Get("Keep-Alive")}
-	bounded := response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
-	answer.reusable = bounded && !response.Close
+	answer.bounded = response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")
+	answer.reusable = answer.bounded && !response.Close
 	return answer, nil
 }
 
-// belongsTo tells whether an answer is that to a request: raters repeat its id. A refusal may come without one.
-func (a *Answer) belongsTo(request *Request) bool {
-	id := a.Header.Get(HeaderAttempt)
-	return id == request.Header.Get(HeaderAttempt) || id == "" && a.Status >= http.StatusBadRequest
-}
-
 // NotRun tells whether the rater says that it did not run the request.
 func (a *Answer) NotRun() bool {
 	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(HeaderNotRun) != ""
--- /dev/null
+++ b/internal/fleet/rater/exchange_test.go
@@ -0,0 +1,265 @@
+package rater
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// script is what a stand-in rater does with the requests of one connection, one after the other.
+type script func(t *testing.T, conn net.Conn, next func() *http.Request)
+
+// listen starts a rater that plays a script on each connection, the first one on the first, and so on.
+func listen(t *testing.T, scripts ...script) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for _, play := range scripts {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				play(t, conn, func() *http.Request {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return nil
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					return request
+				})
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerText(id string, status int, fields, body string) string {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s", status, len(body), fields)
+	if id != "" {
+		text += "Attempt-Id: " + id + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+func requestOf(id string) *Request {
+	return &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{HeaderAttempt: {id}}, Body: []byte("body")}
+}
+
+// ask sends a request and gives status, body and whether the rater says that it has not run.
+func ask(client *Client, address, id string) (status int, body string, notRun bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := client.Do(ctx, address, requestOf(id))
+	if err != nil {
+		return 0, "", false, err
+	}
+	defer answer.Close()
+	content, err := io.ReadAll(answer)
+	return answer.Status, string(content), answer.NotRun(), err
+}
+
+func fateOf(t *testing.T, err error) Fate {
+	t.Helper()
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	return failed.Fate
+}
+
+// hangUp ends a connection with a reset.
+func hangUp(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func TestALateRefusalWithoutAnIDIsNotBelieved(t *testing.T) {
+	between := make(chan struct{})
+	address := listen(t, func(t *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("a", 200, "", "for a"))
+		next() // the second request runs, and then the first one's refusal comes
+		_, _ = io.WriteString(conn, answerText("", 503, "Not-Executed: 1\r\n", ""))
+		<-between
+	})
+	defer close(between)
+	client := NewClient()
+	status, body, _, err := ask(client, address, "a")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "for a", body)
+	_, _, _, err = ask(client, address, "b")
+	require.Equal(t, Garbled, fateOf(t, err), "b may have run")
+}
+
+func TestARefusalWithoutAnIDIsBelievedAsTheFirstThingOnAConnection(t *testing.T) {
+	address := listen(t, func(t *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("", 400, "Not-Executed: 1\r\n", ""))
+		next()
+	})
+	status, _, notRun, err := ask(NewClient(), address, "a")
+	require.NoError(t, err)
+	require.Equal(t, 400, status)
+	require.True(t, notRun)
+}
+
+func TestStrayAnswersArePassedOver(t *testing.T) {
+	address := listen(t, func(t *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("a", 200, "", "for a"))
+		next()
+		_, _ = io.WriteString(conn, answerText("a", 200, "", "for a, once more")+answerText("a", 503, "Not-Executed: 1\r\n", "")+
+			answerText("b", 200, "", "for b"))
+		next()
+	})
+	client := NewClient()
+	_, _, _, err := ask(client, address, "a")
+	require.NoError(t, err)
+	status, body, notRun, err := ask(client, address, "b")
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	require.Equal(t, "for b", body)
+	require.False(t, notRun)
+}
+
+func TestAConnectionOnWhichMoreHasComeIsNotUsedAgain(t *testing.T) {
+	address := listen(t, func(t *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("a", 200, "", "for a")+answerText("a", 200, "", "once more"))
+		require.Nil(t, next(), "no second request comes here")
+	}, func(t *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("b", 200, "", "for b"))
+		next()
+	})
+	client := NewClient()
+	_, _, _, err := ask(client, address, "a")
+	require.NoError(t, err)
+	_, body, _, err := ask(client, address, "b")
+	require.NoError(t, err)
+	require.Equal(t, "for b", body)
+}
+
+func TestWhatIsKnownWhenTheConnectionEnds(t *testing.T) {
+	for name, play := range map[string]script{
+		"reset before the first byte": func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			hangUp(conn)
+		},
+		"closed before the first byte": func(_ *testing.T, _ net.Conn, next func() *http.Request) { next() },
+		"reset in the head": func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nNot-Exec")
+			time.Sleep(20 * time.Millisecond)
+			hangUp(conn)
+		},
+		"no answer in the protocol": func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, "this is no answer\r\n\r\n")
+		},
+		"an answer to another request that ends with the connection": func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nAttempt-Id: z\r\n\r\nfor z")
+		},
+		"a success without an id": func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, answerText("", 200, "", "whose?"))
+			next()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, _, _, err := ask(NewClient(), listen(t, play), "a")
+			require.NotEqual(t, NotSent, fateOf(t, err))
+		})
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, _, _, err = ask(NewClient(), closed, "a")
+	require.Equal(t, NotSent, fateOf(t, err), "refused")
+}
+
+func TestHalfAnAnswerIsNotWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"with a length":  "HTTP/1.1 200 X\r\nAttempt-Id: a\r\nContent-Length: 100\r\n\r\nhalf",
+		"in chunks":      "HTTP/1.1 200 X\r\nAttempt-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"without either": "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n\r\nhalf",
+	} {
+		address := listen(t, func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+			next()
+			_, _ = io.WriteString(conn, text)
+			time.Sleep(30 * time.Millisecond)
+			hangUp(conn)
+		})
+		_, _, _, err := ask(NewClient(), address, "a")
+		require.Error(t, err, name)
+	}
+}
+
+func TestACancelledExchangeLeavesNoConnectionBehind(t *testing.T) {
+	arrived := make(chan struct{})
+	address := listen(t, func(t *testing.T, _ net.Conn, next func() *http.Request) {
+		next()
+		close(arrived)
+		require.Nil(t, next(), "the connection ends with its request")
+	}, func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, answerText("b", 200, "", "for b"))
+		next()
+	})
+	client := NewClient()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := client.Do(ctx, address, requestOf("a"))
+	require.Equal(t, MayHaveRun, fateOf(t, err))
+	_, body, _, err := ask(client, address, "b")
+	require.NoError(t, err)
+	require.Equal(t, "for b", body)
+}
+
+func TestALongBodyIsSentWholeAlsoToOneThatAnswersEarly(t *testing.T) {
+	got := make(chan string, 1)
+	address := listen(t, func(_ *testing.T, conn net.Conn, _ func() *http.Request) {
+		head := make([]byte, 64)
+		_, _ = io.ReadFull(conn, head)
+		_, _ = io.WriteString(conn, answerText("a", 503, "Not-Executed: 1\r\n", ""))
+		time.Sleep(50 * time.Millisecond)
+		var rest strings.Builder
+		_ = conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, _ = io.Copy(&rest, conn)
+		got <- string(head) + rest.String()
+	})
+	request := requestOf("a")
+	request.Body = []byte(strings.Repeat("long ", 1<<18))
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := NewClient().Do(ctx, address, request)
+	require.NoError(t, err)
+	require.True(t, answer.NotRun())
+	_, _ = io.Copy(io.Discard, answer)
+	answer.Close()
+	sent := <-got
+	require.True(t, strings.HasSuffix(sent, string(request.Body)), "nothing else stands where the rest of the body is due")
+}
+
+func TestErrorsTellTheirCause(t *testing.T) {
+	cause := errors.New("cause")
+	require.ErrorIs(t, &Error{MayHaveRun, cause}, cause)
+}
--- /dev/null
+++ b/internal/fleet/rater/judge.go
@@ -0,0 +1,90 @@
+package rater
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Fate is what is known of a request that brought no answer.
+type Fate uint8
+
+// The fates.
+const (
+	NotSent    Fate = iota // no connection was made, or nothing was written
+	MayHaveRun             // some of it was written
+	Garbled                // bytes came that are not an answer to it
+)
+
+// Error is an exchange without an answer.
+type Error struct {
+	Fate Fate
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("rater: %v", e.Err) }
+
+func (e *Error) Unwrap() error { return e.Err }
+
+// errNotAttributable says that an answer came that may be to this request or to an earlier one.
+var errNotAttributable = errors.New("an answer that may be to another request")
+
+// mostStray bounds the answers of earlier requests that are passed over on a connection.
+const mostStray = 4
+
+// attribution is to which request an answer belongs.
+type attribution uint8
+
+const (
+	ownAnswer     attribution = iota
+	strayAnswer               // to an earlier request on the connection: it is passed over
+	unknownAnswer             // nobody can tell: the request may have run
+)
+
+// exchangeJudge decides what each event in the life of one request on a connection proves. It is pure.
+//
+//	event                                               conclusion
+//	no connection, or the first write took nothing      not sent: it has not run
+//	a write broke off, a reset, a close, silence        may have run, also where a part of the answer came
+//	an answer with the request's id                     its answer; Not-Executed or 421 in it: has not run
+//	an answer with another id                           stray: passed over, and the next one is looked at
+//	one whose end is the connection's, or too many      may have run
+//	an answer without an id, the first thing that ever
+//	came on the connection, a refusal                   its answer: no other request was sent there
+//	any other answer without an id                      may have run: a late refusal of an earlier request looks the same
+type exchangeJudge struct {
+	fresh   bool   // no request was sent on the connection before
+	id      string // of the request
+	size    int    // of the request, in bytes
+	written int
+	strays  int
+}
+
+func (j *exchangeJudge) wrote(bytes int) { j.written = bytes }
+
+// broken gives what is known where a write or a read failed.
+func (j *exchangeJudge) broken(err error) *Error {
+	if j.written == 0 {
+		return &Error{NotSent, err}
+	}
+	return &Error{MayHaveRun, err}
+}
+
+// head tells to which request an answer belongs.
+func (j *exchangeJudge) head(status int, id string, bounded bool) attribution {
+	switch {
+	case j.written < j.size:
+		return unknownAnswer
+	case id != "" && id == j.id:
+		return ownAnswer
+	case id != "":
+		j.strays++
+		if !bounded || j.strays >= mostStray {
+			return unknownAnswer
+		}
+		return strayAnswer
+	case j.fresh && j.strays == 0 && status >= http.StatusBadRequest:
+		return ownAnswer
+	}
+	return unknownAnswer
+}
--- a/internal/fleet/replica/chain.go
+++ b/internal/fleet/replica/chain.go
@@ -37,7 +37,7 @@
 		state, err := m.copied.state.Apply(next.order)
 		if err != nil {
 			m.queue = m.queue[1:]
-			out.Replies = append(out.Replies, Reply{ID: next.id, Err: err, Unconfirmed: true})
+			out.Replies = append(out.Replies, Reply{ID: next.id, Err: err, Unconfirmed: true, Epoch: m.view.Epoch})
 			continue
 		}
 		stored, _ := m.store(Entry{Epoch: m.view.Epoch, Seq: m.copied.seq + 1, Order: next.order, History: state.History()})
--- a/internal/fleet/replica/liveness.go
+++ b/internal/fleet/replica/liveness.go
@@ -215,12 +215,12 @@
 }
 
 // Released tells whether a member that leaves is needed no more: it is no copy of the chain, it has no vote that another
-// could take, and a majority of the voters has gone over to that view.
+// could take, now or once that has caught up, and a majority of the voters has gone over to that view.
 func (m *Machine) Released() bool {
 	if m.view.Epoch == 0 || !m.options.Core {
 		return true
 	}
-	if m.InChain() || m.sealed() || m.isVoter() && len(m.standby()) > 0 {
+	if m.InChain() || m.sealed() || m.isVoter() && m.mayBeFollowed() {
 		return false
 	}
 	here := 0
@@ -231,3 +231,13 @@
 	}
 	return here >= majority(len(m.view.Voters))
 }
+
+// mayBeFollowed tells whether another process is there that could take this member's vote.
+func (m *Machine) mayBeFollowed() bool {
+	for _, p := range m.peers {
+		if p.liveSince > 0 && p.status.Core && !p.status.Leaving && !slices.Contains(m.view.Voters, p.member) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -31,8 +31,8 @@
 		TransferRate: 4 << 20}
 }
 
-// durable is the part of a member that is on its disk. Its values are never changed in place, so that a copy of the
-// struct is a copy of the whole.
+// durable is the part of a member that is on its disk, or tells about it. Its values are never changed in place, so that a
+// copy of the struct is a copy of the whole.
 type durable struct {
 	self     Member
 	founder  bool
@@ -42,6 +42,8 @@
 	copied   Copy
 	promised Ballot
 	accepted *Accepted
+
+	pendingSince time.Duration // when the uncommitted entry came; 0 = before this start
 }
 
 // Machine is one member. It is not safe for concurrent use.
@@ -53,7 +55,6 @@
 	leaving      bool
 	now          time.Duration
 	started      time.Duration
-	pendingSince time.Duration // when the uncommitted entry came; 0 = before this start
 	sentAt       time.Duration // when the uncommitted entry was last sent
 	sealedAt     time.Duration
 	beatAt       time.Duration // when heartbeats were last sent
--- a/internal/fleet/replica/plan.go
+++ b/internal/fleet/replica/plan.go
@@ -81,23 +81,28 @@
 			standby = slices.Delete(standby, next, next+1)
 		}
 	}
+	voters, standby = fillPlaces(voters, standby, m.gone) // before those that leave, as these can still vote
+	voters, standby = fillPlaces(voters, standby, m.departing)
+	return m.fillSeats(m.dropSurplus(voters), standby)
+}
+
+// fillPlaces gives the places of some voters to members that stand by, as far as there are any.
+func fillPlaces(voters, standby []Member, vacant func(Member) bool) (filled, left []Member) {
 	for i, voter := range voters {
-		if len(standby) == 0 {
-			break
-		}
-		if m.vacant(voter) {
-			next := farthest(slices.Delete(slices.Clone(voters), i, i+1), standby)
-			voters[i] = standby[next]
-			standby = slices.Delete(standby, next, next+1)
+		if len(standby) == 0 || !vacant(voter) {
+			continue
 		}
+		next := farthest(slices.Delete(slices.Clone(voters), i, i+1), standby)
+		voters[i] = standby[next]
+		standby = slices.Delete(standby, next, next+1)
 	}
-	return m.fillSeats(m.dropSurplus(voters), standby)
+	return voters, standby
 }
 
 // dropSurplus takes the vote of those beyond the wanted number: the gone and the leaving first.
 func (m *Machine) dropSurplus(voters []Member) []Member {
 	for len(voters) > m.wantedVoters() {
-		surplus := slices.IndexFunc(voters, m.vacant)
+		surplus := slices.IndexFunc(voters, func(v Member) bool { return m.gone(v) || m.departing(v) })
 		if surplus < 0 {
 			surplus = len(voters) - 1
 		}
@@ -171,11 +176,8 @@
 	return p != nil && p.member == member && p.status.Leaving
 }
 
-// vacant tells whether a voter's place may go to another: it leaves, or it does not answer any more.
-func (m *Machine) vacant(voter Member) bool {
-	if m.departing(voter) {
-		return true
-	}
+// gone tells whether a voter does not answer any more.
+func (m *Machine) gone(voter Member) bool {
 	p := m.peers[voter.Address]
 	if p != nil && p.answeredAt == 0 && m.now-m.started < 2*m.options.SuspectAfter {
 		return false // this process is too young to expect an answer
--- a/internal/fleet/replica/types.go
+++ b/internal/fleet/replica/types.go
@@ -273,8 +273,9 @@
 	ID       uint64
 	Revision int64
 	Err      error
-	// Unconfirmed is set where the answer is true only if this member's view is still the newest one.
+	// Unconfirmed is set where the answer is true only if the view of that epoch was still the newest one afterwards.
 	Unconfirmed bool
+	Epoch       uint64
 }
 
 // Output is what a step asks for: store the records, then send the messages and give the replies.
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -40,6 +40,7 @@
 	Address string
 	engine  *Engine
 	fault   atomic.Uint32
+	delay   atomic.Int64 // before an answer that is spoiled
 	server  *http.Server
 
 	mu       sync.Mutex
@@ -66,6 +67,9 @@
 // SetFault spoils the answers from now on.
 func (s *Server) SetFault(fault Fault) { s.fault.Store(uint32(fault)) }
 
+// SetDelay has spoiled answers wait for so long.
+func (s *Server) SetDelay(delay time.Duration) { s.delay.Store(int64(delay)) }
+
 // Engine is the server's engine.
 func (s *Server) Engine() *Engine { return s.engine }
 
@@ -185,6 +189,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	time.Sleep(time.Duration(s.delay.Load()))
 	connection, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
