--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -45,6 +45,7 @@
 	policiesCommand,
 	pointsCommand, roomsCommand, lifeCommand, newcomerCommand,
 	fleetScaleCommand,
+	daysCommand,
 }
 
 // The ways in which a command can end badly, beside those that have no status of their own.
--- a/internal/fleet/controlnode/http.go
+++ b/internal/fleet/controlnode/http.go
@@ -218,7 +218,9 @@
 	Epoch         uint64
 	Chain         []string
 	Voters        []string
+	Standby       []string // caught up, and ready to take a voter's place
 	InChain       bool
+	CaughtUp      bool // this process has the state with which the view began
 	Healthy       bool
 	Revision      int64
 	Seq           uint64
@@ -242,7 +244,8 @@
 		inChain = inChain || member == published.Self
 	}
 	answerJSON(w, http.StatusOK, statusBody{Member: published.Self.Address, Epoch: published.View.Epoch,
-		Chain: addresses(published.View.Chain), Voters: addresses(published.View.Voters), InChain: inChain,
+		Chain: addresses(published.View.Chain), Voters: addresses(published.View.Voters), Standby: addresses(published.Standby),
+		InChain: inChain, CaughtUp: published.CaughtUp,
 		Healthy: published.Healthy, Revision: published.State.Document.Revision, Seq: published.Seq, ViewConfirmed: confirmed,
 		Raters: raters, Sessions: sessions})
 }
--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -39,6 +39,8 @@
 	StateConfirmed time.Duration
 	AllHere        bool // every other voter is known to be in this view
 	Released       bool // this member may end: the others go on without it
+	Standby        []replica.Member
+	CaughtUp       bool // this member has the state with which the view began, and what followed as far as it knows
 	copied         replica.Copy
 }
 
@@ -202,7 +204,7 @@
 	seq, state := r.machine.Agreed()
 	next := Published{Self: r.machine.Self(), View: r.machine.View(), Healthy: r.machine.Healthy(), Seq: seq, State: state,
 		ViewConfirmed: r.machine.ViewConfirmed(), StateConfirmed: r.machine.StateConfirmed(), AllHere: r.machine.AllHere(), Released: r.machine.Released(),
-		copied: r.machine.Copy()}
+		Standby: r.machine.Standby(), CaughtUp: r.machine.Status().Holds, copied: r.machine.Copy()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	news := next.Seq != r.published.Seq || next.View.Epoch != r.published.View.Epoch ||
--- a/internal/fleet/operator/operator_test.go
+++ b/internal/fleet/operator/operator_test.go
@@ -129,6 +129,36 @@
 	require.Equal(t, mostTaken, state.order.Len())
 }
 
+// What is not remembered any more may have been taken: to refuse it would be false, and so would it be to take it.
+func TestAnOrderOlderThanWhatIsRememberedIsNeitherTakenNorRefused(t *testing.T) {
+	orderOf := func(revision int64) Order { return patch(revision-1, fmt.Sprintf(`{"Revision":%d}`, revision)) }
+	state := NewState()
+	for revision := int64(1); revision <= mostTaken; revision++ {
+		state = apply(t, state, orderOf(revision))
+	}
+	first := orderOf(1)
+	_, taken := state.Taken(first.Digest())
+	require.True(t, taken, "the 4,096th is the last that the first one outlives")
+	state = apply(t, state, orderOf(mostTaken+1))
+	for _, s := range []*State{state, mustRestore(t, state)} {
+		_, taken = s.Taken(first.Digest())
+		require.False(t, taken)
+		_, err := s.Apply(first)
+		require.Equal(t, faults.Undecided, faults.KindOf(err), "%v", err)
+		_, err = s.Apply(patch(5, `{"Revision":7}`))
+		require.Equal(t, faults.VersionConflict, faults.KindOf(err), "a newer one is refused: it would be remembered")
+	}
+}
+
+func TestAHistoryNamesAllOrdersBeforeIt(t *testing.T) {
+	one := apply(t, apply(t, NewState(), put(0, whole)), patch(7, `{"Revision":8}`))
+	same := apply(t, apply(t, NewState(), put(0, whole)), patch(7, `{"Revision":8}`))
+	other := apply(t, apply(t, NewState(), put(0, whole+" ")), patch(7, `{"Revision":8}`))
+	require.Equal(t, one.History(), same.History())
+	require.NotEqual(t, one.History(), other.History(), "the same document, by another way")
+	require.Equal(t, one.History(), mustRestore(t, one).History())
+}
+
 func TestRoutesByHostAndLongestPrefix(t *testing.T) {
 	table := apply(t, NewState(), put(0, whole)).Document.Compile()
 	require.Equal(t, "r-a", table.Route("H.example:8080", "/a/x").Name)
--- a/internal/fleet/replica/plan.go
+++ b/internal/fleet/replica/plan.go
@@ -144,6 +144,9 @@
 	return best
 }
 
+// Standby are the members that have caught up and would take the place of a voter that leaves or falls silent.
+func (m *Machine) Standby() []Member { return m.standby() }
+
 // standby are the processes that could vote, do not, and have caught up.
 func (m *Machine) standby() []Member {
 	var standby []Member
