--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: clean-build demo-fleet circle life build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
+.PHONY: clean-build histories demo-fleet circle life build test race lint size fuzz run sim demo survey holiday fleet scale bench bench-check long clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -50,6 +50,12 @@
 demo-fleet: build
 	go run ./lab/fleetdemo
 
+# The drawn worst days of the control plane, twice HISTORIES of them: among the first 900 are those that noticed a fault.
+HISTORIES ?= 450
+
+histories:
+	LINENWHEEL_HISTORIES=$(HISTORIES) go test -timeout 30m -run TestWorstDaysKeepEveryPromise ./internal/fleet/replica
+
 # The fleet's build with nothing but the Debian packages that deploy/system.toml lists.
 clean-build:
 	.ci/clean-build
