--- a/internal/fleet/controlnode/node.go
+++ b/internal/fleet/controlnode/node.go
@@ -46,7 +46,8 @@
 	sessions map[uint64]time.Duration
 	rooms    *allowance.Owner
 	roomFrom map[string]ownership
-	notices  notices
+	events   eventLog
+	relay    relay
 	leaving  bool
 }
 
@@ -54,6 +55,7 @@
 func New(set *settings.Settings, logger *log.Logger) (*Node, error) {
 	n := &Node{settings: set, log: logger, begin: time.Now(), pool: transport.NewPool(), owner: randomNumber(),
 		raters: registry.New(set.Heartbeat), news: make(chan struct{}), sessions: map[uint64]time.Duration{},
+		relay: relay{lanes: map[string]*relayLane{}},
 		rooms: allowance.NewOwner(tolerance(set)), roomFrom: map[string]ownership{}}
 	var stored replica.Stored
 	if set.DataDir != "" {
--- a/internal/fleet/controlnode/node_test.go
+++ b/internal/fleet/controlnode/node_test.go
@@ -13,6 +13,7 @@
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
 func TestHeartbeatsThatCannotBeReadAreRefusedAndChangeNothing(t *testing.T) {
@@ -97,17 +98,46 @@
 	return document, patches
 }
 
-func TestNoticesGoToAllNodesButTheirSender(t *testing.T) {
-	var l notices
-	l.add(time.Second, &distribution.Announcement{Session: 1, Notices: make([]distribution.Notice, 2)})
-	l.add(2*time.Second, &distribution.Announcement{Session: 2, Notices: make([]distribution.Notice, 1)})
+func TestEventsGoToAllNodesButTheirSender(t *testing.T) {
+	var l eventLog
+	one := routing.AppendEvent(nil, routing.Event{Kind: routing.Ended, Rater: 1})
+	two := routing.AppendEvent(one, routing.Event{Kind: routing.Failed, Rater: 2})
+	require.NoError(t, l.add(time.Second, &distribution.Announcement{Session: 1, Events: two}))
+	require.NoError(t, l.add(2*time.Second, &distribution.Announcement{Session: 2, Events: one}))
 	require.True(t, l.news(0, 1))
-	require.Len(t, l.since(2*time.Second, 0, 1), 1)
-	require.Len(t, l.since(2*time.Second, 0, 2), 2)
-	require.Equal(t, time.Second, l.since(2*time.Second, 0, 2)[0].Reading.Ago)
+	require.Len(t, eventsOf(t, l.since(2*time.Second, 0, 1)), 1)
+	require.Len(t, eventsOf(t, l.since(2*time.Second, 0, 2)), 2)
+	require.Equal(t, time.Second, eventsOf(t, l.since(2*time.Second, 0, 2))[0].Ago)
 	require.False(t, l.news(3, 9))
-	l.add(time.Minute, &distribution.Announcement{Session: 1})
+	require.False(t, l.news(3, 1))
+	require.NoError(t, l.add(time.Minute, &distribution.Announcement{Session: 1}))
 	require.Empty(t, l.list, "old ones are dropped")
+	require.False(t, l.news(0, 9), "one that asks late gets what is left")
+	require.Error(t, l.add(time.Minute, &distribution.Announcement{Session: 1, Events: []byte{99}}))
+}
+
+func eventsOf(t *testing.T, packed []byte) []routing.Event {
+	t.Helper()
+	events, err := routing.UnpackEvents(packed)
+	require.NoError(t, err)
+	return events
+}
+
+func TestEventsAreHandedOnInTheirOrder(t *testing.T) {
+	r := relay{lanes: map[string]*relayLane{}}
+	require.True(t, r.put("a", &distribution.Announcement{Session: 1}), "nobody hands on to it yet")
+	require.False(t, r.put("a", &distribution.Announcement{Session: 2}), "one is at it: two at once could pass each other")
+	require.True(t, r.put("b", &distribution.Announcement{Session: 1}), "a process that does not answer holds up no other")
+	taken := r.take("a")
+	require.Equal(t, []uint64{1, 2}, []uint64{taken[0].Session, taken[1].Session})
+	require.False(t, r.put("a", &distribution.Announcement{Session: 3}))
+	require.Len(t, r.take("a"), 1)
+	require.Empty(t, r.take("a"))
+	require.True(t, r.put("a", &distribution.Announcement{Session: 4}), "the lane has ended")
+	for range 2 * mostRelayed {
+		r.put("a", &distribution.Announcement{})
+	}
+	require.Len(t, r.take("a"), mostRelayed, "what waits is bounded")
 }
 
 func TestAnOwnerThatIsNotConfirmedGivesNothing(t *testing.T) {
--- a/internal/fleet/controlnode/services.go
+++ b/internal/fleet/controlnode/services.go
@@ -74,9 +74,9 @@
 
 // The figures of the long poll.
 const (
-	mostHold     = 2 * time.Second      // that an answer waits for news
-	noticeGather = 5 * time.Millisecond // that one with notices of long prompts waits for more of them
-	mostPatches  = 64                   // orders in one answer; a node that is further behind gets the whole document
+	mostHold    = 2 * time.Second       // that an answer waits for news
+	eventGather = 30 * time.Millisecond // that one with events of attempts waits for more of them
+	mostPatches = 64                    // orders in one answer; a node that is further behind gets the whole document
 )
 
 // Poll answers a node of the data plane as soon as there is news for it.
@@ -89,10 +89,10 @@
 		n.mu.Lock()
 		news := n.news
 		fresh := request.RegistryOwner != n.owner || request.RegistryVersion != n.raters.Version() || n.leaving
-		notices := n.notices.news(request.ReadingSeq, request.Session)
+		events := n.events.news(request.EventSeq, request.Session)
 		n.mu.Unlock()
-		if notices && !fresh {
-			time.Sleep(noticeGather)
+		if events && !fresh {
+			time.Sleep(eventGather)
 			break
 		}
 		if fresh || published.Seq > request.ConfigSeq && published.StateConfirmed > 0 {
@@ -130,9 +130,9 @@
 	if request.RegistryOwner != n.owner {
 		since, reply.Whole = 0, true
 	} else {
-		reply.Readings = n.notices.since(now, request.ReadingSeq, request.Session)
+		reply.Events = n.events.since(now, request.EventSeq, request.Session)
 	}
-	reply.ReadingSeq = n.notices.last
+	reply.EventSeq = n.events.last
 	reply.Records = n.raters.Since(now, since)
 }
 
--- a/internal/fleet/datanode/announcer.go
+++ b/internal/fleet/datanode/announcer.go
@@ -5,88 +5,127 @@
 	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/distribution"
+	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
 // The figures of announcing.
 const (
-	announceQueue = 256
+	mostWaiting   = 1024
 	announceWait  = 150 * time.Millisecond
-	gatherFor     = 2 * time.Millisecond // notices that come so close together go out together
-	fleetNotices  = 60.0                 // prompts that all nodes together announce in a second: each notice goes to every node
-	savedNotices  = 3.0                  // seconds of a node's part that may come at once
-	thresholdUp   = 1.10                 // a prompt that finds no room raises the size from which on prompts are announced,
+	gatherFor     = 4 * time.Millisecond // events that come so close together go out together
+	fleetAttempts = 1500.0               // that all nodes together announce in a second: each goes to every node
+	savedAttempts = 1.0                  // seconds of a node's part that may come at once
+	thresholdUp   = 1.10                 // a prompt that finds no room raises the size from which on attempts are announced,
 	thresholdDown = 0.97                 // one that does lowers it
+	mostTold      = 4096                 // attempts whose ends are still to be announced
 )
 
-// announcer hands the node's notices of long prompts to the control process that it polls. The larger the fleet, the longer
-// a prompt must be: what all nodes together announce is bounded.
+// waitingEvent is an event and when it happened.
+type waitingEvent struct {
+	event routing.Event
+	at    time.Duration
+}
+
+// announcer hands the events of the node's attempts to the control process that it polls. What all nodes together announce
+// is bounded: the larger the fleet, the longer a prompt must be for its attempt to be announced.
 type announcer struct {
-	node  *Node
-	queue chan distribution.Notice
+	node *Node
+	wake chan struct{}
 
 	mu        sync.Mutex
+	waiting   []waitingEvent
 	threshold float64
 	room      float64
 	roomAt    time.Duration
-	told      map[uint64]bool // prompts that were announced and are being read
+	told      map[uint32]bool // attempts that were announced and have not ended
 }
 
 func newAnnouncer(n *Node) *announcer {
-	return &announcer{node: n, queue: make(chan distribution.Notice, announceQueue), told: map[uint64]bool{}}
+	return &announcer{node: n, wake: make(chan struct{}, 1), told: map[uint32]bool{}}
 }
 
-// add queues a notice if it is worth telling. One that finds no place is dropped: it would be too late.
-func (a *announcer) add(notice distribution.Notice) {
-	if !a.worth(&notice) {
+// add queues the events that are worth telling. What finds no place is dropped: it would be too late.
+func (a *announcer) add(events []routing.Event) {
+	now := a.node.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, event := range events {
+		if a.worth(now, &event) && len(a.waiting) < mostWaiting {
+			a.waiting = append(a.waiting, waitingEvent{event, now})
+		}
+	}
+	if len(a.waiting) == 0 {
 		return
 	}
 	select {
-	case a.queue <- notice:
+	case a.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (a *announcer) worth(notice *distribution.Notice) bool {
-	reading := &notice.Reading
-	if reading.Down {
-		return true
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if reading.Ended {
-		told := a.told[reading.ID]
-		delete(a.told, reading.ID)
+// worth tells whether other nodes are told of an event: of whole attempts or not at all. The lock is held.
+func (a *announcer) worth(now time.Duration, event *routing.Event) bool {
+	switch event.Kind {
+	case routing.Sent:
+		return a.admit(now, event)
+	case routing.Answered:
+		told := a.told[event.Attempt]
+		if !event.Long { // its end is not told
+			delete(a.told, event.Attempt)
+		}
+		return told
+	case routing.Ended, routing.Failed, routing.Paused:
+		told := a.told[event.Attempt]
+		delete(a.told, event.Attempt)
 		return told
 	}
-	now := a.node.now()
-	rate := fleetNotices / float64(a.node.follower.nodesHint.Load())
-	a.room = min(a.room+rate*(now-a.roomAt).Seconds(), max(1, savedNotices*rate))
+	return true
+}
+
+// admit decides whether an attempt is announced, by the size of its prompt and the node's part of what the fleet may tell.
+func (a *announcer) admit(now time.Duration, event *routing.Event) bool {
+	rate := fleetAttempts / float64(a.node.follower.nodesHint.Load())
+	a.room = min(a.room+rate*(now-a.roomAt).Seconds(), max(1, savedAttempts*rate))
 	a.roomAt = now
-	if reading.Tokens < a.threshold {
+	if event.Tokens < a.threshold {
 		return false
 	}
 	if a.room < 1 {
-		a.threshold = max(a.threshold, reading.Tokens*(thresholdUp-1)) * thresholdUp
+		a.threshold = max(a.threshold, event.Tokens*(thresholdUp-1)) * thresholdUp
 		return false
 	}
 	a.room--
 	a.threshold *= thresholdDown
-	a.told[reading.ID] = true
+	if len(a.told) >= mostTold {
+		clear(a.told)
+	}
+	a.told[event.Attempt] = true
 	return true
 }
 
+// take gives the waiting events in their packed form.
+func (a *announcer) take() []byte {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.node.now()
+	var packed []byte
+	for _, one := range a.waiting {
+		one.event.Ago = now - one.at
+		packed = routing.AppendEvent(packed, one.event)
+	}
+	a.waiting = a.waiting[:0]
+	return packed
+}
+
 func (a *announcer) run() {
-	for first := range a.queue {
-		notices := []distribution.Notice{first}
+	for range a.wake {
 		time.Sleep(gatherFor)
-		for len(a.queue) > 0 {
-			notices = append(notices, <-a.queue)
-		}
 		address := a.node.follower.current.Load()
-		if address == nil || *address == "" {
+		packed := a.take()
+		if address == nil || *address == "" || len(packed) == 0 {
 			continue
 		}
-		announcement := distribution.Announcement{Session: a.node.session, Notices: notices}
+		announcement := distribution.Announcement{Session: a.node.session, Events: packed}
 		var none struct{}
 		_ = a.node.pool.Call(*address, distribution.MethodAnnounce, &announcement, &none, announceWait)
 	}
--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -162,7 +162,7 @@
 	if change.Raters || change.Config {
 		f.node.placer.update(f.copy.Table(), f.copy.Raters(), f.copy.Nodes())
 	}
-	f.node.placer.heard(reply.Readings)
+	f.node.placer.heard(reply.Events)
 	if !hadTable && f.copy.Table() != nil {
 		close(f.configured)
 	}
--- a/internal/fleet/datanode/placer.go
+++ b/internal/fleet/datanode/placer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"linenwheel.dev/linenwheel/internal/fleet/distribution"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
@@ -16,33 +15,37 @@
 	now  func() time.Duration
 	node int
 
-	announce func(distribution.Notice)
+	announce func([]routing.Event)
 
 	mu       sync.Mutex
 	services map[string]*routing.Service
 }
 
-func newPlacer(now func() time.Duration, node int, announce func(distribution.Notice)) *placer {
+func newPlacer(now func() time.Duration, node int, announce func([]routing.Event)) *placer {
 	return &placer{now: now, node: node, announce: announce, services: map[string]*routing.Service{}}
 }
 
-// tell has other nodes told where a long prompt is being read, or has been.
-func (p *placer) tell(service string, ticket *routing.Ticket, ended bool) {
-	if ticket == nil {
-		return
-	}
-	if reading, long := ticket.Announcement(ended); long {
-		p.announce(distribution.Notice{Service: service, Reading: reading})
+// tell has other nodes told of this node's attempts.
+func (p *placer) tell(service *routing.Service) {
+	if events := service.TakeEvents(); len(events) > 0 {
+		p.announce(events)
 	}
 }
 
 // heard takes what other nodes told.
-func (p *placer) heard(notices []distribution.Notice) {
+func (p *placer) heard(packed []byte) {
+	events, err := routing.UnpackEvents(packed)
+	if err != nil { // a control process of another version: the node goes by its own attempts
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, notice := range notices {
-		if service := p.services[notice.Service]; service != nil {
-			service.Heard(p.now(), []routing.Reading{notice.Reading})
+	now := p.now()
+	for i := range events {
+		for _, service := range p.services {
+			if service.Heard(now, &events[i]) {
+				break
+			}
 		}
 	}
 }
@@ -57,7 +60,7 @@
 	lists := make(map[string][]routing.Rater)
 	for _, record := range raters {
 		lists[record.Backend] = append(lists[record.Backend], routing.Rater{ID: record.ID, Address: record.Address,
-			Slots: record.Slots, Late: record.Late, Draining: record.State == registry.Draining})
+			Slots: record.Slots, Memory: memoryOf(table, record.Backend), Late: record.Late, Draining: record.State == registry.Draining})
 	}
 	for name := range table.Backends {
 		service := p.services[name]
@@ -74,6 +77,14 @@
 	}
 }
 
+// memoryOf is how many tokens a rater of a service can hold, 0 where the configuration does not say so.
+func memoryOf(table *operator.Table, service string) float64 {
+	if backend := table.Backends[service]; backend != nil {
+		return backend.KvTokens
+	}
+	return 0
+}
+
 // believed drops the notice that raters are late where it is about most of them: then it is control that does not hear.
 func believed(raters []routing.Rater) []routing.Rater {
 	late := 0
@@ -115,7 +126,7 @@
 	now := p.now()
 	request.Deadline += now
 	ticket := service.Place(now, request)
-	p.tell(name, ticket, false)
+	p.tell(service)
 	return ticket
 }
 
@@ -123,25 +134,27 @@
 func (p *placer) Begun(name string, ticket *routing.Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.services[name].Begun(p.now(), ticket)
-	p.tell(name, ticket, true)
+	service := p.services[name]
+	service.Begun(p.now(), ticket)
+	p.tell(service)
 }
 
 // End takes the end of an attempt.
 func (p *placer) End(name string, ticket *routing.Ticket, result routing.Result, load routing.Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.services[name].End(p.now(), ticket, result, load) {
-		p.tell(name, ticket, true)
-	}
+	service := p.services[name]
+	service.End(p.now(), ticket, result, load)
+	p.tell(service)
 }
 
 // Unreachable takes the news that the rater of an attempt could not be reached, and tells the other nodes.
 func (p *placer) Unreachable(name string, ticket *routing.Ticket) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.services[name].Unreachable(p.now(), ticket)
-	p.announce(distribution.Notice{Service: name, Reading: routing.Reading{Rater: ticket.Rater.ID, Down: true}})
+	service := p.services[name]
+	service.Unreachable(p.now(), ticket)
+	p.tell(service)
 }
 
 // raterStatus tells people of one rater.
--- a/internal/fleet/distribution/client.go
+++ b/internal/fleet/distribution/client.go
@@ -29,7 +29,7 @@
 	leaseEnd  time.Duration
 	owner     uint64
 	version   uint64
-	reading   uint64
+	events    uint64
 	raters    map[string]registry.Record
 	epoch     uint64
 	members   []ControlMember
@@ -46,7 +46,7 @@
 // Request gives the next poll.
 func (c *Copy) Request(node string, session uint64, hold time.Duration) PollRequest {
 	request := PollRequest{Node: node, Session: session, ConfigSeq: c.seq, RegistryOwner: c.owner, RegistryVersion: c.version,
-		ReadingSeq: c.reading, Hold: hold}
+		EventSeq: c.events, Hold: hold}
 	if c.wantWhole {
 		request.ConfigSeq = 0
 	}
@@ -123,7 +123,7 @@
 	if reply.Whole {
 		changed = c.dropUnlisted(reply) || changed
 	}
-	c.owner, c.version, c.reading = reply.RegistryOwner, reply.RegistryVersion, reply.ReadingSeq
+	c.owner, c.version, c.events = reply.RegistryOwner, reply.RegistryVersion, reply.EventSeq
 	return changed
 }
 
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -10,7 +10,6 @@
 
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
-	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
 // MethodPoll is the method of the long poll.
@@ -23,7 +22,7 @@
 	ConfigSeq       uint64
 	RegistryOwner   uint64 // the copy of the registry that RegistryVersion counts in
 	RegistryVersion uint64
-	ReadingSeq      uint64        // the newest of RegistryOwner's notices of long prompts that was had
+	EventSeq        uint64        // the newest of RegistryOwner's events of attempts that was had
 	Hold            time.Duration // how long the answer may wait for news
 }
 
@@ -47,8 +46,8 @@
 	Whole           bool          // Records are all there are
 	Records         []registry.Record
 
-	ReadingSeq uint64
-	Readings   []Notice
+	EventSeq uint64
+	Events   []byte // as routing packs them
 
 	Epoch    uint64
 	Members  []ControlMember // the chain first, head first
@@ -97,24 +96,21 @@
 // StaleList is the age of a list of raters from which on a node turns to another control process.
 const StaleList = 1200 * time.Millisecond
 
-// MethodAnnounce is the method by which a node tells of long prompts, MethodRelay that by which control processes hand it on.
+// MethodAnnounce is the method by which a node tells of its attempts, MethodRelay that by which control processes hand it on.
 const (
 	MethodAnnounce = "Distribution.Announce"
 	MethodRelay    = "Distribution.Relay"
 )
 
-// Notice tells that a rater begins or ends to read a long prompt.
-type Notice struct {
-	Service string
-	Reading routing.Reading
-}
-
-// Announcement is what one node tells of long prompts.
+// Announcement is what one node tells of its attempts.
 type Announcement struct {
-	Session uint64 // of the node that sent the prompts
-	Notices []Notice
+	Session uint64 // of the node that made the attempts
+	Events  []byte // as routing packs them
 }
 
+// RelayRequest is what one control process hands on to another.
+type RelayRequest struct{ Announcements []Announcement }
+
 // ControlMember is one process of the control plane.
 type ControlMember struct {
 	Address string
--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -72,10 +72,12 @@
 		return nil
 	}
 	request := &routing.Request{Cost: c.prompt.cost(), Deadline: time.Until(c.deadline), Exclude: c.tried, Own: c.prompt.own,
-		Shared: max(0, c.prompt.input-c.prompt.own), Aim: c.route.Target}
+		Shared: max(0, c.prompt.input-c.prompt.own), Aim: c.route.Target,
+		Long: c.prompt.long(), Route: c.route.Name}
 	if c.route.Affinity {
 		request.Prefix = c.prompt.shared
 	}
+	c.placed = time.Now()
 	return c.handler.Placer.Place(c.service, request)
 }
 
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -72,6 +72,7 @@
 	tenant   *operator.Tenant
 	service  string
 	arrived  time.Time
+	placed   time.Time // when the last rater was chosen
 	deadline time.Time
 	body     []byte
 	amount   float64 // taken from the tenant's allowance
--- a/internal/fleet/proxy/prompt.go
+++ b/internal/fleet/proxy/prompt.go
@@ -31,6 +31,11 @@
 	return p.own + readingBase
 }
 
+// longOutput is the number of tokens from which on an answer lasts long after its first token.
+const longOutput = 100
+
+func (p *prompt) long() bool { return p.output >= longOutput }
+
 // readingBase is the fixed part of the cost of the first token, in tokens read.
 const readingBase = 4000
 
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -22,6 +22,7 @@
 	lastID   string // of the last event that the client has
 	lastSeen int64
 	begun    bool
+	cameAt   time.Time // when the last part of the answer came
 }
 
 // pieceSize is the size of the pieces in which answers are passed on.
@@ -80,11 +81,19 @@
 	if !c.stream.begun {
 		c.stream.begun = true
 		c.handler.Placer.Begun(c.service, ticket)
-		if took := time.Since(c.arrived); took > c.route.Target {
-			c.handler.Log.Debug("answer begins late", "route", c.route.Name, "rater", ticket.Rater.ID, "took", took,
-				"input", c.prompt.input, "own", c.prompt.own, "sends", c.sends)
-		}
+		c.handler.Log.Debug("answer begins", "route", c.route.Name, "rater", ticket.Rater.ID, "why", ticket.Why,
+			"kept", ticket.Kept, "home_expected", ticket.Home, "expected", ticket.Expected, "took", time.Since(c.placed), "since_arrival", time.Since(c.arrived), "target", c.route.Target,
+			"input", c.prompt.input, "own", c.prompt.own, "sends", c.sends)
+	}
+}
+
+// came notes that a part of an answer came.
+func (c *call) came(ticket *routing.Ticket) {
+	now := time.Now()
+	if c.route.GapAim > 0 && !c.stream.cameAt.IsZero() && now.Sub(c.stream.cameAt) > c.route.GapAim {
+		ticket.Paused()
 	}
+	c.stream.cameAt = now
 }
 
 // passWhole reads an answer to its end before the client gets any of it: one that is broken off is then no answer.
@@ -108,6 +117,7 @@
 		n, err := answer.Read(piece)
 		if n > 0 {
 			c.begun(ticket)
+			c.came(ticket)
 			if err := c.write(answer, piece[:n]); err != nil {
 				return err
 			}
@@ -150,6 +160,7 @@
 		whole := bytes.LastIndex(held, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
 			c.begun(ticket)
+			c.came(ticket)
 			if err := c.writeEvents(answer, held[:whole]); err != nil {
 				return err
 			}
--- a/internal/fleet/routing/service.go
+++ b/internal/fleet/routing/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -10,8 +11,15 @@
 
 // The figures of placing.
 const (
-	boundPart  = 1.5 // times its even part of this node's requests that a rater may hold and still get its prefixes
-	boundSlack = 6.0 // and so many more
+	boundPart  = 1.5  // times its even part of this node's requests that a rater may hold and still get its prefixes
+	boundSlack = 6.0  // and so many more
+	mostMoves  = 8    // raters after home that are looked at
+	rereadLoss = 4.0  // worth lost for each aim of time that a rater reads what is kept elsewhere
+	pauseLoss  = 0.5  // worth lost for each stream beside a prompt that is read for as long as the aim
+	pauseFrom  = 0.5  // part of the aim for which a prompt may be read without a stream beside it being held up too long
+	aimSafety  = 0.9  // part of the aim at which half of the answers are taken to be late
+	aimWidth   = 0.1  // part of the aim by which true times scatter about the expected ones
+	delayLoss  = 0.05 // worth lost for each aim of expected time
 )
 
 // Rater is a rater as the balancer of its service is told of it.
@@ -19,13 +27,16 @@
 	ID       string
 	Address  string
 	Slots    int
-	Late     bool // control has not heard from it for longer than usual
+	Memory   float64 // tokens that it can hold, 0 = not known
+	Late     bool    // control has not heard from it for longer than usual
 	Draining bool
 }
 
 // Request is what the choice depends on.
 type Request struct {
 	Prefix   string  // the key of the shared part; empty = none
+	Long     bool    // the answer is long after its first token
+	Route    string  // requests of a route are alike
 	Cost     float64 // expected work, in any unit that is the same for all
 	Own      float64 // tokens of the prompt that no other request shares
 	Shared   float64 // and those that others do
@@ -39,24 +50,40 @@
 
 // Ticket is one attempt at a rater.
 type Ticket struct {
-	Rater   Rater
-	request decide.RequestID
-	backend decide.BackendID
-	sent    time.Duration
-	tokens  float64 // that the rater has to read
-	alone   bool    // the rater had nothing else to read
+	Rater    Rater
+	Expected time.Duration // the expected time to the first token, 0 = not known
+	Why      Reason
+	Kept     bool          // the rater is taken to have the shared part of the prompt
+	Home     time.Duration // the expected time at the prompt's home, where one was looked for
+	request  decide.RequestID
+	backend  decide.BackendID
+	sent     time.Duration
+	tag      uint32
+	long     bool
+	begun    bool
+	paused   bool
 }
 
-// Announcement tells other nodes that a rater begins or ends to read a long prompt; false: it is not long enough.
-func (t *Ticket) Announcement(ended bool) (Reading, bool) {
-	return Reading{ID: t.reading(), Rater: t.Rater.ID, Tokens: t.tokens, Ended: ended}, t.tokens >= announceLeast
-}
+// Paused notes that an answer came with a longer pause between its parts than its route allows.
+func (t *Ticket) Paused() { t.paused = true }
 
-// reading names the prompt that the attempt has read. Nodes begin at numbers of their own.
-func (t *Ticket) reading() uint64 { return uint64(t.request) }
+// Reason says why a rater was chosen.
+type Reason string
+
+// The reasons.
+const (
+	ByHome Reason = "home" // it is the home of the prompt's shared part
+	ByMove Reason = "move" // it is expected to be better than the home
+	ByTurn Reason = "turn" // its turn of the weighted round robin
+	ByNeed Reason = "need" // the others are away
+)
+
+// attempt names the attempt in events. Nodes begin at numbers of their own.
+func (t *Ticket) attempt() uint32 { return uint32(t.request) }
 
 type member struct {
 	rater   Rater
+	tag     uint32
 	backend decide.BackendID
 	ours    int // requests of this node that it holds
 	heardAt time.Duration
@@ -72,7 +99,10 @@
 	lastID   decide.BackendID
 	lastReq  decide.RequestID
 	timers   []timer
-	backlog  *backlog
+	loads    *loads
+	sizes    sizes
+	byTag    map[uint32]*member
+	events   []Event // for other nodes
 }
 
 type timer struct {
@@ -112,7 +142,7 @@
 
 // NewService makes a service without raters.
 func NewService(options Options) (*Service, error) {
-	s := &Service{members: map[string]*member{}, byID: map[decide.BackendID]*member{}, backlog: newBacklog(),
+	s := &Service{members: map[string]*member{}, byID: map[decide.BackendID]*member{}, byTag: map[uint32]*member{}, loads: newLoads(), sizes: sizes{},
 		lastReq: decide.RequestID(options.Seed >> 1)}
 	s.actions = &actions{service: s}
 	aim := max(options.Aim, time.Millisecond)
@@ -149,10 +179,11 @@
 		m := s.members[rater.ID]
 		if m == nil {
 			s.lastID++
-			m = &member{backend: s.lastID}
-			s.members[rater.ID], s.byID[m.backend] = m, m
+			m = &member{backend: s.lastID, tag: TagOf(rater.ID)}
+			s.members[rater.ID], s.byID[m.backend], s.byTag[m.tag] = m, m, m
 		}
 		m.rater = rater
+		s.loads.of(m.tag).memory = rater.Memory
 		state := decide.Serving
 		if rater.Draining {
 			state = decide.Draining
@@ -163,8 +194,10 @@
 		if !present[id] {
 			delete(s.members, id)
 			delete(s.byID, m.backend)
+			delete(s.byTag, m.tag)
 		}
 	}
+	s.loads.retain(s.byTag)
 	s.balancer.List(now, decide.ListFull, entries)
 }
 
@@ -183,6 +216,7 @@
 func (s *Service) Place(now time.Duration, request *Request) *Ticket {
 	s.Tick(now)
 	s.lastReq++
+	s.sizes.note(request)
 	r := decide.Request{ID: s.lastReq, Tenant: -1, Deadline: request.Deadline, Cost: request.Cost}
 	if request.Prefix != "" || len(request.Exclude) > 0 {
 		if ticket := s.placeByHash(now, request, r); ticket != nil {
@@ -192,19 +226,31 @@
 	return s.placeByTurn(now, request, r)
 }
 
-// Heard takes what other nodes told of long prompts.
-func (s *Service) Heard(now time.Duration, readings []Reading) {
-	for _, one := range readings {
-		if one.Down {
-			s.heardDown(now, one.Rater)
-			continue
-		}
-		if one.Ended {
-			s.backlog.end(one.Rater, one.ID)
-			continue
-		}
-		s.backlog.add(now-one.Ago, one.Rater, one.ID, one.Tokens)
+// Heard takes what other nodes told. It tells whether the event was about a rater of this service.
+func (s *Service) Heard(now time.Duration, event *Event) bool {
+	m := s.byTag[event.Rater]
+	if m == nil {
+		return false
+	}
+	if event.Kind == Unreachable {
+		s.heardUnreachable(now, m)
+		return true
 	}
+	s.loads.take(now, event, false)
+	return true
+}
+
+// TakeEvents gives what other nodes are to be told, once.
+func (s *Service) TakeEvents() []Event {
+	events := s.events
+	s.events = nil
+	return events
+}
+
+// note takes an event of this node's and keeps it for the others.
+func (s *Service) note(now time.Duration, event Event) {
+	s.loads.take(now, &event, true)
+	s.events = append(s.events, event)
 }
 
 // placeByTurn leaves the choice to the balancer.
@@ -218,7 +264,8 @@
 		m := s.byID[s.actions.chosen]
 		ticket := &Ticket{request: r.ID, backend: s.actions.chosen, sent: now}
 		if m != nil && !m.suspected(now) && !m.rater.Late && !slices.Contains(request.Exclude, m.rater.ID) {
-			return s.ticket(ticket, m, request.Own)
+			ticket.Why = ByTurn
+			return s.ticket(ticket, m, request)
 		}
 		s.balancer.Outcome(now, decide.Outcome{Request: r.ID, Backend: ticket.backend, Over: true, Result: decide.NotSent})
 		s.lastReq++
@@ -242,18 +289,31 @@
 	if best == nil || !s.balancer.Placed(now, r, best.backend) {
 		return nil
 	}
-	return s.ticket(&Ticket{request: r.ID, backend: best.backend, sent: now}, best, request.Own+request.Shared)
+	return s.ticket(&Ticket{request: r.ID, backend: best.backend, sent: now, Why: ByNeed}, best, request)
 }
 
-func (s *Service) ticket(t *Ticket, m *member, tokens float64) *Ticket {
+func (s *Service) ticket(t *Ticket, m *member, request *Request) *Ticket {
 	m.ours++
-	t.Rater, t.tokens, t.alone = m.rater, tokens, !s.backlog.busy(m.rater.ID)
+	t.Rater, t.tag, t.long = m.rater, m.tag, request.Long
+	prefix := TagOf(request.Prefix)
+	tokens := request.Own
+	t.Kept = slices.Contains(s.loads.keeps(t.sent, prefix), m.tag)
+	if !t.Kept {
+		tokens += request.Shared
+	}
 	if tokens > 0 {
-		s.backlog.add(t.sent, m.rater.ID, t.reading(), tokens)
+		t.Expected = s.expected(t.sent, m, tokens)
+		s.note(t.sent, Event{Kind: Sent, Rater: m.tag, Attempt: t.attempt(), Tokens: tokens, Prefix: prefix, Long: t.long})
 	}
 	return t
 }
 
+// expected is the time after which a rater's first token is expected where it has so many tokens to read.
+func (s *Service) expected(now time.Duration, m *member, tokens float64) time.Duration {
+	load := s.loads.of(m.tag)
+	return s.loads.wait(now, load) + s.loads.slotWait(now, load, m.rater.Slots) + s.loads.reading(now, load, tokens)
+}
+
 func (s *Service) allowed(m *member, request *Request) bool {
 	return !m.rater.Draining && !m.rater.Late && !slices.Contains(request.Exclude, m.rater.ID)
 }
@@ -294,6 +354,7 @@
 		return nil
 	}
 	home := order[0].member
+	homeExpected := s.expected(now, home, request.Own)
 	s.moveFromBusyHome(now, request, order)
 	bound := s.bound(len(order))
 	for _, candidate := range order {
@@ -301,31 +362,29 @@
 			continue
 		}
 		if s.balancer.Placed(now, r, candidate.member.backend) {
-			tokens := request.Own
+			ticket := &Ticket{request: r.ID, backend: candidate.member.backend, sent: now, Why: ByHome, Home: homeExpected}
 			if candidate.member != home {
-				tokens += request.Shared
+				ticket.Why = ByMove
 			}
-			return s.ticket(&Ticket{request: r.ID, backend: candidate.member.backend, sent: now}, candidate.member, tokens)
+			return s.ticket(ticket, candidate.member, request)
 		}
 	}
 	return nil
 }
 
-// moveFromBusyHome puts another rater before the home of a prefix where the home is busy with long prompts.
+// moveFromBusyHome puts another rater before the home of a prefix where less worth is expected to be lost there.
 func (s *Service) moveFromBusyHome(now time.Duration, request *Request, order []ranked) {
-	if len(order) < 2 || !s.backlog.known() {
+	if len(order) < 2 {
 		return
 	}
-	least := s.backlog.wait(now, order[0].member.rater.ID) + s.backlog.base + s.backlog.time(request.Own)
-	if least <= time.Duration(slackOfAim*float64(request.Aim)) {
-		return
+	keeping := s.loads.keeps(now, TagOf(request.Prefix))
+	if len(keeping) == 0 { // one that kept it before is as likely as any to have it still
+		keeping = []uint32{order[0].member.tag}
 	}
-	best := 0
-	reread := time.Duration(rereadWeight * float64(s.backlog.time(request.Shared)))
+	best, least := 0, s.loss(now, request, order[0].member, keeping)
 	for i := 1; i < len(order) && i <= mostMoves; i++ {
-		expected := s.backlog.wait(now, order[i].member.rater.ID) + s.backlog.base + s.backlog.time(request.Own) + reread
-		if expected < least {
-			best, least = i, expected
+		if loss := s.loss(now, request, order[i].member, keeping); loss < least {
+			best, least = i, loss
 		}
 	}
 	if best > 0 {
@@ -335,6 +394,27 @@
 	}
 }
 
+// loss is the one measure by which raters are compared: the part of a request's worth that is expected to be lost at a
+// rater, as its first token is late, the attempt fails, or the shared part of its prompt is read once more.
+func (s *Service) loss(now time.Duration, request *Request, m *member, keeping []uint32) float64 {
+	aim := max(request.Aim.Seconds(), 0.001)
+	load := s.loads.of(m.tag)
+	tokens, reread := request.Own, 0.0
+	if !slices.Contains(keeping, m.tag) {
+		tokens += request.Shared
+		reread = rereadLoss * s.loads.curve.time(request.Shared).Seconds() / aim
+	}
+	expected := s.expected(now, m, tokens).Seconds() / aim
+	late := 1 / (1 + math.Exp((aimSafety-expected)/aimWidth))
+	risk := s.loads.risk(now, load)
+	if request.Long {
+		risk = max(risk, s.loads.pauses(now, load))
+	}
+	reading := s.loads.pace(now, load) * s.loads.curve.time(tokens).Seconds() / aim
+	beside := pauseLoss * float64(len(load.running)) * max(0, reading-pauseFrom)
+	return s.sizes.worth(request)*(1-(1-late)*(1-risk)+delayLoss*expected) + reread + beside
+}
+
 // bound is how many requests of this node a rater may hold and still get prefixes.
 func (s *Service) bound(raters int) float64 {
 	held := 1
@@ -351,7 +431,10 @@
 	if m := s.members[t.Rater.ID]; m != nil {
 		m.answered(now)
 	}
-	s.backlog.read(now, t.Rater.ID, t.reading(), t.alone)
+	if !t.begun {
+		t.begun = true
+		s.note(now, Event{Kind: Answered, Rater: t.tag, Attempt: t.attempt(), Took: now - t.sent, Long: t.long})
+	}
 }
 
 // Load is what a rater told of itself with an answer.
@@ -361,8 +444,8 @@
 	Waiting int
 }
 
-// End takes the end of an attempt. It tells whether the rater had not yet read the prompt.
-func (s *Service) End(now time.Duration, t *Ticket, result Result, load Load) (unread bool) {
+// End takes the end of an attempt.
+func (s *Service) End(now time.Duration, t *Ticket, result Result, load Load) {
 	s.actions.now = now
 	if m := s.members[t.Rater.ID]; m != nil && m.backend == t.backend {
 		m.ours--
@@ -370,14 +453,29 @@
 			m.answered(now)
 		}
 	}
-	unread = s.backlog.end(t.Rater.ID, t.reading())
+	switch {
+	case t.paused:
+		s.note(now, Event{Kind: Paused, Rater: t.tag, Attempt: t.attempt()})
+	case failedResult(result):
+		s.note(now, Event{Kind: Failed, Rater: t.tag, Attempt: t.attempt()})
+	case t.long || !t.begun:
+		s.note(now, Event{Kind: Ended, Rater: t.tag, Attempt: t.attempt()})
+	}
 	outcome := decide.Outcome{Request: t.request, Backend: t.backend, Over: true, Latency: now - t.sent, Result: result}
 	if load.Known {
 		outcome.Load.Has = 1 << decide.ReportHeld
 		outcome.Load.Values[decide.ReportHeld] = float64(load.Running + load.Waiting)
 	}
 	s.balancer.Outcome(now, outcome)
-	return unread
+}
+
+// failedResult tells whether an end speaks against the rater.
+func failedResult(result Result) bool {
+	switch result {
+	case decide.Failed, decide.Reset, decide.Full, decide.Late:
+		return true
+	}
+	return false
 }
 
 // View tells how the service's raters do.
--- a/internal/fleet/routing/service_test.go
+++ b/internal/fleet/routing/service_test.go
@@ -30,6 +30,13 @@
 	return &Request{Prefix: key, Own: 500, Shared: 5000, Aim: 500 * time.Millisecond, Deadline: time.Hour}
 }
 
+// light is a request whose shared part costs little to read again.
+func light(key string) *Request {
+	request := prefixed(key)
+	request.Own, request.Shared = 4000, 500
+	return request
+}
+
 func TestAllNodesGiveAPrefixTheSameHome(t *testing.T) {
 	a, b := newTestService(t, 9, 1), newTestService(t, 9, 2)
 	homes := map[string]int{}
@@ -99,47 +106,266 @@
 			request.Own = 100
 		}
 		ticket := s.Place(now, request)
-		now += 50*time.Millisecond + time.Duration(request.Own/speed*float64(time.Second))
+		tokens := request.Own
+		if !ticket.Kept { // the rater reads the shared part too
+			tokens += request.Shared
+		}
+		now += 50*time.Millisecond + time.Duration(tokens/speed*float64(time.Second))
 		s.Begun(now, ticket)
 		s.End(now, ticket, decide.Good, Load{})
 	}
 	return now
 }
 
+// told is an event of another node's attempt at a rater.
+func told(kind EventKind, rater string, attempt uint32) *Event {
+	return &Event{Kind: kind, Rater: TagOf(rater), Attempt: attempt}
+}
+
+// reads is the event that another node sent a rater a prompt.
+func reads(rater string, attempt uint32, tokens float64) *Event {
+	event := told(Sent, rater, attempt)
+	event.Tokens = tokens
+	return event
+}
+
 func TestARequestMovesFromAHomeThatReadsALongPrompt(t *testing.T) {
 	s := newTestService(t, 9, 1)
 	now := teach(s, time.Second, 100_000)
 	home := s.Place(now, prefixed("k"))
 	s.End(now, home, decide.Good, Load{})
-	s.Heard(now, []Reading{{ID: 7, Rater: home.Rater.ID, Tokens: 90_000}})
+	require.True(t, s.Heard(now, reads(home.Rater.ID, 7, 90_000)))
 	moved := s.Place(now, prefixed("k"))
 	require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
-	require.InDelta(t, 5500, moved.tokens, 1, "the shared part is read anew there")
+	require.Equal(t, ByMove, moved.Why)
+	require.False(t, moved.Kept, "the shared part is read anew there")
 	s.End(now, moved, decide.Good, Load{})
 	patient := prefixed("k")
 	patient.Aim = time.Minute
 	stays := s.Place(now, patient)
-	require.Equal(t, home.Rater.ID, stays.Rater.ID, "one with time to spare stays with its prefix")
+	require.True(t, stays.Kept, "one with time to spare goes where its prefix is kept")
 	s.End(now, stays, decide.Good, Load{})
-	s.Heard(now, []Reading{{ID: 7, Rater: home.Rater.ID, Ended: true}})
-	back := s.Place(now, prefixed("k"))
-	require.Equal(t, home.Rater.ID, back.Rater.ID)
+	s.Heard(now, told(Answered, home.Rater.ID, 7))
+	fresh := prefixed("another")
+	s.Heard(now, reads("r00", 8, 10))
+	require.NotNil(t, s.Place(now, fresh))
+}
+
+func TestAPromptThatIsLateAnywhereStaysAtItsHome(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := teach(s, time.Second, 100_000)
+	huge := prefixed("k")
+	huge.Own = 200_000 // two seconds on an idle rater
+	home := s.Place(now, huge)
+	s.End(now, home, decide.Good, Load{})
+	s.Heard(now, reads(home.Rater.ID, 7, 10_000))
+	again := s.Place(now, huge)
+	require.Equal(t, home.Rater.ID, again.Rater.ID, "a move would gain nothing and have the shared part read again")
+}
+
+func TestALongPromptLeavesARaterWithManyStreams(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := teach(s, time.Second, 100_000)
+	long := light("k")
+	long.Own = 45_000
+	home := s.Place(now, long)
+	s.End(now, home, decide.Good, Load{})
+	for attempt := range uint32(6) {
+		running := reads(home.Rater.ID, attempt, 10)
+		running.Long = true
+		s.Heard(now, running)
+		s.Heard(now, told(Answered, home.Rater.ID, attempt))
+	}
+	moved := s.Place(now, long)
+	require.NotEqual(t, home.Rater.ID, moved.Rater.ID, "every stream there would be held up")
+	s.End(now, moved, decide.Good, Load{})
+	for attempt := range uint32(6) {
+		s.Heard(now, told(Ended, home.Rater.ID, attempt))
+	}
+	back := s.Place(now, long)
+	require.True(t, back.Kept)
+}
+
+func TestARaterThatOthersFindSlowLosesRequests(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := teach(s, time.Second, 100_000)
+	home := s.Place(now, light("k"))
+	s.End(now, home, decide.Good, Load{})
+	for attempt := range uint32(20) {
+		now += 50 * time.Millisecond
+		s.Heard(now, reads(home.Rater.ID, attempt, 500))
+		answer := told(Answered, home.Rater.ID, attempt)
+		answer.Took = time.Second
+		s.Heard(now, answer)
+	}
+	moved := s.Place(now, light("k"))
+	require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
+	s.End(now, moved, decide.Good, Load{})
+	now += 10 * paceMemory
+	back := s.Place(now, light("k"))
+	require.True(t, back.Kept)
+	require.Less(t, back.Expected, 200*time.Millisecond, "it is tried again after a while, by a client's request")
+}
+
+func TestARaterThatOthersFindFailingLosesRequests(t *testing.T) {
+	for _, kind := range []EventKind{Failed, Paused} {
+		s := newTestService(t, 9, 1)
+		now := teach(s, time.Second, 100_000)
+		request := light("k")
+		request.Long = true
+		home := s.Place(now, request)
+		s.End(now, home, decide.Good, Load{})
+		for attempt := range uint32(12) {
+			sent := reads(home.Rater.ID, attempt, 500)
+			sent.Long = true
+			s.Heard(now, sent)
+			answer := told(Answered, home.Rater.ID, attempt)
+			answer.Took = 55 * time.Millisecond
+			s.Heard(now, answer)
+			s.Heard(now, told(kind, home.Rater.ID, attempt))
+		}
+		moved := s.Place(now, request)
+		require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
+	}
+}
+
+func TestARaterThatIsSilentLosesRequestsBeforeAnyTimeOut(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := teach(s, time.Second, 100_000)
+	home := s.Place(now, light("k"))
+	s.End(now, home, decide.Good, Load{})
+	for attempt := range uint32(6) {
+		s.Heard(now, reads(home.Rater.ID, attempt, 100))
+	}
+	moved := s.Place(now+400*time.Millisecond, light("k"))
+	require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
 }
 
-func TestANoticeThatIsNeverEndedIsForgotten(t *testing.T) {
+func TestARaterWithAllItsSlotsTakenLosesRequests(t *testing.T) {
+	s := newTestService(t, 9, 1)
+	now := teach(s, time.Second, 100_000)
+	home := s.Place(now, light("k"))
+	s.End(now, home, decide.Good, Load{})
+	for attempt := range uint32(100) { // it has 64
+		running := reads(home.Rater.ID, attempt, 1)
+		running.Long = true
+		s.Heard(now, running)
+		s.Heard(now, told(Answered, home.Rater.ID, attempt))
+	}
+	require.Greater(t, s.loads.slotWait(now, s.loads.of(TagOf(home.Rater.ID)), 64), 300*time.Millisecond)
+	moved := s.Place(now, light("k"))
+	require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
+}
+
+func TestNewsThatIsNeverEndedIsForgotten(t *testing.T) {
 	s := newTestService(t, 2, 1)
 	now := teach(s, time.Second, 100_000)
-	s.Heard(now, []Reading{{ID: 7, Rater: "r00", Tokens: 90_000}})
-	require.Positive(t, s.backlog.wait(now, "r00"))
-	require.Zero(t, s.backlog.wait(now+readingLife+time.Second, "r00"))
+	s.Heard(now, reads("r00", 7, 90_000))
+	load := s.loads.of(TagOf("r00"))
+	require.Positive(t, s.loads.wait(now, load))
+	require.Zero(t, s.loads.wait(now+readingLife+time.Second, load))
+	running := reads("r01", 8, 10)
+	running.Long = true
+	s.Heard(now, running)
+	s.Heard(now, told(Answered, "r01", 8))
+	load = s.loads.of(TagOf("r01"))
+	require.Len(t, load.running, 1)
+	s.loads.slotWait(now+runningLife+time.Second, load, 64)
+	require.Empty(t, load.running)
+}
+
+func TestNewsOfARaterOfAnotherServiceIsNotTaken(t *testing.T) {
+	s := newTestService(t, 2, 1)
+	require.False(t, s.Heard(time.Second, reads("elsewhere", 1, 1000)))
 }
 
-func TestTheSpeedOfReadingIsThatOfAnIdleRater(t *testing.T) {
+func TestTheCurveIsThatOfAnIdleRater(t *testing.T) {
 	s := newTestService(t, 9, 1)
 	teach(s, time.Second, 100_000)
-	require.True(t, s.backlog.known())
-	require.InDelta(t, 100_000, s.backlog.speed, 15_000)
-	require.InDelta(t, 0.05, s.backlog.base.Seconds(), 0.01)
+	require.InDelta(t, 0.1, s.loads.curve.time(10_000).Seconds(), 0.015)
+	require.InDelta(t, 0.05, s.loads.curve.base.Seconds(), 0.01)
+}
+
+func TestTheCurveBendsWhereLongPromptsTakeLongerByToken(t *testing.T) {
+	curve := newReadCurve()
+	took := func(tokens float64) time.Duration {
+		x := tokens / 1000
+		return 45*time.Millisecond + time.Duration((0.018*x+0.0002*x*x)*float64(time.Second))
+	}
+	for i := range 600 {
+		tokens := float64(300 + (i*7919)%50_000)
+		curve.learn(tokens, took(tokens))
+	}
+	for _, tokens := range []float64{2000, 10_000, 30_000, 50_000} {
+		require.InEpsilon(t, took(tokens).Seconds(), (curve.base + curve.time(tokens)).Seconds(), 0.12, tokens)
+	}
+}
+
+func TestWhatANodeTellsIsWhatOthersTake(t *testing.T) {
+	a, b := newTestService(t, 9, 1), newTestService(t, 9, 2)
+	now := time.Second
+	request := prefixed("k")
+	request.Long = true
+	ticket := a.Place(now, request)
+	a.Begun(now+100*time.Millisecond, ticket)
+	a.End(now+time.Second, ticket, decide.Good, Load{})
+	events := a.TakeEvents()
+	require.Len(t, events, 3)
+	require.Empty(t, a.TakeEvents(), "each is told once")
+	kinds := []EventKind{Sent, Answered, Ended}
+	for i := range events {
+		require.Equal(t, kinds[i], events[i].Kind)
+		require.True(t, b.Heard(now, &events[i]))
+	}
+	load := b.loads.of(TagOf(ticket.Rater.ID))
+	require.Empty(t, load.open)
+	require.Empty(t, load.running)
+	require.Equal(t, []uint32{TagOf(ticket.Rater.ID)}, b.loads.keeps(now, TagOf("k")))
+}
+
+func TestAPartIsKeptUntilItsRaterHasReadMuchElse(t *testing.T) {
+	s := newTestService(t, 3, 1)
+	raters := list(3)
+	for i := range raters {
+		raters[i].Memory = 100_000
+	}
+	s.SetRaters(time.Second, raters)
+	now := time.Second
+	sent := reads("r00", 1, 5000)
+	sent.Prefix = TagOf("k")
+	s.Heard(now, sent)
+	now += 10 * partLife
+	require.Len(t, s.loads.keeps(now, TagOf("k")), 1, "nothing has taken its place")
+	s.Heard(now, reads("r00", 2, 60_000))
+	require.Empty(t, s.loads.keeps(now, TagOf("k")))
+	s.SetRaters(now, raters[1:])
+	require.Nil(t, s.loads.raters[TagOf("r00")], "a rater that left keeps nothing")
+}
+
+func TestPartsAreForgottenByGenerations(t *testing.T) {
+	parts := newKeptParts()
+	for part := uint32(1); part <= 3*mostParts; part++ {
+		parts.note(0, part, 1, 0)
+		parts.note(0, 1, 2, 0) // one in use stays
+	}
+	require.LessOrEqual(t, len(parts.young)+len(parts.old), mostParts)
+	require.Len(t, parts.places(1), 2)
+	require.Empty(t, parts.places(2))
+	for rater := range uint32(3 * mostPlaces) {
+		parts.note(time.Duration(rater), 1, rater+10, 0)
+	}
+	require.Len(t, parts.places(1), mostPlaces)
+}
+
+func TestLargeRequestsAreWorthMore(t *testing.T) {
+	all := sizes{}
+	for range 300 {
+		all.note(&Request{Route: "a", Own: 1000})
+	}
+	require.InDelta(t, 1, all.worth(&Request{Route: "a", Own: 1000}), 0.01)
+	require.InDelta(t, 1.7, all.worth(&Request{Route: "a", Own: 2000}), 0.01)
+	require.InDelta(t, worthMost, all.worth(&Request{Route: "a", Own: 50_000}), 0.01)
+	require.InDelta(t, 1, all.worth(&Request{Route: "unknown", Own: 50_000}), 0.01)
 }
 
 func TestWithoutAPrefixTheSharesDecide(t *testing.T) {
@@ -189,18 +415,36 @@
 	require.Greater(t, placesAfter, 100)
 }
 
+// alsoAt is another prefix that has its home at a rater.
+func alsoAt(t *testing.T, rater string) string {
+	t.Helper()
+	s := newTestService(t, 9, 3)
+	for i := range 1000 {
+		key := fmt.Sprint("also", i)
+		ticket := s.Place(time.Second, prefixed(key))
+		s.End(time.Second, ticket, decide.Good, Load{})
+		if ticket.Rater.ID == rater {
+			return key
+		}
+	}
+	t.Fatal("no prefix has its home there")
+	return ""
+}
+
 func TestARaterThatANodeCouldNotReachIsLeftAloneByAll(t *testing.T) {
 	a, b := newTestService(t, 9, 1), newTestService(t, 9, 2)
 	now := time.Second
 	home := a.Place(now, prefixed("k"))
 	a.End(now, home, decide.NoConnect, Load{})
 	a.Unreachable(now, home)
-	b.Heard(now, []Reading{{Rater: home.Rater.ID, Down: true}})
+	later := alsoAt(t, home.Rater.ID)
+	b.Heard(now, told(Unreachable, home.Rater.ID, 0))
 	for _, s := range []*Service{a, b} {
 		moved := s.Place(now+time.Millisecond, prefixed("k"))
 		require.NotEqual(t, home.Rater.ID, moved.Rater.ID)
 		s.End(now, moved, decide.Good, Load{})
-		back := s.Place(now+suspectMost, prefixed("k"))
+		require.True(t, s.Place(now+suspectMost, prefixed("k")).Kept, "what moved stays")
+		back := s.Place(now+suspectMost, prefixed(later))
 		require.Equal(t, home.Rater.ID, back.Rater.ID, "it is tried again after a while")
 		s.End(now, back, decide.Good, Load{})
 	}
@@ -212,13 +456,13 @@
 	heard := s.Place(now, prefixed("k"))
 	s.Begun(now, heard)
 	s.End(now, heard, decide.Good, Load{})
-	s.Heard(now+trustOwn/2, []Reading{{Rater: heard.Rater.ID, Down: true}})
+	s.Heard(now+trustOwn/2, told(Unreachable, heard.Rater.ID, 0))
 	again := s.Place(now+trustOwn/2, prefixed("k"))
 	require.Equal(t, heard.Rater.ID, again.Rater.ID, "what this node hears from it goes before")
 	s.End(now, again, decide.Good, Load{})
 	now += time.Minute
 	for _, rater := range list(9) {
-		s.Heard(now, []Reading{{Rater: rater.ID, Down: true}})
+		s.Heard(now, told(Unreachable, rater.ID, 0))
 	}
 	suspected := 0
 	for _, m := range s.members {
--- a/internal/fleet/routing/suspicion.go
+++ b/internal/fleet/routing/suspicion.go
@@ -36,14 +36,14 @@
 func (s *Service) Unreachable(now time.Duration, t *Ticket) {
 	if m := s.members[t.Rater.ID]; m != nil {
 		m.raise(now)
+		s.events = append(s.events, Event{Kind: Unreachable, Rater: m.tag})
 	}
 }
 
-// heardDown takes another node's notice that it could not reach a rater. A node whose own links are at fault tells so of
+// heardUnreachable takes another node's notice that it could not reach a rater. A node whose own links are at fault tells so of
 // many: what this node hears from a rater, and notices about more than half of them, go before it.
-func (s *Service) heardDown(now time.Duration, id string) {
-	m := s.members[id]
-	if m == nil || m.heardAt > 0 && now-m.heardAt < trustOwn {
+func (s *Service) heardUnreachable(now time.Duration, m *member) {
+	if m.heardAt > 0 && now-m.heardAt < trustOwn {
 		return
 	}
 	suspected := 1
