--- a/internal/fleet/controlnode/replicator.go
+++ b/internal/fleet/controlnode/replicator.go
@@ -17,6 +17,8 @@
 // The figures of the replicator.
 const (
 	tickEvery       = 50 * time.Millisecond
+	startTick       = 15 * time.Millisecond // the same while a process that has just started is not confirmed yet
+	startingFor     = 2 * time.Second       // but no longer
 	inboxSize       = 512
 	confirmWait     = 700 * time.Millisecond // after which a refusal or a read that cannot be confirmed is given up
 	recoverInterval = 500 * time.Millisecond // between attempts to write to a disk that failed
@@ -82,9 +84,11 @@
 
 // Run drives the replica until Stop.
 func (r *Replicator) Run() {
-	ticker := time.NewTicker(tickEvery)
+	ticker := time.NewTicker(startTick)
 	defer ticker.Stop()
-	for {
+	begin := r.clock()
+	r.outbox.pool.SetEager(true)
+	for starting := true; ; {
 		select {
 		case work := <-r.inbox:
 			work()
@@ -96,6 +100,11 @@
 		}
 		r.settle()
 		r.publish()
+		if starting && (r.machine.StateConfirmed() > 0 || r.clock()-begin > startingFor) {
+			starting = false
+			r.outbox.pool.SetEager(false)
+			ticker.Reset(tickEvery)
+		}
 	}
 }
 
--- a/internal/fleet/datanode/follower.go
+++ b/internal/fleet/datanode/follower.go
@@ -22,7 +22,8 @@
 	avoidFor     = 3 * time.Second
 	pauseMin     = 20 * time.Millisecond
 	pauseMax     = 200 * time.Millisecond
-	homeInterval = 5 * time.Second // after which a node that had to turn elsewhere tries its own zone again
+	startHold    = 150 * time.Millisecond // that a control process may wait for its own confirmation before it answers a new node
+	homeInterval = 5 * time.Second        // after which a node that had to turn elsewhere tries its own zone again
 )
 
 var errStale = errors.New("the control process cannot confirm its view")
@@ -74,7 +75,9 @@
 			continue
 		}
 		time.Sleep(time.Duration((0.5 + rand.Float64()) * float64(pause)))
-		pause = min(2*pause, pauseMax)
+		if f.table.Load() != nil { // one that cannot serve yet asks on as soon as it may
+			pause = min(2*pause, pauseMax)
+		}
 	}
 }
 
@@ -125,7 +128,10 @@
 func (f *follower) poll(address string) error {
 	f.mu.Lock()
 	hold := pollHold
-	if !f.copy.Confirmed() {
+	switch {
+	case f.copy.Table() == nil:
+		hold = startHold
+	case !f.copy.Confirmed():
 		hold = 0
 	}
 	request := f.copy.Request(f.node.settings.NodeName, f.node.session, hold)
@@ -136,7 +142,7 @@
 	if err == nil {
 		err = f.take(sent, &reply)
 	}
-	if err != nil {
+	if err != nil && f.table.Load() != nil {
 		f.mu.Lock()
 		f.avoid[address] = f.node.now() + avoidFor
 		f.mu.Unlock()
@@ -165,6 +171,7 @@
 	f.node.placer.heard(reply.Events)
 	if !hadTable && f.copy.Table() != nil {
 		close(f.configured)
+		f.node.pool.SetEager(false)
 	}
 	switch {
 	case reply.Leaving:
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -47,6 +47,7 @@
 func New(set *settings.Settings, logger *log.Logger) *Node {
 	n := &Node{settings: set, log: logger, begin: time.Now(), session: rand.Uint64()>>1 + 1, pool: transport.NewPool(),
 		figures: proxy.NewFigures()}
+	n.pool.SetEager(true) // until it is configured
 	n.announcer = newAnnouncer(n)
 	n.placer = newPlacer(n.now, nodeNumber(set.NodeName), n.announcer.add)
 	n.retries = newRetryBudget(set.Bounds)
@@ -109,17 +110,10 @@
 	go n.follower.run()
 	go n.rooms.run()
 	go n.announcer.run()
-	select {
-	case <-n.follower.configured:
-	case <-ctx.Done():
-		return nil
-	case err := <-failed:
+	front, err := n.listen(ctx, failed)
+	if front == nil {
 		return err
 	}
-	front, err := net.Listen("tcp4", n.settings.Front)
-	if err != nil {
-		return fmt.Errorf("front address: %w", err)
-	}
 	server := n.server()
 	go func() { failed <- server.Serve(front) }()
 	n.log.Info("node serves", "front", n.settings.Front, "revision", n.Table().Revision)
@@ -131,6 +125,40 @@
 	}
 }
 
+// acceptAhead is how long a node that has just started has clients' connections wait until it is configured. After that it
+// refuses them, so that they turn to other nodes.
+const acceptAhead = time.Second
+
+// listen opens the address for clients and waits for the first configuration. Connections that come before it wait in the
+// listener's queue.
+func (n *Node) listen(ctx context.Context, failed <-chan error) (net.Listener, error) {
+	front, err := net.Listen("tcp4", n.settings.Front)
+	if err != nil {
+		return nil, fmt.Errorf("front address: %w", err)
+	}
+	ahead := time.NewTimer(acceptAhead)
+	defer ahead.Stop()
+	for {
+		select {
+		case <-n.follower.configured:
+			if front == nil {
+				front, err = net.Listen("tcp4", n.settings.Front)
+			}
+			if err != nil {
+				return nil, fmt.Errorf("front address: %w", err)
+			}
+			return front, nil
+		case <-ahead.C:
+			_ = front.Close()
+			front = nil
+		case <-ctx.Done():
+			return nil, nil
+		case err := <-failed:
+			return nil, err
+		}
+	}
+}
+
 func (n *Node) server() *http.Server {
 	handler := &proxy.Handler{Config: n, Placer: n.placer, Rooms: n.rooms, Retries: n.retries, Raters: rater.NewClient(),
 		Figures: n.figures, Log: n.log, Closing: n.wantsClosed, TimeLeft: n.timeLeft}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -18,6 +18,7 @@
 // The figures of connections.
 const (
 	dialTimeout  = 400 * time.Millisecond
+	dialEager    = 100 * time.Millisecond // the same for a process that has just started: its peers may be starting too
 	userTimeout  = time.Second            // after which unacknowledged bytes end a connection
 	stalledAfter = 250 * time.Millisecond // without a byte, after which a large answer is taken to have stalled
 )
@@ -33,10 +34,22 @@
 	// Wrap, if set, is put round each new connection, to count its bytes.
 	Wrap func(net.Conn) net.Conn
 
+	eager atomic.Bool
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
+// SetEager makes connections be given up and tried again soon. Packets to a machine that is not up yet are lost, and are
+// sent again only after a second: a new attempt is sooner.
+func (p *Pool) SetEager(eager bool) { p.eager.Store(eager) }
+
+func (p *Pool) dialTimeout() time.Duration {
+	if p.eager.Load() {
+		return dialEager
+	}
+	return dialTimeout
+}
+
 type peer struct {
 	mu     sync.Mutex
 	client *rpc.Client
@@ -84,7 +97,7 @@
 
 func (p *Pool) call(address, method string, args, reply any, wait, more time.Duration) error {
 	one := p.peer(address)
-	client, err := one.connect(address, p.Wrap)
+	client, err := one.connect(address, p.dialTimeout(), p.Wrap)
 	if err != nil {
 		return err
 	}
@@ -126,7 +139,7 @@
 	}
 }
 
-func (one *peer) connect(address string, wrap func(net.Conn) net.Conn) (*rpc.Client, error) {
+func (one *peer) connect(address string, timeout time.Duration, wrap func(net.Conn) net.Conn) (*rpc.Client, error) {
 	if !one.mu.TryLock() {
 		return nil, ErrBusy
 	}
@@ -134,7 +147,7 @@
 	if one.client != nil {
 		return one.client, nil
 	}
-	connection, err := Dial(address, dialTimeout, userTimeout)
+	connection, err := Dial(address, timeout, userTimeout)
 	if err != nil {
 		return nil, err
 	}
