--- a/internal/fleet/controlnode/events.go
+++ b/internal/fleet/controlnode/events.go
@@ -12,7 +12,7 @@
 const (
 	eventLife   = 2 * time.Second
 	relayWait   = 200 * time.Millisecond
-	relayGather = 4 * time.Millisecond // that events wait for more before they are handed on
+	relayGather = 8 * time.Millisecond // that events wait for more before they are handed on
 	mostRelayed = 512                  // announcements that wait to be handed on
 )
 
--- a/internal/fleet/datanode/announcer.go
+++ b/internal/fleet/datanode/announcer.go
@@ -12,11 +12,11 @@
 const (
 	mostWaiting   = 1024
 	announceWait  = 150 * time.Millisecond
-	gatherFor     = 4 * time.Millisecond // events that come so close together go out together
+	gatherFor     = 8 * time.Millisecond // events that come so close together go out together
 	fleetAttempts = 1500.0               // that all nodes together announce in a second: each goes to every node
 	savedAttempts = 1.0                  // seconds of a node's part that may come at once
 	thresholdUp   = 1.10                 // a prompt that finds no room raises the size from which on attempts are announced,
-	thresholdDown = 0.97                 // one that does lowers it
+	thresholdDown = 0.97                 // one that does, or that is too short while there is room, lowers it
 	mostTold      = 4096                 // attempts whose ends are still to be announced
 )
 
@@ -29,8 +29,10 @@
 // announcer hands the events of the node's attempts to the control process that it polls. What all nodes together announce
 // is bounded: the larger the fleet, the longer a prompt must be for its attempt to be announced.
 type announcer struct {
-	node *Node
-	wake chan struct{}
+	node  *Node
+	now   func() time.Duration
+	nodes func() int64 // about how many nodes of the data plane there are
+	wake  chan struct{}
 
 	mu        sync.Mutex
 	waiting   []waitingEvent
@@ -41,12 +43,13 @@
 }
 
 func newAnnouncer(n *Node) *announcer {
-	return &announcer{node: n, wake: make(chan struct{}, 1), told: map[uint32]bool{}}
+	return &announcer{node: n, now: n.now, nodes: func() int64 { return n.follower.nodesHint.Load() }, wake: make(chan struct{}, 1),
+		told: map[uint32]bool{}}
 }
 
 // add queues the events that are worth telling. What finds no place is dropped: it would be too late.
 func (a *announcer) add(events []routing.Event) {
-	now := a.node.now()
+	now := a.now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, event := range events {
@@ -84,10 +87,14 @@
 
 // admit decides whether an attempt is announced, by the size of its prompt and the node's part of what the fleet may tell.
 func (a *announcer) admit(now time.Duration, event *routing.Event) bool {
-	rate := fleetAttempts / float64(a.node.follower.nodesHint.Load())
-	a.room = min(a.room+rate*(now-a.roomAt).Seconds(), max(1, savedAttempts*rate))
+	rate := fleetAttempts / float64(a.nodes())
+	full := max(1, savedAttempts*rate)
+	a.room = min(a.room+rate*(now-a.roomAt).Seconds(), full)
 	a.roomAt = now
 	if event.Tokens < a.threshold {
+		if a.room >= full {
+			a.threshold *= thresholdDown
+		}
 		return false
 	}
 	if a.room < 1 {
@@ -107,7 +114,7 @@
 func (a *announcer) take() []byte {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.node.now()
+	now := a.now()
 	var packed []byte
 	for _, one := range a.waiting {
 		one.event.Ago = now - one.at
--- /dev/null
+++ b/internal/fleet/datanode/listen_test.go
@@ -0,0 +1,79 @@
+package datanode
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/settings"
+)
+
+// freeAddress is an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// listening starts a node's listener and gives the channel on which it comes once the node is configured.
+func listening(t *testing.T, n *Node, ahead time.Duration) <-chan net.Listener {
+	t.Helper()
+	opened := make(chan net.Listener, 1)
+	go func() {
+		listener, err := n.listen(context.Background(), nil, ahead)
+		if err != nil {
+			t.Error(err)
+		}
+		opened <- listener
+	}()
+	return opened
+}
+
+func TestClientsOfANodeThatIsNotConfiguredYetWaitForIt(t *testing.T) {
+	n := New(&settings.Settings{Front: freeAddress(t)}, log.New(io.Discard))
+	opened := listening(t, n, time.Minute)
+	var client net.Conn
+	require.Eventually(t, func() bool {
+		var err error
+		client, err = net.Dial("tcp4", n.settings.Front)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	defer func() { _ = client.Close() }()
+	_, err := client.Write([]byte("hello"))
+	require.NoError(t, err)
+	close(n.follower.configured)
+	listener := <-opened
+	defer func() { _ = listener.Close() }()
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	defer func() { _ = accepted.Close() }()
+	said := make([]byte, 5)
+	_, err = io.ReadFull(accepted, said)
+	require.NoError(t, err)
+	require.Equal(t, "hello", string(said))
+}
+
+func TestClientsOfANodeThatGetsNoConfigurationAreRefused(t *testing.T) {
+	n := New(&settings.Settings{Front: freeAddress(t)}, log.New(io.Discard))
+	opened := listening(t, n, time.Millisecond)
+	require.Eventually(t, func() bool {
+		client, err := net.Dial("tcp4", n.settings.Front)
+		if err == nil {
+			_ = client.Close()
+		}
+		return err != nil
+	}, 10*time.Second, 5*time.Millisecond)
+	close(n.follower.configured)
+	listener := <-opened
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp4", n.settings.Front)
+	require.NoError(t, err, "it is open again once it is configured")
+	_ = client.Close()
+}
--- a/internal/fleet/datanode/node.go
+++ b/internal/fleet/datanode/node.go
@@ -110,7 +110,7 @@
 	go n.follower.run()
 	go n.rooms.run()
 	go n.announcer.run()
-	front, err := n.listen(ctx, failed)
+	front, err := n.listen(ctx, failed, acceptAhead)
 	if front == nil {
 		return err
 	}
@@ -131,12 +131,12 @@
 
 // listen opens the address for clients and waits for the first configuration. Connections that come before it wait in the
 // listener's queue.
-func (n *Node) listen(ctx context.Context, failed <-chan error) (net.Listener, error) {
+func (n *Node) listen(ctx context.Context, failed <-chan error, within time.Duration) (net.Listener, error) {
 	front, err := net.Listen("tcp4", n.settings.Front)
 	if err != nil {
 		return nil, fmt.Errorf("front address: %w", err)
 	}
-	ahead := time.NewTimer(acceptAhead)
+	ahead := time.NewTimer(within)
 	defer ahead.Stop()
 	for {
 		select {
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -253,7 +253,7 @@
 	m.now = max(now, m.now)
 	var out Output
 	m.watchPeers()
-	if m.now-m.beatAt >= m.beatInterval() {
+	if m.now-m.beatAt >= m.options.Heartbeat {
 		out.add(m.Beat(now))
 	}
 	out.add(m.resend())
@@ -262,20 +262,6 @@
 	return out
 }
 
-// The figures of heartbeats just after a start: until a majority has confirmed the view nobody is served.
-const (
-	startHeartbeat = 30 * time.Millisecond
-	startingFor    = 2 * time.Second
-)
-
-// beatInterval is the time between heartbeats: short while a process that has just started waits for a majority.
-func (m *Machine) beatInterval() time.Duration {
-	if m.now-m.started < startingFor && m.confirmed() == 0 {
-		return min(startHeartbeat, m.options.Heartbeat)
-	}
-	return m.options.Heartbeat
-}
-
 func (m *Machine) send(to Member, body Message) Envelope {
 	return Envelope{From: m.self, To: to, Body: body}
 }
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -349,3 +349,24 @@
 		}
 	}
 }
+
+// All lose power and start within 0.3 s: the state is confirmed soon after the whole chain is there. (That the newest order
+// was committed is known once all members of the chain have told that they have it.)
+func TestAStateIsConfirmedSoonAfterAllStartAgain(t *testing.T) {
+	for seed := range uint64(100) {
+		w := founded(t, seed, 3)
+		w.slowest = 2 * time.Millisecond
+		for _, n := range w.nodes {
+			w.crash(n)
+		}
+		w.runUntil(w.now + time.Second)
+		for i, n := range w.nodes {
+			w.after(time.Duration(i)*100*time.Millisecond, func() { w.start(n) })
+		}
+		w.runUntil(w.now + 200*time.Millisecond + 3*worldTick + 10*time.Millisecond)
+		for _, n := range w.nodes {
+			require.Positive(t, n.machine.StateConfirmed(), "seed %d, %s", seed, n.address)
+		}
+		require.Empty(t, w.problems(), "seed %d", seed)
+	}
+}
--- a/internal/fleet/routing/service_test.go
+++ b/internal/fleet/routing/service_test.go
@@ -497,3 +497,15 @@
 	}
 	require.Empty(t, Rendezvous("k", nil))
 }
+
+func TestAnAnswerThatWasHeldUpIsTold(t *testing.T) {
+	s := newTestService(t, 2, 1)
+	request := light("k")
+	request.Long = true
+	ticket := s.Place(time.Second, request)
+	s.Begun(time.Second, ticket)
+	ticket.Paused()
+	s.End(2*time.Second, ticket, decide.Good, Load{})
+	events := s.TakeEvents()
+	require.Equal(t, Paused, events[len(events)-1].Kind)
+}
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -71,3 +71,12 @@
 	var reply []byte
 	require.Error(t, NewPool().Call(address, "Test.Bytes", 3, &reply, time.Minute))
 }
+
+func TestAProcessThatHasJustStartedGivesUpConnectionsSooner(t *testing.T) {
+	pool := NewPool()
+	require.Equal(t, dialTimeout, pool.dialTimeout())
+	pool.SetEager(true)
+	require.Equal(t, dialEager, pool.dialTimeout())
+	pool.SetEager(false)
+	require.Equal(t, dialTimeout, pool.dialTimeout())
+}
