--- a/internal/fleet/datanode/placer.go
+++ b/internal/fleet/datanode/placer.go
@@ -165,6 +165,11 @@
 	Slow     float64
 	Away     bool
 	InFlight int
+	Reading  int    // prompts of all nodes that it has not read yet, as far as this node was told
+	Running  int    // long answers of all nodes, likewise
+	Wait     string // until it is done with the prompts that it has to read
+	Pace     float64
+	Failing  float64
 }
 
 func (p *placer) status() map[string][]raterStatus {
@@ -173,7 +178,9 @@
 	all := make(map[string][]raterStatus, len(p.services))
 	for name, service := range p.services {
 		for _, view := range service.View(p.now()).Backends {
-			all[name] = append(all[name], raterStatus{ID: service.Name(view.ID), Share: view.Share,
+			load := service.Load(p.now(), service.Name(view.ID))
+			all[name] = append(all[name], raterStatus{ID: service.Name(view.ID), Share: view.Share, Reading: load.Reading,
+				Running: load.Running, Wait: load.Wait.Round(time.Millisecond).String(), Pace: load.Pace, Failing: load.Failing,
 				Latency: view.Latency.Round(time.Microsecond).String(), Slow: view.Slow, Away: view.Away, InFlight: view.Out})
 		}
 	}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -82,7 +82,7 @@
 		c.stream.begun = true
 		c.handler.Placer.Begun(c.service, ticket)
 		c.handler.Log.Debug("answer begins", "route", c.route.Name, "rater", ticket.Rater.ID, "why", ticket.Why,
-			"kept", ticket.Kept, "home_expected", ticket.Home, "expected", ticket.Expected, "took", time.Since(c.placed), "since_arrival", time.Since(c.arrived), "target", c.route.Target,
+			"kept", ticket.Kept, "home_expected", ticket.Home, "expected", ticket.Expected, "took", time.Since(c.arrived), "since_sent", time.Since(c.placed), "target", c.route.Target,
 			"input", c.prompt.input, "own", c.prompt.own, "sends", c.sends)
 	}
 }
--- a/internal/fleet/routing/rendezvous.go
+++ b/internal/fleet/routing/rendezvous.go
@@ -5,8 +5,9 @@
 // are new or were away come in by its search. A request with a prefix goes to the rater that the prefix's rendezvous
 // hash names, its home, so that all nodes read a shared part at the same place; a rater that the balancer has put away, or
 // that holds more than its part of this node's work, passes the request on to the next one in the hash's order, and so does
-// one that is busy reading long prompts (backlog.go). The curve's shares are no weights of the hash: each node learns
-// its own from few answers, and weights that differ scatter the prefixes.
+// one at which more of the request's worth is expected to be lost (Service.loss): what raters read and run, how fast they
+// are and whether they fail, all nodes tell each other (event.go, load.go). The curve's shares are no weights of the hash:
+// each node learns its own from few answers, and weights that differ scatter the prefixes.
 package routing
 
 import (
--- a/internal/fleet/routing/service.go
+++ b/internal/fleet/routing/service.go
@@ -481,6 +481,22 @@
 // View tells how the service's raters do.
 func (s *Service) View(now time.Duration) decide.View { return s.balancer.View(now) }
 
+// RaterLoad is what is known of a rater's load, from this node's attempts and from those that other nodes told of.
+type RaterLoad struct {
+	Reading int           // prompts whose first token has not come
+	Running int           // long answers under way
+	Wait    time.Duration // until it is done with the prompts that it has to read
+	Pace    float64       // times the usual time that its answers take to begin
+	Failing float64       // part of its attempts that fail
+}
+
+// Load tells what is known of the load of a rater.
+func (s *Service) Load(now time.Duration, id string) RaterLoad {
+	load := s.loads.of(TagOf(id))
+	return RaterLoad{Reading: len(load.open), Running: len(load.running), Wait: s.loads.wait(now, load), Pace: s.loads.pace(now, load),
+		Failing: s.loads.risk(now, load)}
+}
+
 // Name is the id of a rater by its number in View.
 func (s *Service) Name(id decide.BackendID) string {
 	if m := s.byID[id]; m != nil {
