Share a peer's connection between calls that meet

Change: the lock is held for moments, and a flag says that a call is dialling. Only a call beside a dial gets ErrBusy, as its doc says. Measured: 160,000 calls by 8 goroutines on a connected peer, 0 ErrBusy; the test fails with the old pool.

--- a/internal/fleet/transport/pool.go
+++ b/internal/fleet/transport/pool.go
@@ -86,30 +86,44 @@
 
 // peerConn is the connection to one peer, dialled on demand.
 type peerConn struct {
-	mu         sync.Mutex // held while dialling
+	mu         sync.Mutex // guards client and dialling, and is held for moments only
 	client     *rpc.Client
+	dialling   bool         // a call is dialling the peer
 	receivedAt atomic.Int64 // when bytes last arrived, in Unix nanoseconds
 }
 
 // connect returns the connection, and dials where there is none. It does not wait for another call that dials: that one may
 // take long, and the caller's timeout has begun.
 func (c *peerConn) connect(address string, timeout time.Duration, wrap func(net.Conn) net.Conn) (*rpc.Client, error) {
-	if !c.mu.TryLock() {
-		return nil, ErrBusy
+	client, err := c.current()
+	if client != nil || err != nil {
+		return client, err
+	}
+	connection, err := Dial(address, timeout, userTimeout)
+	if err == nil {
+		if wrap != nil {
+			connection = wrap(connection)
+		}
+		client = rpc.NewClient(timedConn{connection, &c.receivedAt})
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.client, c.dialling = client, false
+	return client, err
+}
+
+// current returns the connection. Where there is none, the caller must dial it, unless another call does: that is ErrBusy.
+func (c *peerConn) current() (*rpc.Client, error) {
+	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.client != nil {
 		return c.client, nil
 	}
-	connection, err := Dial(address, timeout, userTimeout)
-	if err != nil {
-		return nil, err
-	}
-	if wrap != nil {
-		connection = wrap(connection)
+	if c.dialling {
+		return nil, ErrBusy
 	}
-	c.client = rpc.NewClient(timedConn{connection, &c.receivedAt})
-	return c.client, nil
+	c.dialling = true
+	return nil, nil
 }
 
 // drop closes a connection, so that the next call dials, unless another has done so.
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -25,7 +25,7 @@
 // ErrTimeout says that a call was not answered in time. Whether it was carried out is not known.
 var ErrTimeout = errors.New("transport: no answer in time")
 
-// ErrBusy says that another call is dialling the peer, or uses its entry at this very moment. The call was not sent.
+// ErrBusy says that another call is dialling the peer. The call was not sent.
 var ErrBusy = errors.New("transport: the peer is being dialled")
 
 // Dial opens a TCP connection that ends when its bytes have not been acknowledged for a time.
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"net"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,3 +82,62 @@
 	pool.SetEager(false)
 	require.Equal(t, dialTimeout, pool.dialTimeout())
 }
+
+// Calls that meet on a connected peer must not fail: the connection is there, and none of them dials.
+func TestCallsThatMeetOnAConnectedPeerShareItsConnection(t *testing.T) {
+	const callers, callsEach = 8, 20_000
+	address, pool := serve(t)
+	var reply []byte
+	require.NoError(t, pool.Call(address, "Test.Bytes", 3, &reply, time.Minute))
+	peer := pool.peerConn(address)
+	connected, err := peer.connect(address, dialTimeout, nil)
+	require.NoError(t, err)
+	var calls sync.WaitGroup
+	errs := make([]error, callers)
+	for caller := range callers {
+		calls.Go(func() {
+			for range callsEach {
+				client, err := peer.connect(address, dialTimeout, nil)
+				if client != connected {
+					errs[caller] = err
+				}
+			}
+		})
+	}
+	calls.Wait()
+	require.Equal(t, make([]error, callers), errs)
+}
+
+// A call does not wait for another one that dials, and one after it uses what that one has dialled.
+func TestCallBesideADialFailsAtOnce(t *testing.T) {
+	address, pool := serve(t)
+	dialling, proceed := make(chan struct{}), make(chan struct{})
+	pool.Wrap = func(conn net.Conn) net.Conn {
+		close(dialling)
+		<-proceed
+		return conn
+	}
+	first := make(chan error, 1)
+	go func() {
+		var reply []byte
+		first <- pool.Call(address, "Test.Bytes", 3, &reply, time.Minute)
+	}()
+	<-dialling
+	var reply []byte
+	require.ErrorIs(t, pool.Call(address, "Test.Bytes", 3, &reply, time.Minute), ErrBusy)
+	close(proceed)
+	require.NoError(t, <-first)
+	require.NoError(t, pool.Call(address, "Test.Bytes", 3, &reply, time.Minute))
+}
+
+func TestFailedDialIsTriedAgain(t *testing.T) {
+	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	pool := NewPool()
+	for range 2 {
+		var reply []byte
+		require.ErrorIs(t, pool.Call(address, "Test.Bytes", 3, &reply, time.Minute), syscall.ECONNREFUSED)
+	}
+}
