Gossip with the seeds of the last reload

Cause: gossip read the seeds from the settings of the start; a reload told only the replica of the new ones. Change: the node keeps the seeds of the last reload, and gossip reads them in each round.

--- a/internal/fleet/controlplane/bootstrap.go
+++ b/internal/fleet/controlplane/bootstrap.go
@@ -58,7 +58,14 @@
 
 // ApplySettings applies a settings file that was changed while the process runs: the seeds may have changed.
 func (n *Node) ApplySettings(set *settings.Settings) {
-	n.replicator.SetSeeds(seedAddresses(set))
+	n.setSeeds(set)
+	n.replicator.SetSeeds(*n.seeds.Load())
+}
+
+// setSeeds replaces the seeds that this process gossips with.
+func (n *Node) setSeeds(set *settings.Settings) {
+	seeds := seedAddresses(set)
+	n.seeds.Store(&seeds)
 }
 
 // randomID returns a random number of 63 bits that is not 0.
--- a/internal/fleet/controlplane/gossip.go
+++ b/internal/fleet/controlplane/gossip.go
@@ -84,7 +84,7 @@
 			peers = append(peers, member.Address)
 		}
 	}
-	for _, seed := range seedAddresses(g.node.settings) {
+	for _, seed := range *g.node.seeds.Load() {
 		if seed != published.Self.Address && !slices.Contains(peers, seed) {
 			peers = append(peers, seed)
 		}
--- a/internal/fleet/controlplane/node.go
+++ b/internal/fleet/controlplane/node.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -46,7 +47,8 @@
 	gossip        *gossiper
 	forwarder     forwarder
 	updates       updateCache
-	registryOwner uint64 // random, identifies this process's replica of the registry
+	registryOwner uint64                   // random, identifies this process's replica of the registry
+	seeds         atomic.Pointer[[]string] // internal addresses of the seeds that the settings name now
 
 	mu         sync.Mutex
 	registry   *registry.Registry
@@ -86,6 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.setSeeds(set)
 	n.replicator = NewReplicator(n.now, logger, n.pool, n.store, machine)
 	n.gossip = newGossiper(n)
 	return n, nil
