Sync the folder of a backup

Cause: Write synced the file and not its folder, so that after a loss of power a backup that was reported as written could have no name. Change: the folder is synced after the file, and an error of that is Write's. Measured: the new test sees both syncs in this order; the golden file is unchanged.

--- a/internal/node/consensus/backup/backup.go
+++ b/internal/node/consensus/backup/backup.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -31,8 +32,13 @@
 	Sum   uint64 `json:"sum"` // xxhash of the image
 }
 
-// Write writes an image, as of the entry with this index, to a file that must not exist, and syncs the file.
+// Write writes an image, as of the entry with this index, to a file that must not exist. It syncs the file and then its
+// directory: after a nil error the backup survives a loss of power, by its name.
 func Write(file, fleet string, index uint64, image []byte) error {
+	return write(file, fleet, index, image, (*os.File).Sync)
+}
+
+func write(file, fleet string, index uint64, image []byte, sync func(*os.File) error) error {
 	text, err := json.Marshal(header{version, fleet, index, xxhash.Sum64(image)})
 	if err != nil {
 		return err
@@ -42,9 +48,16 @@
 		return err
 	}
 	if _, err = f.Write(append(append(text, '\n'), image...)); err == nil {
-		err = f.Sync()
+		err = sync(f)
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	directory, err := os.Open(filepath.Dir(file))
+	if err != nil {
+		return err
 	}
-	return errors.Join(err, f.Close())
+	return errors.Join(sync(directory), directory.Close())
 }
 
 // Read reads what Write has written. The error wraps ErrForm or ErrDamaged, or is the file's.
--- a/internal/node/consensus/backup/backup_test.go
+++ b/internal/node/consensus/backup/backup_test.go
@@ -51,3 +51,23 @@
 		})
 	}
 }
+
+// TestBackupIsSyncedWithItsDirectory guards against a backup that is on the disk after a loss of power, but has no name there.
+func TestBackupIsSyncedWithItsDirectory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "backup")
+	var synced []string
+	record := func(f *os.File) error {
+		synced = append(synced, f.Name())
+		return f.Sync()
+	}
+	require.NoError(t, write(file, "morava", 42, []byte("image"), record))
+	require.Equal(t, []string{file, filepath.Dir(file)}, synced, "the content before its name")
+
+	failing := func(f *os.File) error {
+		if f.Name() == filepath.Dir(file) {
+			return os.ErrInvalid
+		}
+		return f.Sync()
+	}
+	require.ErrorIs(t, write(file+"2", "morava", 42, []byte("image"), failing), os.ErrInvalid, "a name that may be lost is not reported as written")
+}
