End a command's waits with its context

Cause: a command waited for the session that another one opens, and for a free number in a full window, without its own context: its caller waited as long as the slowest other one.

--- a/internal/node/consensus/client/client.go
+++ b/internal/node/consensus/client/client.go
@@ -31,6 +31,9 @@
 	errNoConnection = errors.New("there is no connection")
 	errBroken       = errors.New("the connection broke")
 	errTimeout      = errors.New("no answer came in time")
+	errOpening      = errors.New("no session could be opened in time")
+	errWindowFull   = errors.New("as many commands as may be are in flight")
+	errAbandoned    = errors.New("the session was abandoned")
 )
 
 const maxSpread = time.Second
@@ -55,8 +58,8 @@
 // Client is a client of the log.
 type Client struct {
 	config    Config
-	notBefore time.Time  // of the first request
-	opening   sync.Mutex // held while a session is opened, so that one is
+	notBefore time.Time     // of the first request
+	opening   chan struct{} // has room for one: it is full while a session is opened, so that one is
 
 	mu          sync.Mutex // guards what follows
 	current     int        // index of the replica that is called
@@ -68,7 +71,8 @@
 
 // New returns a client. It connects with the first request.
 func New(config Config) *Client {
-	return &Client{config: config, notBefore: time.Now().Add(rand.N(max(1, config.Spread))), current: rand.IntN(max(1, len(config.Replicas)))}
+	return &Client{config: config, notBefore: time.Now().Add(rand.N(max(1, config.Spread))), opening: make(chan struct{}, 1),
+		current: rand.IntN(max(1, len(config.Replicas)))}
 }
 
 // Close closes the connection. Requests that wait for an answer fail.
@@ -93,10 +97,13 @@
 		if err != nil {
 			return statemachine.Reply{}, err
 		}
-		number, ok := s.nextNumber()
-		if !ok {
+		number, err := s.nextNumber(ctx)
+		if errors.Is(err, errAbandoned) {
 			continue
 		}
+		if err != nil {
+			return statemachine.Reply{}, notApplied(err)
+		}
 		a, uncertain, err := c.call(ctx, func() protocol.Request {
 			return protocol.Request{Want: protocol.Do, Session: s.id, Number: number, Confirmed: s.confirmedUpTo(), Component: component, Body: text}
 		})
--- a/internal/node/consensus/client/session.go
+++ b/internal/node/consensus/client/session.go
@@ -15,26 +15,46 @@
 type session struct {
 	id uint64
 
-	mu        sync.Mutex // guards what follows
-	freed     *sync.Cond // a number was confirmed, or the session abandoned
-	last      uint64     // number given out last
-	done      uint64     // all numbers up to this one are confirmed
+	mu        sync.Mutex    // guards what follows
+	freed     chan struct{} // closed and replaced when a number is confirmed, closed when the session is abandoned
+	last      uint64        // number given out last
+	done      uint64        // all numbers up to this one are confirmed
 	confirmed map[uint64]bool
 	abandoned bool // the fate of a command is unknown: its number stays in flight, so that no more can be given out
 }
 
-// nextNumber returns the number of the next command, and waits while Window are in flight. It fails once the session is abandoned.
-func (s *session) nextNumber() (number uint64, ok bool) {
+func newSession(id uint64) *session {
+	return &session{id: id, freed: make(chan struct{}), confirmed: map[uint64]bool{}}
+}
+
+// nextNumber returns the number of the next command. While Window are in flight it waits, until ctx ends: the error is
+// errWindowFull then. Once the session is abandoned, it is errAbandoned.
+func (s *session) nextNumber(ctx context.Context) (uint64, error) {
+	for {
+		number, freed, err := s.tryNextNumber()
+		if freed == nil {
+			return number, err
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return 0, errWindowFull
+		}
+	}
+}
+
+// tryNextNumber is nextNumber without the wait: it returns a channel that is closed when it is worth trying again.
+func (s *session) tryNextNumber() (number uint64, freed <-chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.abandoned && s.last >= s.done+statemachine.Window {
-		s.freed.Wait()
-	}
 	if s.abandoned {
-		return 0, false
+		return 0, nil, errAbandoned
+	}
+	if s.last >= s.done+statemachine.Window {
+		return 0, s.freed, nil
 	}
 	s.last++
-	return s.last, true
+	return s.last, nil, nil
 }
 
 // confirm records that the reply to a command has come.
@@ -46,7 +66,10 @@
 		s.done++
 		delete(s.confirmed, s.done)
 	}
-	s.freed.Broadcast()
+	if !s.abandoned {
+		close(s.freed)
+		s.freed = make(chan struct{})
+	}
 }
 
 // confirmedUpTo returns the number up to which the state machine may forget replies.
@@ -59,8 +82,10 @@
 func (s *session) abandon() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.abandoned = true
-	s.freed.Broadcast()
+	if !s.abandoned {
+		s.abandoned = true
+		close(s.freed)
+	}
 }
 
 func (s *session) isAbandoned() bool {
@@ -69,10 +94,29 @@
 	return s.abandoned
 }
 
-// openSession returns the session, a new one where there is none or it was abandoned.
+// beginOpening waits until no other request opens a session, or ctx ends. After a nil error the caller must take its element out
+// of c.opening.
+func (c *Client) beginOpening(ctx context.Context) error {
+	select {
+	case c.opening <- struct{}{}: // also where ctx has ended already: most requests find a session
+		return nil
+	default:
+	}
+	select {
+	case c.opening <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errOpening
+	}
+}
+
+// openSession returns the session, a new one where there is none or it was abandoned. While another request opens one it
+// waits for that, until ctx ends.
 func (c *Client) openSession(ctx context.Context) (*session, error) {
-	c.opening.Lock()
-	defer c.opening.Unlock()
+	if err := c.beginOpening(ctx); err != nil {
+		return nil, notApplied(err)
+	}
+	defer func() { <-c.opening }()
 	c.mu.Lock()
 	s := c.session
 	c.mu.Unlock()
@@ -92,8 +136,7 @@
 	if a.Reply.Code != statemachine.OK {
 		return nil, fmt.Errorf("%w: %s", ErrRefused, a.Reply.Text)
 	}
-	s = &session{id: a.Reply.Index, confirmed: map[uint64]bool{}}
-	s.freed = sync.NewCond(&s.mu)
+	s = newSession(a.Reply.Index)
 	c.mu.Lock()
 	c.session = s
 	c.mu.Unlock()
