Report a response that paused and broke off as failed

Cause: the event of an attempt's end looked at the pause first, so a backend that stalled and then broke a stream was reported to all nodes as slow only. Change: a failure goes before a pause. Measured: the new test fails without the change for reset, failed and late.

--- a/internal/fleet/routing/balancer_test.go
+++ b/internal/fleet/routing/balancer_test.go
@@ -512,3 +512,18 @@
 	events := b.DrainEvents()
 	require.Equal(t, EventPaused, events[len(events)-1].Kind)
 }
+
+// What other nodes are to learn of a response that paused and then broke off is that the backend failed.
+func TestPausedResponseThatBreaksOffIsReportedAsFailed(t *testing.T) {
+	for _, result := range []Result{decide.Reset, decide.Failed, decide.Late} {
+		b := newTestBalancer(t, 2, 1)
+		request := prefixedCheaply()
+		request.Long = true
+		attempt := b.Pick(time.Second, request)
+		b.FirstToken(time.Second, attempt)
+		attempt.RecordPause()
+		b.Done(2*time.Second, attempt, result, Load{})
+		events := b.DrainEvents()
+		require.Equal(t, EventFailed, events[len(events)-1].Kind, "%v", result)
+	}
+}
--- a/internal/fleet/routing/feedback.go
+++ b/internal/fleet/routing/feedback.go
@@ -38,10 +38,10 @@
 		}
 	}
 	switch {
+	case isFailure(result): // a response that paused before it broke off is a failure too
+		b.record(now, Event{Kind: EventFailed, Backend: attempt.tag, Attempt: attempt.eventID()})
 	case attempt.paused:
 		b.record(now, Event{Kind: EventPaused, Backend: attempt.tag, Attempt: attempt.eventID()})
-	case isFailure(result):
-		b.record(now, Event{Kind: EventFailed, Backend: attempt.tag, Attempt: attempt.eventID()})
 	case attempt.long || !attempt.firstTokenSeen: // else the first token was the end, as far as the load goes
 		b.record(now, Event{Kind: EventEnded, Backend: attempt.tag, Attempt: attempt.eventID()})
 	}
