Count a pause only against the backend that paused

Cause: the time of the last part of a body was kept over attempts, so the time that it took to resume a stream counted as a pause of its second backend. Change: the time is kept with its attempt. Measured: the new test fails without the change; a pause of the second backend itself is still recorded (1 more test).

--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -25,10 +25,12 @@
 // streamState is how far a response has been forwarded, over all attempts.
 type streamState struct {
 	headerWritten   bool
-	started         bool      // the first part of a body has come
-	lastChunkAt     time.Time // when the last part of a body came
-	lastEventID     string    // of the last event that the client has, "" = none
-	lastEventNumber int64     // lastEventID as a number
+	started         bool   // the first part of a body has come
+	lastEventID     string // of the last event that the client has, "" = none
+	lastEventNumber int64  // lastEventID as a number
+
+	lastChunkAt      time.Time        // when the last part of a body came
+	lastChunkAttempt *routing.Attempt // whose body that was
 }
 
 // clientError says that the client takes no more of its response.
@@ -99,13 +101,14 @@
 	}
 }
 
-// recordChunk records that a part of a body has come, and a pause before it that is longer than the route's gap target.
+// recordChunk records that a part of a body has come, and a pause before it that is longer than the route's gap target. The time
+// from the last part of one backend's body to the first part of another's is no pause of either.
 func (e *exchange) recordChunk(attempt *routing.Attempt) {
 	now := time.Now()
-	if e.route.GapTarget > 0 && !e.stream.lastChunkAt.IsZero() && now.Sub(e.stream.lastChunkAt) > e.route.GapTarget {
+	if e.route.GapTarget > 0 && e.stream.lastChunkAttempt == attempt && now.Sub(e.stream.lastChunkAt) > e.route.GapTarget {
 		attempt.RecordPause()
 	}
-	e.stream.lastChunkAt = now
+	e.stream.lastChunkAt, e.stream.lastChunkAttempt = now, attempt
 }
 
 // forwardBuffered reads a response to its end before the client gets any of it: one that breaks off can be replaced by another.
