Wait for a process that stops slowly before giving up a takeover

Cause: a process that was told to stop hands over all at once, but first writes its state, which a slow disk holds up. The new one gave up after takeover.answer_limit, closed the listening socket it had been given, and the old one closed its own when its time was over: connections were refused. And a new one whose connection ended without a word took a process that was slow to die for one that goes on. Change: the old one says that it stops before it lets go of its state, and the new one then waits without that limit; it also looks whether the old one has left its path. Releases that do not know the message read past it.

--- a/internal/node/control/client.go
+++ b/internal/node/control/client.go
@@ -154,7 +154,7 @@
 	if owner && !ended {
 		t.hooks.Died()
 	}
-	alive := t.alive()
+	alive := t.alive() && !left(path)
 	t.event(func(float64) []hotrestart.Action { return t.machine.Lost(alive) })
 	if t.hooks.Cut != nil {
 		t.hooks.Cut(alive)
@@ -298,6 +298,15 @@
 	}
 }
 
+// left tells whether the process that listened at a path has let go of it: it does that at its end, before it closes its connections.
+func left(path string) bool {
+	conn, nobody, err := dial(path)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return nobody
+}
+
 // alive tells whether the running process, whose connection has ended, goes on. Where that cannot be known it is taken
 // for dead: two that accept are better than none.
 func (t *Take) alive() bool {
--- a/internal/node/control/control_test.go
+++ b/internal/node/control/control_test.go
@@ -24,15 +24,21 @@
 	did      chan string
 	why      string // it refuses
 	mark     string
+	slow     chan struct{} // Release returns once it is closed; nil = at once
 }
 
 func (n node) Knowledge() (json.RawMessage, error) { return json.RawMessage(`{"k":1}`), nil }
 func (n node) Status() (json.RawMessage, error)    { return json.RawMessage(`{"s":2}`), nil }
-func (n node) Release()                            { n.did <- "release" }
-func (n node) Regain()                             { n.did <- "regain" }
-func (n node) Yield(pid int)                       { n.did <- fmt.Sprint("yield to itself: ", pid == os.Getpid()) }
-func (n node) Refuses() string                     { return n.why }
-func (n node) Mark() string                        { return n.mark }
+func (n node) Release() {
+	n.did <- "release"
+	if n.slow != nil {
+		<-n.slow
+	}
+}
+func (n node) Regain()         { n.did <- "regain" }
+func (n node) Yield(pid int)   { n.did <- fmt.Sprint("yield to itself: ", pid == os.Getpid()) }
+func (n node) Refuses() string { return n.why }
+func (n node) Mark() string    { return n.mark }
 func (n node) GiveNames(send func(json.RawMessage) error) {
 	n.did <- "names"
 	_ = send(json.RawMessage(`{"all":1}`))
@@ -63,7 +69,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	path, n, c = filepath.Join(t.TempDir(), "s"), node{l, make(chan string, 9), "", ""}, clock.NewManual(1e12)
+	path, n, c = filepath.Join(t.TempDir(), "s"), node{l, make(chan string, 9), "", "", nil}, clock.NewManual(1e12)
 	s, err = Serve(Settings{Path: path, Release: "1", Limits: limits}, n, c, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
@@ -187,6 +193,54 @@
 	require.Equal(t, "alone", <-events)
 }
 
+func giverLeaves(take *Take) bool {
+	take.mu.Lock()
+	defer take.mu.Unlock()
+	return take.machine.Leaving()
+}
+
+// Guards against a new process that gives up, and closes the sockets that it holds, while one that was told to stop takes long to let
+// go of its state: that one closes its own when its time is over, and then nobody accepts.
+func TestTakerWaitsForAGiverThatStopsSlowly(t *testing.T) {
+	_, n, _, c := running(t)
+	takersClock := clock.NewManual(1e12) // the giver's own timers wait for its release
+	n.slow = make(chan struct{})
+	path := filepath.Join(t.TempDir(), "slow")
+	s, err := Serve(Settings{Path: path, Limits: limits}, n, c, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.Stopping()
+	take, events, heritage := taker(path, takersClock)
+	require.Equal(t, `prepare {"k":1}`, <-events)
+	require.Equal(t, "release", <-n.did)
+	for !giverLeaves(take) {
+		time.Sleep(time.Millisecond) // until it has read that the other one stops
+	}
+	take.Prepared()
+	takersClock.Advance(10 * limits.Answer)
+	require.NoError(t, n.listener.Close(), "the time of the process that stops is over")
+	conn, err := net.Dial("tcp", (<-heritage).Sockets["north"].Addr().String())
+	require.NoError(t, err, "clients can still connect")
+	_ = conn.Close()
+	close(n.slow)
+	require.Equal(t, `accept {"k":1}`, <-events)
+	require.Equal(t, "yield to itself: true", <-n.did)
+}
+
+// Guards against a new process that gives up since the one before, which has let go of its socket, takes long to die: it has answered
+// all it owed, and nobody serves.
+func TestTakerStartsAloneWhereTheGiverHasLeftItsPath(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "left")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Net: "unix", Name: path})
+	require.NoError(t, err)
+	_, events, _ := taker(path, clock.NewManual(1e12))
+	conn, err := l.AcceptUnix()
+	require.NoError(t, err)
+	require.NoError(t, l.Close(), "which removes the path")
+	require.NoError(t, conn.Close(), "this process, which goes on living, has said nothing")
+	require.Equal(t, "alone", <-events)
+}
+
 // Guards against a peer that changes anything by what it says: another protocol, frames that are none, frames that never
 // end, descriptors that nobody asked for, versions of another time. Fields and types that a later release may send are
 // read past.
--- a/internal/node/hotrestart/takeover.go
+++ b/internal/node/hotrestart/takeover.go
@@ -15,6 +15,9 @@
 //	                               (stops accepting, answers all it owes)
 //	                 <-            ended
 //
+// A giver that was told to stop says so (stopping) before it lets go of what only one process may hold, which may take long:
+// the taker then waits for yours without a limit, since giving up would leave nobody who accepts.
+//
 // The giver accepts until it has read mine, and the taker has accepted before it sent that, so at every moment one of
 // them accepts, unless all that did were killed. Until then the giver goes on as if nothing had been if the taker dies,
 // breaks off or takes too long; withdrawn tells a taker that is still there. A giver that dies makes the taker its heir:
@@ -36,10 +39,11 @@
 	Mine                     // taker: I accept
 	Withdrawn                // giver: I go on, leave
 	Ended                    // giver: all that I owed is answered
+	Stopping                 // giver: I was told to stop and do not go on, whatever becomes of the takeover
 	messages                 // their number
 )
 
-var names = [messages]string{"hello", "refused", "state", "ready", "yours", "mine", "withdrawn", "ended"}
+var names = [messages]string{"hello", "refused", "state", "ready", "yours", "mine", "withdrawn", "ended", "stopping"}
 
 // String is the message's name on the wire.
 func (m Message) String() string { return names[min(int(m), len(names)-1)] }
@@ -168,10 +172,12 @@
 
 func (g *Giver) yield(now float64) []Action {
 	g.state, g.until = yielding, now+g.set.Answer
+	list := []Action{{Do: Release}, {Do: Send, Message: Yours, Peer: g.peer}}
 	if g.stopping { // the taker may still be preparing, and nothing here goes on without it
 		g.until = math.Inf(1)
+		list = append([]Action{{Do: Send, Message: Stopping, Peer: g.peer}}, list...)
 	}
-	return []Action{{Do: Release}, {Do: Send, Message: Yours, Peer: g.peer}}
+	return list
 }
 
 // Stop tells that the process was told to stop. Its own way of stopping goes on whatever happens here.
@@ -185,6 +191,7 @@
 		return g.yield(now)
 	case yielding:
 		g.until = math.Inf(1)
+		return []Action{{Do: Send, Message: Stopping, Peer: g.peer}}
 	}
 	return nil
 }
@@ -229,10 +236,11 @@
 
 // Taker is the side of the new process. Its one peer has the number 0.
 type Taker struct {
-	set   Limits
-	state takerState
-	heir  bool // nothing more is to be waited for before it accepts
-	until float64
+	set     Limits
+	state   takerState
+	heir    bool // nothing more is to be waited for before it accepts
+	leaving bool // the giver has said that it does not go on
+	until   float64
 }
 
 // NewTaker makes the side of a process whose hello goes out now.
@@ -244,6 +252,9 @@
 // Owner tells whether the process accepts.
 func (t *Taker) Owner() bool { return t.state == owner }
 
+// Leaving tells whether the giver has said that it does not go on.
+func (t *Taker) Leaving() bool { return t.leaving }
+
 // Told takes a message of the giver.
 func (t *Taker) Told(m Message, reason string) []Action {
 	switch {
@@ -252,6 +263,8 @@
 	case m == State && t.state == asking:
 		t.state, t.until = preparing, math.Inf(1)
 		return []Action{{Do: Prepare}}
+	case m == Stopping && (t.state == preparing || t.state == waiting):
+		t.leaving, t.until = true, math.Inf(1)
 	case m == Yours && t.state == preparing:
 		t.heir = true
 	case m == Yours && t.state == waiting:
@@ -272,7 +285,10 @@
 	if t.heir {
 		return t.accept(true)
 	}
-	t.state, t.until = waiting, now+t.set.Answer
+	t.state = waiting
+	if !t.leaving {
+		t.until = now + t.set.Answer
+	}
 	return []Action{{Do: Send, Message: Ready}}
 }
 
@@ -316,7 +332,7 @@
 		}
 		return t.end(StartAlone, "")
 	case preparing, waiting:
-		if alive && !t.heir {
+		if alive && !t.heir && !t.leaving {
 			return t.end(GiveUp, broken)
 		}
 		if t.heir = true; t.state == waiting {
--- a/internal/node/hotrestart/takeover_test.go
+++ b/internal/node/hotrestart/takeover_test.go
@@ -19,6 +19,8 @@
 	giverDead bool
 	accepts   bool // the giver
 	holds     bool // the giver holds what only one process may
+	releasing bool // it is letting go of that, which takes its time: what it does next waits in later
+	later     []Action
 	gone      bool // the giver was told to stop and has closed its own sockets
 	takers    []*taker
 	cut       bool // a connection broke though both sides live
@@ -39,7 +41,11 @@
 }
 
 func (p *play) giverDoes(list []Action) {
-	for _, a := range list {
+	for i, a := range list {
+		if p.releasing { // one thing after the other
+			p.later = append(p.later, list[i:]...)
+			return
+		}
 		switch a.Do {
 		case Send:
 			for _, x := range p.takers {
@@ -56,6 +62,7 @@
 		case Release:
 			require.True(p.t, p.holds, "released twice")
 			p.holds = false
+			p.releasing = rapid.IntRange(0, 3).Draw(p.t, "slow release") == 0
 		case Regain:
 			require.False(p.t, p.holds, "regained twice")
 			p.holds = true
@@ -93,10 +100,23 @@
 	}
 }
 
+// released has the giver go on with what it does after it let go.
+func (p *play) released() {
+	if !p.releasing {
+		return
+	}
+	p.releasing = false
+	list := p.later
+	p.later = nil
+	if !p.giverDead {
+		p.giverDoes(list)
+	}
+}
+
 // step does one thing that may happen, and tells whether the takeover itself goes on by it.
 func (p *play) step() {
 	x := p.takers[min(rapid.IntRange(0, 6).Draw(p.t, "taker"), len(p.takers)-1)]
-	switch rapid.IntRange(0, 15).Draw(p.t, "what") {
+	switch rapid.IntRange(0, 16).Draw(p.t, "what") {
 	case 0, 1, 2, 3:
 		p.giverReads(x)
 	case 4, 5, 6, 7:
@@ -118,7 +138,7 @@
 			for _, x := range p.takers {
 				x.up, x.toGiver = false, nil
 			}
-		case rapid.IntRange(0, 3).Draw(p.t, "stop") == 0 && !p.giverDead:
+		case rapid.IntRange(0, 3).Draw(p.t, "stop") == 0 && !p.giverDead && !p.releasing:
 			p.giverDoes(p.giver.Stop(p.now))
 		case p.giver.Stopping() && rapid.Bool().Draw(p.t, "close"):
 			p.accepts, p.gone = false, true
@@ -128,13 +148,15 @@
 			x.up, p.cut = false, true
 			x.toGiver, x.fromGiver = nil, nil
 		}
+	case 16:
+		p.released()
 	}
 	p.judge()
 }
 
 func (p *play) giverReads(x *taker) {
 	switch {
-	case p.giverDead || x.giverTold:
+	case p.giverDead || x.giverTold || p.releasing: // it reads nothing meanwhile
 	case len(x.toGiver) > 0:
 		m := x.toGiver[0]
 		x.toGiver = x.toGiver[1:]
@@ -166,7 +188,7 @@
 }
 
 func (p *play) ticks(x *taker) {
-	if !p.giverDead {
+	if !p.giverDead && !p.releasing {
 		p.giverDoes(p.giver.Tick(p.now))
 	}
 	for len(x.fromGiver) > 0 && !x.dead && !x.out { // what has come goes before what is late
@@ -199,7 +221,9 @@
 
 // settle lets all that is on its way arrive, and everybody become ready or run out of time.
 func (p *play) settle() {
+	p.released()
 	for range 40 {
+		p.released()
 		for _, x := range p.takers {
 			p.giverReads(x)
 			p.takerReads(x)
@@ -232,6 +256,9 @@
 			x := &taker{machine: NewTaker(0, Limits{Answer: 1000}), id: i + 1, up: true, toGiver: []Message{Hello}}
 			p.takers = append(p.takers, x)
 		}
+		if rapid.IntRange(0, 3).Draw(t, "stopping from the beginning") == 0 {
+			p.giverDoes(p.giver.Stop(p.now))
+		}
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			p.step()
 		}
