Pin the numbers of error kinds and of backends' states

Need: both are on the wire between versions and stood on iota alone; a kind put in the middle would have changed them without a failing test. Change: a test with a row for each kind and each state; a kind without a row fails it too.

--- /dev/null
+++ b/internal/fleet/errkind/errkind_test.go
@@ -0,0 +1,38 @@
+package errkind
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The numbers of the kinds are on the wire between control processes of two versions: a kind keeps its number for good.
+func TestKindsKeepTheirNumbers(t *testing.T) {
+	kinds := map[Kind]uint8{
+		Internal:                 0,
+		InvalidConfig:            1,
+		VersionConflict:          2,
+		OutcomeUnknown:           3,
+		BadRequest:               4,
+		TooLarge:                 5,
+		NoRoute:                  6,
+		UnknownKey:               7,
+		OverQuota:                8,
+		NotConfigured:            9,
+		StaleConfig:              10,
+		NoBackend:                11,
+		Saturated:                12,
+		Rejected:                 13,
+		BackendLost:              14,
+		MalformedResponse:        15,
+		DeadlineExceeded:         16,
+		DeadlineExceededInFlight: 17,
+		ShuttingDown:             18,
+	}
+	require.Len(t, kinds, int(kindCount), "each kind has its row, and no two have one number")
+	for kind, number := range kinds {
+		require.EqualValues(t, number, kind, kind.String())
+		require.NotZero(t, kind.Response().Status, kind.String())
+	}
+	require.Equal(t, Internal.Response(), Kind(kindCount).Response(), "a kind of a later version")
+}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -134,3 +134,10 @@
 		require.False(t, got.Late || got.Silent, "heartbeat %d", sequence)
 	}
 }
+
+// The numbers of the states are on the wire, and their order decides between two records with one sequence number.
+func TestStatesKeepTheirNumbers(t *testing.T) {
+	for state, number := range map[State]uint8{Ready: 0, Draining: 1, Removed: 2} {
+		require.EqualValues(t, number, state)
+	}
+}
