Export the configuration of a disk, and sync what a start has read from one

Cause: a disk of the format before December was refused, and the only way out needed a fleet of that format in service. And what a start read from its file it told others without a sync of its own: a process that crashed between a write and its sync read the record from the system's memory, and only the database's Close, whose error is ignored, made it durable. Change: linenwheel-control export prints the newest configuration with its Seq from a disk of either format, and changes nothing there; the refusal names it. A start syncs the file it reads and its name.

--- a/cmd/linenwheel-control/main.go
+++ b/cmd/linenwheel-control/main.go
@@ -19,6 +19,7 @@
 			return controlplane.New(set, logger)
 		},
 		StatusAddress: func(set *settings.Settings) string { return set.Control },
+		Export:        controlplane.Export,
 	}
 	os.Exit(binary.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/fleet/controlplane/helpers_test.go
+++ b/internal/fleet/controlplane/helpers_test.go
@@ -22,6 +22,21 @@
 // newSingleNode returns a control process that is the only member, with a configuration and these numbers of polling nodes
 // and of registered backends.
 func newSingleNode(t *testing.T, nodes, backends int) *Node {
+	t.Helper()
+	n := newUnconfiguredNode(t)
+	body := `{"Revision":1,"Backends":[{"Name":"llm"}]}`
+	require.Equal(t, http.StatusOK, do(n, http.MethodPut, "/-/config", body).Code)
+	for i := range backends {
+		require.Equal(t, http.StatusOK, do(n, http.MethodPut, fmt.Sprintf("/-/instances/i%d", i), heartbeatBody(i, 1)).Code)
+	}
+	for i := range nodes {
+		n.sessions[uint64(i+10)] = n.now()
+	}
+	return n
+}
+
+// newUnconfiguredNode returns a control process that is the only member, before the first order.
+func newUnconfiguredNode(t *testing.T) *Node {
 	t.Helper()
 	set, err := settings.Parse("boot.conf", "Ip=127.0.0.1\nListen.Control=127.0.0.1:1\nInternalPorts=2,3\nSeeds=127.0.0.1:1\nBootstrap=true\nCountsForQuorum=true\n")
 	require.NoError(t, err)
@@ -34,14 +49,6 @@
 	n.replicator.publish()
 	go n.replicator.Run()
 	t.Cleanup(n.replicator.Stop)
-	body := `{"Revision":1,"Backends":[{"Name":"llm"}]}`
-	require.Equal(t, http.StatusOK, do(n, http.MethodPut, "/-/config", body).Code)
-	for i := range backends {
-		require.Equal(t, http.StatusOK, do(n, http.MethodPut, fmt.Sprintf("/-/instances/i%d", i), heartbeatBody(i, 1)).Code)
-	}
-	for i := range nodes {
-		n.sessions[uint64(i+10)] = n.now()
-	}
 	return n
 }
 
--- a/internal/fleet/process/process.go
+++ b/internal/fleet/process/process.go
@@ -50,6 +50,8 @@
 	Start func(set *settings.Settings, logger *log.Logger) (Process, error)
 	// StatusAddress is the address at which a running process answers GET /-/status.
 	StatusAddress func(set *settings.Settings) string
+	// Export writes what is stored on this machine's disk, while no process serves. Nil: the program stores nothing.
+	Export func(set *settings.Settings, stdout io.Writer) error
 }
 
 // commandLine is the command line of both programs.
@@ -58,7 +60,7 @@
 	Check    bool   `long:"check" description:"read and check the settings file, and end"`
 	Log      string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level that is logged"`
 	Args     struct {
-		Command string `positional-arg-name:"COMMAND" description:"serve (the default), or status: what the running process tells of itself"`
+		Command string `positional-arg-name:"COMMAND" description:"serve (the default); status: what the running process tells of itself; export (control): the configuration on a disk that no process uses"`
 	} `positional-args:"yes"`
 }
 
@@ -91,13 +93,32 @@
 		return 0
 	case line.Args.Command == "status":
 		return b.status(set, stdout, stderr)
+	case line.Args.Command == "export" && b.Export != nil:
+		return b.export(set, stdout, stderr)
 	case line.Args.Command == "" || line.Args.Command == "serve":
 		return b.serve(set, line.Log, stderr)
 	}
-	_, _ = fmt.Fprintf(stderr, "%s: unknown command %q: serve or status\n", b.Name, line.Args.Command)
+	_, _ = fmt.Fprintf(stderr, "%s: unknown command %q: %s\n", b.Name, line.Args.Command, b.commands())
 	return exitSettings
 }
 
+// commands names the commands of the program.
+func (b *Program) commands() string {
+	if b.Export == nil {
+		return "serve or status"
+	}
+	return "serve, status or export"
+}
+
+// export prints what is stored on this machine's disk.
+func (b *Program) export(set *settings.Settings, stdout, stderr io.Writer) int {
+	if err := b.Export(set, stdout); err != nil {
+		_, _ = fmt.Fprintf(stderr, "%s: export: %v\n", b.Name, err)
+		return exitFailed
+	}
+	return 0
+}
+
 // status prints the status of a running process.
 func (b *Program) status(set *settings.Settings, stdout, stderr io.Writer) int {
 	client := http.Client{Timeout: statusTimeout}
--- a/internal/fleet/storage/generations.go
+++ b/internal/fleet/storage/generations.go
@@ -16,7 +16,8 @@
 // generationName is the name of a generation's file, by its number.
 const generationName = "control-%06d.db"
 
-// load reads the latest complete generation. It truncates damaged files on the way (readGeneration).
+// load reads the latest complete generation, and syncs it: the process before may have crashed between a write and its sync, and
+// what this one has read it will tell others without another write. Damaged files are truncated on the way (readGeneration).
 func (s *Store) load() error {
 	generations, err := s.generations()
 	if err != nil {
@@ -35,11 +36,23 @@
 		if s.durable, err = decodeStored(values); err != nil {
 			return fmt.Errorf("storage: %s: %w", s.path(generation), err)
 		}
-		return nil
+		return s.syncGeneration(generation)
 	}
 	return nil
 }
 
+// syncGeneration makes a generation's file durable, and its name.
+func (s *Store) syncGeneration(generation int) error {
+	file, err := os.OpenFile(s.path(generation), os.O_RDWR, 0)
+	if err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	if err := errors.Join(s.files.Sync(file), file.Close()); err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
+	return s.syncDirectory()
+}
+
 // generations returns the numbers of the files in the directory, oldest first.
 func (s *Store) generations() ([]int, error) {
 	files, err := os.ReadDir(s.dir)
@@ -110,7 +123,7 @@
 	s.generation++
 	if err := s.writeGeneration(); err != nil {
 		s.Close()
-		return errors.Join(err, os.Remove(s.path(s.generation)))
+		return errors.Join(err, s.files.Remove(s.path(s.generation)))
 	}
 	if err := s.removeGenerations(previous); err != nil {
 		s.Close() // the new generation stays: the only other complete one may be removed already
@@ -137,7 +150,7 @@
 	if err := s.setValue(keyComplete, true); err != nil {
 		return err
 	}
-	if err := s.file.Sync(); err != nil {
+	if err := s.files.Sync(s.file); err != nil {
 		return fmt.Errorf("storage: %w", err)
 	}
 	s.writtenBytes = 0
@@ -146,7 +159,7 @@
 
 func (s *Store) removeGenerations(generations []int) error {
 	for _, generation := range generations {
-		if err := os.Remove(s.path(generation)); err != nil {
+		if err := s.files.Remove(s.path(generation)); err != nil {
 			return fmt.Errorf("storage: %w", err)
 		}
 	}
@@ -182,9 +195,8 @@
 
 // syncDirectory makes the names of the files durable.
 func (s *Store) syncDirectory() error {
-	directory, err := os.Open(s.dir)
-	if err != nil {
+	if err := s.files.SyncDirectory(s.dir); err != nil {
 		return fmt.Errorf("storage: %w", err)
 	}
-	return errors.Join(directory.Sync(), directory.Close())
+	return nil
 }
--- a/internal/fleet/storage/storage.go
+++ b/internal/fleet/storage/storage.go
@@ -17,10 +17,11 @@
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
 )
 
-// errObsoleteFormat means that a disk was written before views and states were stored apart. The fleet refuses to start on
-// it rather than to start empty.
-var errObsoleteFormat = errors.New(`key view: written by an earlier version; read the configuration back from the fleet in service, ` +
-	`start the new one on empty disks and send it the configuration`)
+// errObsoleteFormat means that a disk was written before views and states were stored apart. It is refused rather than taken for an
+// empty one. It is not converted either: a member's state is named by a digest of all orders that led to it, which such a disk does not
+// have, and members that are at different orders would derive different ones.
+var errObsoleteFormat = errors.New(`key view: written by an earlier version; "linenwheel-control export" prints the configuration that is ` +
+	`stored here: take the one with the highest Seq of a majority of the machines, start the fleet on empty disks, and send it`)
 
 // Limits beyond which the file is compacted.
 const (
@@ -30,6 +31,7 @@
 
 // Store is one process's disk. It is not safe for concurrent use.
 type Store struct {
+	files        FileSystem
 	dir          string
 	database     *buntdb.DB // nil until the first write, and after a failed one
 	file         *os.File   // the database's file, to sync it
@@ -41,11 +43,14 @@
 // Open opens the store in a directory, which it makes if there is none, and returns what is stored there. From an empty
 // directory that is a Stored without identity. It returns an error if the directory cannot be read, or if what it contains
 // is intact but cannot be decoded.
-func Open(dir string) (*Store, replica.Stored, error) {
+func Open(dir string) (*Store, replica.Stored, error) { return OpenOn(OperatingSystem{}, dir) }
+
+// OpenOn is Open on a file system.
+func OpenOn(files FileSystem, dir string) (*Store, replica.Stored, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, replica.Stored{}, fmt.Errorf("storage: %w", err)
 	}
-	s := &Store{dir: dir}
+	s := &Store{files: files, dir: dir}
 	if err := s.load(); err != nil {
 		return nil, replica.Stored{}, err
 	}
@@ -71,7 +76,7 @@
 		}
 		next.Apply(record)
 	}
-	if err := s.file.Sync(); err != nil {
+	if err := s.files.Sync(s.file); err != nil {
 		s.Close()
 		return fmt.Errorf("storage: %w", err)
 	}
@@ -99,6 +104,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.files.BeforeWrite(s.path(s.generation), len(key)+len(text)); err != nil {
+		return fmt.Errorf("storage: %w", err)
+	}
 	s.writtenBytes += len(text)
 	return s.database.Update(func(tx *buntdb.Tx) error {
 		_, _, err := tx.Set(key, text, nil)
