Answer polls for the configuration from a pure type

Need: histories in which data processes take part have to poll with the code that is in service; what a poll is told of the configuration stood in the control process's adapter. Change: distribution.Source has the configuration, when it was confirmed, and how the update to it is encoded; the adapter keeps the cache. Measured: the tests of distribution and controlplane pass unchanged but for the constant's new place.

--- a/internal/fleet/controlplane/poll.go
+++ b/internal/fleet/controlplane/poll.go
@@ -12,7 +12,6 @@
 const (
 	maxPollWait = 2 * time.Second       // for something new
 	eventDelay  = 30 * time.Millisecond // before an answer with events only, so that it takes several
-	maxPatches  = 64                    // orders in one answer; a node that is further behind gets the whole document
 	sessionTTL  = 3 * time.Second       // how long a node of the data plane counts as live after its last poll
 )
 
@@ -59,11 +58,9 @@
 	published, _ := n.replicator.Published()
 	now := n.now()
 	reply.Epoch, reply.Members = published.View.Epoch, n.controlMembers(published.View)
-	reply.Confirmed = published.StateConfirmed > 0
-	reply.ConfirmedAgo = now - published.StateConfirmed
-	reply.ConfigSeq = request.ConfigSeq
-	if reply.Confirmed && published.Seq > request.ConfigSeq {
-		n.fillConfig(&published, request, reply)
+	encode := func(from uint64) (distribution.Update, error) { return n.updates.get(&published, from) }
+	if err := published.source().Answer(now, request, reply, encode); err != nil {
+		n.log.Error("failed to encode configuration update", "err", err)
 	}
 	reply.ListConfirmed, reply.ListConfirmedAgo = n.registryConfirmation(&published, now)
 	n.mu.Lock()
@@ -83,16 +80,6 @@
 	reply.Records = n.registry.ChangedSince(now, since)
 }
 
-// fillConfig writes the update to the newest configuration. Where that cannot be encoded, the node keeps the one it has.
-func (n *Node) fillConfig(published *Published, request *distribution.PollRequest, reply *distribution.PollReply) {
-	update, err := n.updates.get(published, request.ConfigSeq)
-	if err != nil {
-		n.log.Error("failed to encode configuration update", "err", err)
-		return
-	}
-	reply.ConfigSeq, reply.Update = published.Seq, update
-}
-
 // registryConfirmation returns how long ago this process's registry certainly had every acknowledged change, and false where it never
 // had.
 func (n *Node) registryConfirmation(published *Published, now time.Duration) (confirmed bool, age time.Duration) {
--- a/internal/fleet/controlplane/poll_test.go
+++ b/internal/fleet/controlplane/poll_test.go
@@ -24,7 +24,7 @@
 	document, patches := readUpdate(t, next)
 	require.Empty(t, document)
 	require.Len(t, patches, 3)
-	for revision := 5; revision < 5+2*maxPatches; revision++ {
+	for revision := 5; revision < 5+2*distribution.MaxPatches; revision++ {
 		require.Equal(t, http.StatusOK, submitOrder(n, revision-1, fmt.Sprintf(`{"Revision":%d}`, revision)))
 	}
 	far, _ := poll(t, n, first)
--- a/internal/fleet/controlplane/published.go
+++ b/internal/fleet/controlplane/published.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"linenwheel.dev/linenwheel/internal/fleet/distribution"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
 )
@@ -24,6 +25,11 @@
 	log             replica.Log
 }
 
+// source returns the configuration as polls are answered from it.
+func (p *Published) source() *distribution.Source {
+	return &distribution.Source{Seq: p.Seq, State: p.State, ConfirmedAt: p.StateConfirmed, Orders: p.OrdersSince}
+}
+
 // OrdersSince returns the committed orders after one sequence number up to another, nil where the log no longer has them all.
 func (p *Published) OrdersSince(from, to uint64) []operator.Order {
 	entries := p.log.Entries(from, to)
--- a/internal/fleet/controlplane/updatecache.go
+++ b/internal/fleet/controlplane/updatecache.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"linenwheel.dev/linenwheel/internal/fleet/distribution"
-	"linenwheel.dev/linenwheel/internal/fleet/operator"
 )
 
 // updateCache caches the encoded updates to the newest configuration, since most nodes of the data plane need the same one.
@@ -25,22 +24,9 @@
 	if update, cached := c.encoded[from]; cached {
 		return update, nil
 	}
-	update, err := encodeUpdate(published, from)
+	update, err := published.source().Encode(from)
 	if err == nil {
 		c.encoded[from] = update
 	}
 	return update, err
 }
-
-// encodeUpdate encodes the orders that lead to the published configuration, or the whole document where they are too many or
-// no longer in the log.
-func encodeUpdate(published *Published, from uint64) (distribution.Update, error) {
-	var patches []operator.Order
-	if from > 0 && published.Seq-from <= maxPatches {
-		patches = published.OrdersSince(from, published.Seq)
-	}
-	if patches == nil {
-		return distribution.NewUpdate(published.State.Document.JSON(), nil)
-	}
-	return distribution.NewUpdate(nil, patches)
-}
