Take a refused connection for the end of a member's process

Cause: a member whose process had ended was noticed by 0.7 s of silence only, although its machine refuses connections at once. Change: the outbox tells the replica of a refused connection, which counts as unreachable until the next reply.

--- a/internal/fleet/controlplane/outbox.go
+++ b/internal/fleet/controlplane/outbox.go
@@ -1,7 +1,9 @@
 package controlplane
 
 import (
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
@@ -27,15 +29,16 @@
 // queue has been empty for queueIdleTimeout. What exceeds a queue is dropped, and lost messages are not repeated here: the
 // replica sends again what matters.
 type outbox struct {
-	pool *transport.Pool
+	pool    *transport.Pool
+	refused func(address string) // is told of a peer that refuses connections
 
 	mu     sync.Mutex
 	closed bool
 	queues map[queueKey]chan replica.Envelope
 }
 
-func newOutbox(pool *transport.Pool) *outbox {
-	return &outbox{pool: pool, queues: map[queueKey]chan replica.Envelope{}}
+func newOutbox(pool *transport.Pool, refused func(address string)) *outbox {
+	return &outbox{pool: pool, refused: refused, queues: map[queueKey]chan replica.Envelope{}}
 }
 
 // isBulk reports whether a message may be large.
@@ -82,7 +85,10 @@
 				return
 			}
 			var none struct{}
-			_ = o.pool.Call(envelope.To.Address, MethodDeliver, &envelope, &none, timeout)
+			err := o.pool.Call(envelope.To.Address, MethodDeliver, &envelope, &none, timeout)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				o.refused(envelope.To.Address)
+			}
 			idle.Reset(queueIdleTimeout)
 		case <-idle.C:
 			if o.removeIfEmpty(key, queue) {
--- a/internal/fleet/controlplane/replicator.go
+++ b/internal/fleet/controlplane/replicator.go
@@ -54,7 +54,6 @@
 	r := &Replicator{
 		clock:       clock,
 		log:         logger,
-		outbox:      newOutbox(pool),
 		store:       store,
 		machine:     machine,
 		inbox:       make(chan func(), inboxSize),
@@ -62,10 +61,18 @@
 		submissions: map[uint64]chan<- submitResult{},
 		changed:     make(chan struct{}),
 	}
+	r.outbox = newOutbox(pool, r.connectionRefused)
 	r.publish()
 	return r
 }
 
+// connectionRefused tells the replica of a peer that refuses connections.
+func (r *Replicator) connectionRefused(address string) {
+	r.enqueue(func() {
+		r.step(func(now time.Duration) replica.Ready { return r.machine.ConnectionRefused(now, address) })
+	})
+}
+
 // Run drives the replica until Stop.
 func (r *Replicator) Run() {
 	ticker := time.NewTicker(startupTickInterval)
--- a/internal/fleet/replica/failuredetector.go
+++ b/internal/fleet/replica/failuredetector.go
@@ -65,12 +65,28 @@
 // detectFailures marks the peers that have not answered within FailureTimeout as unreachable.
 func (m *Machine) detectFailures() {
 	for _, p := range m.peers {
-		if p.reachableSince > 0 && m.now-p.answeredAt > m.config.FailureTimeout {
-			p.reachableSince, p.unreachableSince = 0, m.now
+		if m.now-p.answeredAt > m.config.FailureTimeout {
+			m.markUnreachable(p)
 		}
 	}
 }
 
+// ConnectionRefused records that the peer at an address refuses connections: its process has ended, on a machine that runs. That is
+// known at once, whereas a machine that has failed is only silent. The peer counts as reachable again with its next reply.
+func (m *Machine) ConnectionRefused(now time.Duration, address string) Ready {
+	m.now = max(now, m.now)
+	if p := m.peers[address]; p != nil {
+		m.markUnreachable(p)
+	}
+	return m.reconfigure()
+}
+
+func (m *Machine) markUnreachable(p *peer) {
+	if p.reachableSince > 0 {
+		p.reachableSince, p.unreachableSince = 0, m.now
+	}
+}
+
 // reachable reports whether a member answers, as that incarnation.
 func (m *Machine) reachable(member Member) bool {
 	if member == m.self {
