Take no entry of an earlier epoch beyond the base of a view

Cause: a reply to a fetch that was on its way while a member adopted a view brought an entry that this view had discarded. With an order sent again it had the position of a new entry, so the member answered that it had stored the next view's base; after a restart its disk dropped the entry, as it is of an earlier epoch. Then no member but one had the base, and the accepted view could not be decided any more. If it had been decided just before, an acknowledged order was lost with one disk and the power of all machines. Change: fetched entries follow the rule of restored ones, through the same function.

--- a/internal/fleet/replica/fetch.go
+++ b/internal/fleet/replica/fetch.go
@@ -132,14 +132,14 @@
 	if last, present := m.log.lastEntry(); present && last.position() == entry.position() {
 		return nil, true
 	}
+	before := m.log
 	if entry.Seq == m.log.seq {
 		m.log = m.log.withoutPending()
 	}
-	next, err := m.log.withEntry(entry)
-	if err != nil {
+	if !m.restoreEntry(entry) {
+		m.log = before
 		return nil, false
 	}
-	m.log = next
 	return []Record{SaveEntry{Entry: entry}}, true
 }
 
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -78,13 +78,15 @@
 	return nil
 }
 
-// restoreEntry appends a stored entry and reports whether it did.
+// restoreEntry appends a stored or fetched entry and reports whether it did. Beyond the base an entry counts only if it is of the view's
+// epoch: one of an earlier epoch was discarded with it, although an order that is sent again may make an entry with the same position.
+// The rule is the same for both, so that what is in the log is there after a restart.
 func (m *Machine) restoreEntry(entry Entry) bool {
 	if entry.Seq > m.base.Seq && (entry.Epoch != m.view.Epoch || !m.hasBase) {
 		return false
 	}
 	next, err := m.log.withEntry(entry)
-	if err != nil { // it follows an entry that was replaced
+	if err != nil { // it does not follow this log: an entry before it was replaced
 		return false
 	}
 	m.log = next
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
 )
 
 // newBootstrapped returns a simulation of three members that have agreed on the first view and committed one order.
@@ -416,3 +419,33 @@
 	sim.deliverStatuses(n, others)
 	require.True(t, n.machine.log.hasPending(), "another member of the chain has promised")
 }
+
+// A reply that was on its way while this member adopted a view must not bring an entry of the epoch before beyond the view's base. Such an
+// entry may have the position of a later one, as an order that is sent again makes the same state: a member that takes it for the base of
+// the next view answers that it has stored that, and does not find it on its disk after a restart. History 4423 of the worst days stood
+// still for ever by that, and an acknowledged order could have been lost with one disk and the power of all machines.
+func TestFetchedEntryOfAnEarlierEpochIsNotTakenBeyondTheBase(t *testing.T) {
+	self, source := Member{Address: "m0", Incarnation: 1}, Member{Address: "m1", Incarnation: 2}
+	view := View{Epoch: 2, Voters: []Member{self, source}, Chain: []Member{source}}
+	for _, test := range []struct {
+		epoch uint64
+		taken bool
+	}{{1, false}, {2, true}, {3, false}} {
+		stored := Stored{Self: self, View: &Proposal{View: view}}
+		m, err := New(DefaultConfig(), stored, time.Second)
+		require.NoError(t, err)
+		order := operator.Order{Method: http.MethodPatch, Body: []byte(`{"Revision":1}`)}
+		state, err := operator.NewState().Apply(order)
+		require.NoError(t, err)
+		entry := Entry{Epoch: test.epoch, Seq: 1, Order: order, History: state.History()}
+		m.transfer.inFlight, m.transfer.source = true, source
+		out := m.Step(2*time.Second, Envelope{From: source, To: self, Body: FetchReply{Entries: []Entry{entry}}})
+		require.Equal(t, test.taken, m.Status().Seq == 1, "epoch %d", test.epoch)
+		for _, record := range out.Records {
+			stored.Apply(record)
+		}
+		restarted, err := New(DefaultConfig(), stored, 3*time.Second)
+		require.NoError(t, err)
+		require.Equal(t, m.Status().Seq, restarted.Status().Seq, "epoch %d: what is in the log is there after a restart", test.epoch)
+	}
+}
