Replace a leaving member as soon as it says that it leaves

Cause: a leaver's heartbeat carried that it leaves, but the others took it only from its reply to a heartbeat of theirs, and acted at the next tick. Until the view without the leaver, the loss of another disk with the power of all machines is one disk more than the leaver's, which does not come back. Change: the announcement itself counts, and the leaver and who hears it propose the next view at once.

--- a/internal/fleet/errkind/errkind_test.go
+++ b/internal/fleet/errkind/errkind_test.go
@@ -34,5 +34,5 @@
 		require.EqualValues(t, number, kind, kind.String())
 		require.NotZero(t, kind.Response().Status, kind.String())
 	}
-	require.Equal(t, Internal.Response(), Kind(kindCount).Response(), "a kind of a later version")
+	require.Equal(t, Internal.Response(), kindCount.Response(), "a kind of a later version")
 }
--- a/internal/fleet/replica/departure.go
+++ b/internal/fleet/replica/departure.go
@@ -8,7 +8,20 @@
 // Leave announces to the other members that this one is about to shut down for good, so that they replace it.
 func (m *Machine) Leave(now time.Duration) Ready {
 	m.leaving = true
-	return m.BroadcastHeartbeat(now)
+	out := m.BroadcastHeartbeat(now)
+	out.add(m.reconfigure())
+	return out
+}
+
+// learnLeaving records that a member announces its departure, and reports whether that is new. It need not wait for the member's
+// reply to a heartbeat: until it is replaced, its vote is one that a loss of power may cost.
+func (m *Machine) learnLeaving(from Member, status Status) bool {
+	p := m.peers[from.Address]
+	if p == nil || p.member != from || !status.Leaving || p.status.Leaving {
+		return false
+	}
+	p.status.Leaving = true
+	return true
 }
 
 // Released reports whether a leaving member may shut down: it is not in the chain, no other process can take its vote now or
--- a/internal/fleet/replica/failuredetector.go
+++ b/internal/fleet/replica/failuredetector.go
@@ -27,6 +27,9 @@
 	reply := HeartbeatReply{Stamp: body.Stamp, Status: m.Status(), Learned: m.knownAddresses()}
 	out := Ready{Messages: []Envelope{m.envelope(from, reply)}}
 	out.add(m.sendViewIfBehind(from, body.Status.Epoch))
+	if m.learnLeaving(from, body.Status) {
+		out.add(m.reconfigure())
+	}
 	return out
 }
 
--- a/internal/fleet/replica/second_loss_test.go
+++ b/internal/fleet/replica/second_loss_test.go
@@ -38,6 +38,51 @@
 	}
 }
 
+// stopsAfterPowerLoss reports whether a fleet stops for good where a machine that is replaced as planned never comes back, all machines
+// lose power a time after its SIGTERM, and another disk is lost with it.
+func stopsAfterPowerLoss(t *testing.T, seed uint64, sinceTerm time.Duration) bool {
+	t.Helper()
+	sim := newBootstrapped(t, seed)
+	sim.join("m9", "")
+	sim.runUntil(sim.now + 4500*time.Millisecond)
+	leaving, next := sim.nodes[seed%3], sim.nodes[(seed+1+seed/3%2)%3]
+	sim.leave(leaving, func() {})
+	sim.runUntil(sim.now + sinceTerm)
+	sim.removeNode(leaving)
+	sim.wipe(next)
+	for _, n := range sim.nodes {
+		sim.crash(n)
+		sim.schedule(300*time.Millisecond, func() { sim.start(n) })
+	}
+	sim.runUntil(sim.now + 3*time.Second)
+	order := sim.newOrder(sim.lastAcked(), sim.lastAcked()+1, "after the loss of power")
+	for range 60 {
+		sim.submit(order)
+		sim.runUntil(sim.now + 100*time.Millisecond)
+	}
+	return sim.ackCount(order) == 0
+}
+
+// Until the view without the leaver is agreed, the loss of another disk together with the power of all machines is one disk more than
+// the leaver's, which does not come back: the fleet stops. How long that is, is the price of an order of events that cannot be helped: a
+// member that has not been replaced yet still has its vote.
+func TestPowerLossAfterSIGTERM(t *testing.T) {
+	const seeds, replaced = 40, 150 * time.Millisecond
+	for _, sinceTerm := range []time.Duration{0, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond,
+		100 * time.Millisecond, replaced, 300 * time.Millisecond} {
+		stops := 0
+		for seed := range uint64(seeds) {
+			if stopsAfterPowerLoss(t, seed, sinceTerm) {
+				stops++
+			}
+		}
+		t.Logf("%v after SIGTERM: %d of %d fleets stop", sinceTerm, stops, seeds)
+		if sinceTerm >= replaced {
+			require.Zero(t, stops, "%v after SIGTERM", sinceTerm)
+		}
+	}
+}
+
 // The same with an old machine that fails: once its failure is detected, the new one has its vote.
 func TestDiskLostAfterAStandbyReplacedAFailedVoter(t *testing.T) {
 	for _, delay := range lossDelays[3:] {
