--- a/internal/fleet/replica/random_faults_test.go
+++ b/internal/fleet/replica/random_faults_test.go
@@ -38,7 +38,7 @@
 	recoveryTimeout = 12 * time.Second
 )
 
-// run is a random history of members whose disks are in memory: what is written is stored.
+// runRandomFaults plays a random history of members whose disks are in memory: what is written is stored.
 func runRandomFaults(seed uint64, shape fleetShape, faults injectedFaults) *randomFaults {
 	sim := &randomFaults{simulation: newSimulation(seed, 3), shape: shape, faultCounts: map[string]int{}}
 	sim.faults = faults
--- a/internal/fleet/replica/torn_writes_test.go
+++ b/internal/fleet/replica/torn_writes_test.go
@@ -19,7 +19,7 @@
 // powerFailureDelay is how long all processes go on writing before all machines lose power.
 const powerFailureDelay = 30 * time.Millisecond
 
-// runTornWrites is a random history of members whose disks are files of package storage: beside all other faults, processes crash in the
+// runTornWrites plays a random history of members whose disks are files of package storage: beside all other faults, processes crash in the
 // middle of writes and compactions, with and without the power of their machines, and disks are full.
 func runTornWrites(t testing.TB, seed uint64, shape fleetShape, faults injectedFaults) *randomFaults {
 	t.Helper()
