--- a/internal/fleet/replica/histories_test.go
+++ b/internal/fleet/replica/histories_test.go
@@ -35,6 +35,14 @@
 	return 100
 }
 
+// fewerWithRaceDetector returns a fifth of a number of seeds where the race detector makes each several times as long, as for histories.
+func fewerWithRaceDetector(seeds uint64) uint64 {
+	if raceDetector {
+		return max(1, seeds/5)
+	}
+	return seeds
+}
+
 // runHistory runs a random history: orders of two operators, lost replies, reads, and faults that affect at most one member at a
 // time, with time to catch up in between; sometimes all members lose power. At its end all faults are repaired, and what was
 // acknowledged must be there.
