End a connection that becomes idle while the last calls begin

Cause: whether an answer ends its connection is decided before it is written. Change: a connection that becomes idle looks at the policy once more, for HTTP and Thrift. The test's read has a limit of a minute, so that it fails where it hung.

--- a/internal/node/downstream/httpserver/crossing_test.go
+++ b/internal/node/downstream/httpserver/crossing_test.go
@@ -18,6 +18,7 @@
 	"linenwheel.dev/linenwheel/internal/node/core"
 	"linenwheel.dev/linenwheel/internal/node/drain"
 	"linenwheel.dev/linenwheel/internal/node/netpoll"
+	"linenwheel.dev/linenwheel/internal/node/shutdown"
 	"linenwheel.dev/linenwheel/internal/node/shutdown/driver"
 )
 
@@ -266,3 +267,60 @@
 	require.Greater(t, len(have), len(before))
 	assert.Regexp(t, "^HTTP/1.1 400 (?s:.*)Connection: close\r\n", have[len(before):])
 }
+
+// crossingClock runs cross before it tells the time.
+type crossingClock struct {
+	clock.Clock
+	cross func()
+}
+
+func (c crossingClock) Now() float64 {
+	c.cross()
+	return c.Clock.Now()
+}
+
+// beginLastCalls has the gate begin the last calls and waits until the connections that are idle have been ended.
+func (b *bench) beginLastCalls() {
+	swept := make(chan struct{})
+	b.gate.Hook(driver.Hooks{Announce: func() {}, Refuse: func() {}, Finish: func() {}, CloseIdle: func() { b.Sweep(); close(swept) }})
+	b.gate.Stop(shutdown.Times{Accept: 10, Kill: 1000, Answers: 500, End: 100})
+	b.clock.Advance(10)
+	<-swept
+}
+
+// Guards against a connection that outlives the last calls: they begin, and the idle connections are ended, after it was decided that
+// the answer does not end its connection and before the connection is idle.
+func TestAnswerWhileTheLastCallsBegin(t *testing.T) {
+	b := newBench(t, 9, slog.DiscardHandler)
+	raw, c := b.client()
+	crossed := false
+	b.Side.clock = crossingClock{b.clock, func() {
+		if crossed || !b.mu.TryLock() {
+			return
+		}
+		busy := c.state == busy
+		b.mu.Unlock()
+		if busy {
+			crossed = true
+			b.beginLastCalls()
+		}
+	}}
+	_, err := io.WriteString(raw, upRequest)
+	require.NoError(t, err)
+	answer := b.heard(raw)
+	require.True(t, crossed)
+	require.Equal(t, 1, strings.Count(answer, "HTTP/1.1 200 OK"), answer)
+	require.NotContains(t, answer, "Connection: close", "it was to stay open when the answer was written")
+}
+
+// Guards against a connection that outlives the last calls because half an empty line had come when they began.
+func TestEmptyLineWhileTheLastCallsBegin(t *testing.T) {
+	b := newBench(t, 9, slog.DiscardHandler)
+	raw, c := b.client()
+	b.say(raw, c, "\r")
+	b.until(func() bool { return b.stateOf(c) == reading })
+	b.beginLastCalls()
+	_, err := io.WriteString(raw, "\n")
+	require.NoError(t, err)
+	require.Empty(t, b.heard(raw))
+}
--- a/internal/node/downstream/httpserver/front.go
+++ b/internal/node/downstream/httpserver/front.go
@@ -331,12 +331,23 @@
 // unread takes back that a request has begun: empty lines are none (RFC 9112, 2.2), and the connection rests for as long as it did.
 func (c *conn) unread() {
 	c.side.mu.Lock()
-	defer c.side.mu.Unlock()
-	if c.state != reading {
-		return
+	had := c.state == reading
+	if had {
+		if c.state, c.since = silent, c.rested; c.asked {
+			c.state = idle
+		}
 	}
-	if c.state, c.since = silent, c.rested; c.asked {
-		c.state = idle
+	c.side.mu.Unlock()
+	if had {
+		c.retireAfterLastCalls()
+	}
+}
+
+// retireAfterLastCalls ends a connection that has just become idle if the node already ends those: the sweep that did so may have
+// found this one busy, and no later one may come before the node ends.
+func (c *conn) retireAfterLastCalls() {
+	if c.side.gate.Policy().EndIdle {
+		go c.retire(false, 0)
 	}
 }
 
@@ -721,6 +732,7 @@
 		c.enter(leaving)
 	} else {
 		c.enter(idle)
+		c.retireAfterLastCalls()
 	}
 	switch {
 	case end:
--- a/internal/node/downstream/thriftserver/crossing_test.go
+++ b/internal/node/downstream/thriftserver/crossing_test.go
@@ -17,6 +17,7 @@
 	"linenwheel.dev/linenwheel/internal/node/downstream/connlimit"
 	"linenwheel.dev/linenwheel/internal/node/drain"
 	"linenwheel.dev/linenwheel/internal/node/netpoll"
+	"linenwheel.dev/linenwheel/internal/node/shutdown"
 	"linenwheel.dev/linenwheel/internal/node/shutdown/driver"
 )
 
@@ -99,3 +100,41 @@
 		end.mu.Unlock()
 	}
 }
+
+// Guards against a connection that outlives the last calls: they begin, and the idle connections are ended, after it was decided
+// that the result does not end its connection and before the connection is idle.
+func TestResultWhileTheLastCallsBegin(t *testing.T) {
+	manual, accepted := clock.NewManual(1e6), make(chan *conn, 1)
+	gate := driver.New(nil, drain.Times{}, manual)
+	side := New(Settings{Lobby: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
+		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, manual, nil, gate,
+		slog.New(slog.DiscardHandler))
+	l, err := netpoll.Listen("127.0.0.1:0", 9, func(n *netpoll.Conn) netpoll.Handler {
+		h := side.Accept(n)
+		accepted <- h.(*conn)
+		return h
+	})
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	raw, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = raw.Close() })
+	end := <-accepted
+	swept := make(chan struct{})
+	gate.Hook(driver.Hooks{Announce: func() {}, Refuse: func() {}, Finish: func() {}, CloseIdle: func() { side.Sweep(); close(swept) }})
+	// Nobody knows the method, so that it is answered at once.
+	_, err = raw.Write(thrift.Append(nil, thrift.Outgoing{Message: mapping.Compose("nothing", mapping.Info{ID: []byte("q"), Deadline: 900}, nil), Seq: 1}))
+	require.NoError(t, err)
+	require.NoError(t, raw.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = io.ReadFull(raw, make([]byte, 8))
+	require.NoError(t, err)
+	end.mu.Lock() // as when a further call has been answered, to which the policy of before the last calls was applied
+	end.seat.Enter(connlimit.Busy, manual.Now())
+	gate.Stop(shutdown.Times{Accept: 10, Kill: 1000, Answers: 500, End: 100})
+	manual.Advance(10)
+	<-swept
+	end.settle()
+	end.mu.Unlock()
+	_, err = io.ReadAll(raw)
+	require.NoError(t, err, "the connection is ended behind the result")
+}
--- a/internal/node/downstream/thriftserver/front.go
+++ b/internal/node/downstream/thriftserver/front.go
@@ -163,6 +163,15 @@
 		c.seat.Enter(connlimit.Reading, c.came)
 	default:
 		c.seat.Enter(connlimit.Idle, c.came)
+		c.retireAfterLastCalls()
+	}
+}
+
+// retireAfterLastCalls ends a connection that has just become idle if the node already ends those: the sweep that did so may have
+// found this one busy, and no later one may come before the node ends.
+func (c *conn) retireAfterLastCalls() {
+	if c.side.gate.Policy().EndIdle {
+		go c.Retire()
 	}
 }
 
--- a/node/moments_test.go
+++ b/node/moments_test.go
@@ -118,6 +118,7 @@
 		both.Go(func() { s.Clock.Advance(50) })
 		both.Go(func() { s.Run("r send 200 body=yes") })
 		both.Wait()
+		require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Minute)))
 		have, err := io.ReadAll(client)
 		require.NoError(t, err)
 		require.Equal(t, 1, strings.Count(string(have), "HTTP/1.1 "), string(have))
