--- a/internal/fleet/replica/failuredetector.go
+++ b/internal/fleet/replica/failuredetector.go
@@ -108,6 +108,16 @@
 	return !m.reachable(voter)
 }
 
+// unreachableSince returns since when a member that does not answer has not been reachable, zero for one that this member does not
+// know or whose process has lost its disk since.
+func (m *Machine) unreachableSince(member Member) time.Duration {
+	p := m.peers[member.Address]
+	if p == nil || p.member != member {
+		return 0
+	}
+	return p.unreachableSince
+}
+
 // canServe reports whether a member answers and can write to its disk. Those of the chain are given time to answer after
 // a start of this process.
 func (m *Machine) canServe(member Member) bool {
--- a/internal/fleet/replica/reconfiguration.go
+++ b/internal/fleet/replica/reconfiguration.go
@@ -1,6 +1,9 @@
 package replica
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // maxCatchUpLag is the number of committed orders that a member may lack and still store them within an attempt.
 const maxCatchUpLag = 32
@@ -43,18 +46,39 @@
 			standby = slices.Delete(standby, next, next+1)
 		}
 	}
-	voters, standby = replaceVoters(voters, standby, m.failed) // before those that leave, as these can still vote
-	voters, standby = replaceVoters(voters, standby, m.isLeaving)
+	voters, standby = replaceVoters(voters, standby, m.failedVoters(voters)) // before those that leave, as these can still vote
+	voters, standby = replaceVoters(voters, standby, m.leavingVoters(voters))
 	return m.addVoters(m.removeSurplusVoters(voters), standby)
 }
 
-// replaceVoters replaces the voters for which vacant holds by standby members, as far as there are any. It returns the voters
-// and the remaining standby members.
-func replaceVoters(voters, standby []Member, vacant func(Member) bool) (replaced, remaining []Member) {
-	for i, voter := range voters {
-		if len(standby) == 0 || !vacant(voter) {
-			continue
+// failedVoters returns the indexes of the voters that have failed, the one that has been unreachable for longest first: it is the
+// likeliest to have failed for good, whereas one that a partition has just hidden from this member may be back the next moment.
+func (m *Machine) failedVoters(voters []Member) []int {
+	failed := indexesOf(voters, m.failed)
+	slices.SortStableFunc(failed, func(a, b int) int {
+		return cmp.Compare(m.unreachableSince(voters[a]), m.unreachableSince(voters[b]))
+	})
+	return failed
+}
+
+// leavingVoters returns the indexes of the voters that have announced that they are about to shut down for good.
+func (m *Machine) leavingVoters(voters []Member) []int { return indexesOf(voters, m.isLeaving) }
+
+// indexesOf returns the indexes of the members for which holds is true.
+func indexesOf(members []Member, holds func(Member) bool) []int {
+	var indexes []int
+	for i, member := range members {
+		if holds(member) {
+			indexes = append(indexes, i)
 		}
+	}
+	return indexes
+}
+
+// replaceVoters replaces the voters with the given indexes, in their order, by standby members as far as there are any. It returns the
+// voters and the remaining standby members.
+func replaceVoters(voters, standby []Member, vacant []int) (replaced, remaining []Member) {
+	for _, i := range vacant[:min(len(vacant), len(standby))] {
 		next := rarestDomain(slices.Delete(slices.Clone(voters), i, i+1), standby)
 		voters[i] = standby[next]
 		standby = slices.Delete(standby, next, next+1)
--- a/internal/fleet/replica/scenarios_test.go
+++ b/internal/fleet/replica/scenarios_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -325,3 +326,44 @@
 	require.Equal(t, max(before, sent), n.machine.ViewConfirmed())
 	require.Less(t, n.machine.ViewConfirmed(), sim.now-300*time.Millisecond)
 }
+
+// Two voters have failed when a standby member has caught up: one for good, the other one, which is first in the list, for a moment.
+// The vote of the one that has been unreachable for longest is replaced, and the other one has its vote when it is back.
+func TestTheVoterThatFailedFirstIsReplacedFirst(t *testing.T) {
+	for seed := range uint64(30) {
+		sim := newSimulation(seed, 3)
+		sim.maxFailures = 2
+		for i := 3; i < 5; i++ {
+			n := &node{address: fmt.Sprintf("n%d", i)}
+			sim.nodes = append(sim.nodes, n)
+			sim.schedule(time.Duration(sim.rand.IntN(300))*time.Millisecond, func() { sim.start(n) })
+		}
+		sim.runUntil(4 * time.Second)
+		sim.submitUntilCommitted(t, 0, 1)
+		voters := sim.view().Voters
+		require.Len(t, voters, 5, "seed %d", seed)
+		gone, briefly := sim.nodeOf(voters[4]), sim.nodeOf(voters[0])
+		sim.removeNode(gone)
+		sim.join("r1", gone.domain)
+		standby := sim.nodes[len(sim.nodes)-1]
+		sim.isolate(standby)
+		sim.runUntil(sim.now + 2*time.Second)
+		sim.crash(briefly)
+		sim.runUntil(sim.now + time.Second)
+		sim.heal()
+		standby.partitioned = false
+		sim.runUntil(sim.now + 2*time.Second)
+		require.Contains(t, sim.view().Voters, standby.machine.Self(), "seed %d: %v", seed, sim.view())
+		require.Contains(t, sim.view().Voters, voters[0], "seed %d: %v", seed, sim.view())
+		require.NotContains(t, sim.view().Voters, voters[4], "seed %d: %v", seed, sim.view())
+		sim.start(briefly)
+		sim.runUntil(sim.now + 2*sim.catchUpTime)
+		require.True(t, sim.survivesNextLoss(2), "seed %d: %v", seed, sim.view())
+		requireProgress(t, sim, 2*time.Second, "seed %d", seed)
+	}
+}
+
+// nodeOf returns the node of a member.
+func (sim *simulation) nodeOf(member Member) *node {
+	return sim.nodes[slices.IndexFunc(sim.nodes, func(n *node) bool { return n.disk.Self == member })]
+}
--- a/internal/fleet/replica/simulation_test.go
+++ b/internal/fleet/replica/simulation_test.go
@@ -44,6 +44,8 @@
 	redundancyCheckedAt time.Duration
 	slowUntil           time.Duration // messages are slow until then
 	excessLossAt        time.Duration // when more than maxFailures members were lost
+	departed            []Member      // that have left for good with their votes
+	withoutSpareAt      time.Duration // the last time at which no member could take another vote
 	corruptChunks       bool
 	transferRate        int // 0: the default
 
--- a/internal/node/scenario/script.go
+++ b/internal/node/scenario/script.go
@@ -279,12 +279,14 @@
 	return func() { close(done); <-ended }
 }
 
+var errNothing = errors.New("nothing came")
+
 func within[T any](from chan T, f func(T) error) error {
 	select {
 	case v := <-from:
 		return f(v)
 	case <-time.After(patience):
-		return errors.New("nothing came")
+		return errNothing
 	}
 }
 
@@ -359,7 +361,7 @@
 
 // expectCall waits for a request of the node's and gives its connection a name.
 func (s *Stage) expectCall(who string, from chan *peer, want string) error {
-	return within(from, func(p *peer) error {
+	err := within(from, func(p *peer) error {
 		s.peers[who] = p
 		parts := strings.SplitN(want, " ", 3)
 		if have := string(p.got.Method) + " " + string(p.got.Target); have != parts[0]+" "+parts[1] {
@@ -386,6 +388,28 @@
 		}
 		return match(p.got, strings.Join(rest, " "))
 	})
+	if errors.Is(err, errNothing) {
+		return fmt.Errorf("%w; unread answers: %q", err, s.unread())
+	}
+	return err
+}
+
+// unread returns what has come on each connection and was not expected yet, by the connection's name.
+func (s *Stage) unread() map[string]string {
+	unread := map[string]string{}
+	for name, p := range s.peers {
+		for waiting := true; waiting; {
+			select {
+			case text, open := <-p.in:
+				p.text = append(p.text, text...)
+				waiting = open
+			default:
+				waiting = false
+			}
+		}
+		unread[name] = string(p.text)
+	}
+	return unread
 }
 
 // match compares fields and the body; a field without a value must be absent.
