--- a/cmd/linenwheel/process_test.go
+++ b/cmd/linenwheel/process_test.go
@@ -269,6 +269,38 @@
 	require.Zero(t, late.end())
 }
 
+// Guards against a takeover that leaves nobody who accepts: the old process was told to stop, and its last write of its state, which goes
+// to a FIFO here, takes longer than takeover.answer_limit, as on a slow disk. The new one gave up then and closed the listening
+// socket, and the next client was refused once the old one had ended.
+func TestTakeoverWhileTheStateIsWrittenSlowly(t *testing.T) {
+	s := newSite(t)
+	s.write("n1.toml", fmt.Sprintf("[takeover]\nsocket = %q\nanswer_limit = \"300ms\"\n[state]\ndirectory = %q\nevery = \"1h\"\n", s.socket, s.dir))
+	old := s.start("serve")
+	old.await("the node is ready")
+	s.served()
+	s.status() // its control socket is there: the first snapshot has been written or is about to be
+	state := filepath.Join(s.dir, "state")
+	require.Eventually(t, func() bool { _, err := os.Stat(state); return err == nil }, time.Minute, time.Millisecond)
+	blocked := state + ".new"
+	require.NoError(t, syscall.Mkfifo(blocked, 0o600))
+	old.signal(syscall.SIGTERM)
+	old.await("the node is stopping")
+	late := s.start("serve -takeover " + s.socket)
+	late.await("the node is ready")
+	time.Sleep(time.Second) // more than three times answer_limit
+	require.Empty(t, late.ended, "it waits for a process that does not go on")
+	reader, err := os.Open(blocked) // the write goes on
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(blocked)) // the new one's writes are not held up
+	_, err = io.ReadAll(reader)
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	require.Zero(t, old.end())
+	s.served()
+	late.signal(syscall.SIGTERM)
+	require.Zero(t, late.end())
+}
+
 // Guards against a stop that loses charges in flight, one that a second signal makes shorter, an end that the next start
 // tells wrongly, and a torn state that is used.
 func TestEndsOfProcesses(t *testing.T) {
