--- a/internal/fleet/storage/export.go
+++ b/internal/fleet/storage/export.go
@@ -54,7 +54,7 @@
 		if err != nil {
 			return Configuration{}, fmt.Errorf("storage: %w", err)
 		}
-		values := intactValues(content)
+		_, values := intactPrefix(content)
 		if _, complete := values[keyComplete]; !complete {
 			continue
 		}
@@ -67,23 +67,6 @@
 	return Configuration{}, fmt.Errorf("storage: %s: %w", dir, errNoConfiguration)
 }
 
-// intactValues returns the values of the commands up to the first damage of a database file.
-func intactValues(content []byte) map[string][]byte {
-	values := map[string][]byte{}
-	scanner := commandScanner{remaining: content}
-	for {
-		arguments, err := scanner.command()
-		if err != nil || arguments[0] != setCommand {
-			return values
-		}
-		payload, valid := verifyChecksum(arguments[1], arguments[2])
-		if !valid {
-			return values
-		}
-		values[arguments[1]] = payload
-	}
-}
-
 func decodeConfiguration(values map[string][]byte) (Configuration, error) {
 	epoch, seq, state, err := decodeBase(values)
 	if err != nil {
--- a/internal/fleet/storage/truncate.go
+++ b/internal/fleet/storage/truncate.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		return fmt.Errorf("storage: %w", err)
 	}
-	intact := intactLength(content)
+	intact, _ := intactPrefix(content)
 	if intact == len(content) {
 		return nil
 	}
@@ -35,18 +35,22 @@
 	return nil
 }
 
-// intactLength returns the length in bytes of the complete, intact commands with which a database file begins.
-func intactLength(content []byte) int {
+// intactPrefix returns the length in bytes of the complete, intact commands with which a database file begins, and the last payload of
+// each key among them.
+func intactPrefix(content []byte) (length int, values map[string][]byte) {
+	values = map[string][]byte{}
 	scanner := commandScanner{remaining: content}
 	for {
-		intact := len(content) - len(scanner.remaining)
+		length = len(content) - len(scanner.remaining)
 		arguments, err := scanner.command()
 		if err != nil || arguments[0] != setCommand {
-			return intact
+			return length, values
 		}
-		if _, valid := verifyChecksum(arguments[1], arguments[2]); !valid {
-			return intact
+		payload, intact := verifyChecksum(arguments[1], arguments[2])
+		if !intact {
+			return length, values
 		}
+		values[arguments[1]] = payload
 	}
 }
 
