Keep the node's scenarios from limits in real time and from other processes' ports

TestClassesChange moved its clock by 22 s while the first call for the list could be under way, which then timed out. One of TestHTTP saw two first calls for the list; that it was another process at a reused port is not shown.

--- a/internal/node/scenario/script.go
+++ b/internal/node/scenario/script.go
@@ -25,6 +25,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -38,6 +40,10 @@
 	"linenwheel.dev/linenwheel/internal/codec/http1"
 )
 
+// Loopback is an address of the loopback network for this process alone. At a shared address the port of a socket that was closed may
+// be another process's a moment later, and whoever still connects to it talks to the wrong one.
+var Loopback = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+
 // patience is how long a step may take in real time before the scenario fails.
 const patience = time.Minute
 
@@ -87,15 +93,15 @@
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = syscall.Close(fd) })
-	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(Loopback).As4()}))
 	at, err := syscall.Getsockname(fd)
 	require.NoError(t, err)
-	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	return fmt.Sprintf("%s:%d", Loopback, at.(*syscall.SockaddrInet4).Port)
 }
 
 // listen accepts connections, each message on which goes to came.
 func (s *Stage) listen(host string, came chan *peer) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", Loopback+":0")
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { _ = l.Close() })
 	go func() {
--- a/node/refused_test.go
+++ b/node/refused_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"linenwheel.dev/linenwheel/internal/node/options"
+	"linenwheel.dev/linenwheel/internal/node/scenario"
 )
 
 // Guards against a node that could not be made, whose operators' door is taken, and that keeps its sockets and the lock of its
@@ -20,11 +20,8 @@
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = taken.Close() }()
-	// At an address of this process alone: at a shared one, another process may get the port before it is listened on again.
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff)
 	free := func() string {
-		l, err := net.Listen("tcp", host)
+		l, err := net.Listen("tcp", scenario.Loopback+":0")
 		require.NoError(t, err)
 		defer func() { _ = l.Close() }()
 		return l.Addr().String()
--- a/node/repeats_test.go
+++ b/node/repeats_test.go
@@ -10,6 +10,7 @@
 
 	"linenwheel.dev/linenwheel/internal/node/options"
 	"linenwheel.dev/linenwheel/internal/node/rollout"
+	"linenwheel.dev/linenwheel/internal/node/scenario"
 )
 
 // knowing are options that recognise repeats of charges by a header and of alerts by their key.
@@ -145,8 +146,9 @@
 	})
 	require.Contains(t, log.text.String(), "renamed.toml:6:1: repeats.class.0.header: calls of class \\\"pay\\\" would be named in another way")
 	t.Run("after", func(t *testing.T) {
-		s, n := startNode(t, Extras{Options: &short}, 1024, []string{"h1"})
-		s.Clock.Advance(22000) // on from 20 ms of the time before: it stood at the same hour
+		// Before the node starts, so that no call for the list is under way, the clock moves on from 20 ms of the time before: it
+		// stood at the same hour.
+		s, n := startTuned(t, Extras{Options: &short}, 1024, func(s *scenario.Stage, _ map[string]any) { s.Clock.Advance(22000) }, []string{"h1"})
 		s.Run(begin("h1") + `
 			a send POST /pay/1 id=q8 deadline=900 Charge=c1 body=x
 			a expect 200 body=one
