Split the HTTP server by concern, and name it and the connection limiter in standard terms

Change: server, conn, eviction, request and response of 107 to 270 lines each; Server, Limiter, Slot, Conn, Admit, Release, CloseIfIdle, CloseSlowRead, and named ranks of eviction in place of 1e12 to 4e12.

--- a/internal/node/downstream/httpserver/crossing_test.go
+++ b/internal/node/downstream/httpserver/crossing_test.go
@@ -42,7 +42,7 @@
 
 // bench is a front on a socket that answers /up and has no node behind it.
 type bench struct {
-	*Side
+	*Server
 	t     *testing.T
 	clock *clock.Manual
 	loop  *netpoll.Loop
@@ -55,7 +55,7 @@
 func newBench(t *testing.T, connections int, log slog.Handler) *bench {
 	b := &bench{t: t, clock: clock.NewManual(1e6), came: make(chan *conn, 64)}
 	to := core.New(core.Settings{}, nil, nil, slog.New(log)) // which nothing is given to serve
-	b.Side = New(Settings{Connections: connections, Crowded: 1000, Limits: limits, ByName: map[string]int{"pay": 0},
+	b.Server = New(Settings{Connections: connections, Crowded: 1000, Limits: limits, ByName: map[string]int{"pay": 0},
 		Classes: []Class{{Method: "POST"}}}, b.clock, to, driver.New(nil, drain.Times{}, b.clock), slog.New(log))
 	b.Ready()
 	var err error
@@ -294,7 +294,7 @@
 	b := newBench(t, 9, slog.DiscardHandler)
 	raw, c := b.client()
 	crossed := false
-	b.Side.clock = crossingClock{b.clock, func() {
+	b.Server.clock = crossingClock{b.clock, func() {
 		if crossed || !b.mu.TryLock() {
 			return
 		}
--- a/internal/node/downstream/httpserver/flow.go
+++ b/internal/node/downstream/httpserver/flow.go
@@ -12,12 +12,12 @@
 func (c *conn) flow(m *http1.Message, call *core.Call, answer *http1.Message) {
 	if c.ended { // its client has gone, or has its last answer, which is not to be broken off
 		answer.Rest.Drop()
-		c.side.core.Flowed(call, core.Left)
+		c.server.core.Flowed(call, core.Left)
 		c.call, c.busy = nil, false
 		return
 	}
 	kind := c.passOn(m, answer)
-	c.side.core.Flowed(call, kind)
+	c.server.core.Flowed(call, kind)
 	c.call, c.busy = nil, false
 	switch {
 	case kind != core.Served:
@@ -34,7 +34,7 @@
 // cut off for its client's time: it ends when the host, or the client, does or stands still for too long.
 func (c *conn) passOn(m, answer *http1.Message) core.Kind {
 	r := http1.Reply{Status: answer.Status, Of: answer, Flows: true, Length: answer.Length, Keep: m.Old,
-		Date: c.side.dates.at(c.side.clock.Now())}
+		Date: c.server.dates.at(c.server.clock.Now())}
 	c.decideEnd(m)
 	if m.Old && r.Length < 0 { // its client knows no chunks
 		r.Length, c.closes = -2, true
@@ -90,11 +90,11 @@
 
 // room waits until the client has taken most of what was written; it fails when it has gone, or takes nothing for too long.
 func (w bodyWriter) room() bool {
-	window := w.c.side.set.Bodies.Budget.Window()
+	window := w.c.server.set.Bodies.Budget.Window()
 	for w.c.net.Backlog() > int64(window) {
 		before := w.c.net.Written()
 		late := make(chan struct{})
-		stop := w.c.side.clock.At(w.c.side.clock.Now()+w.c.side.limits.Load().Stall, func() { close(late) })
+		stop := w.c.server.clock.At(w.c.server.clock.Now()+w.c.server.limits.Load().Stall, func() { close(late) })
 		good := w.c.net.Room(window, late)
 		stop()
 		select {
@@ -112,7 +112,7 @@
 // await waits for the host; it fails when the client has gone, or nothing comes for too long.
 func (w bodyWriter) await(rest *bodypipe.Pipe) bool {
 	late := make(chan struct{})
-	stop := w.c.side.clock.At(w.c.side.clock.Now()+w.c.side.limits.Load().Stall, func() { close(late) })
+	stop := w.c.server.clock.At(w.c.server.clock.Now()+w.c.server.limits.Load().Stall, func() { close(late) })
 	defer stop()
 	select {
 	case <-rest.Ready():
--- a/internal/node/downstream/thriftserver/crossing_test.go
+++ b/internal/node/downstream/thriftserver/crossing_test.go
@@ -44,11 +44,11 @@
 func TestSweepLooksAgain(t *testing.T) {
 	w := warned{slog.NewTextHandler(io.Discard, nil), make(chan string), make(chan struct{})}
 	c, accepted := clock.NewManual(1e6), make(chan *conn, 1)
-	side := New(Settings{Lobby: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
+	server := New(Settings{Limiter: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
 		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, c, nil,
 		driver.New(nil, drain.Times{}, c), slog.New(w))
 	l, err := netpoll.Listen("127.0.0.1:0", 9, func(n *netpoll.Conn) netpoll.Handler {
-		h := side.Accept(n)
+		h := server.Accept(n)
 		accepted <- h.(*conn)
 		return h
 	})
@@ -77,7 +77,7 @@
 	}
 	c.Advance(2500)
 	swept := make(chan struct{})
-	go func() { side.Sweep(); close(swept) }()
+	go func() { server.Sweep(); close(swept) }()
 	first := <-w.came // which of them is the first is chance
 	for name, r := range raw {
 		if name != first { // the other one's comes whole, and half of the next one behind it
@@ -106,11 +106,11 @@
 func TestResultWhileTheLastCallsBegin(t *testing.T) {
 	manual, accepted := clock.NewManual(1e6), make(chan *conn, 1)
 	gate := driver.New(nil, drain.Times{}, manual)
-	side := New(Settings{Lobby: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
+	server := New(Settings{Limiter: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
 		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, manual, nil, gate,
 		slog.New(slog.DiscardHandler))
 	l, err := netpoll.Listen("127.0.0.1:0", 9, func(n *netpoll.Conn) netpoll.Handler {
-		h := side.Accept(n)
+		h := server.Accept(n)
 		accepted <- h.(*conn)
 		return h
 	})
@@ -121,7 +121,7 @@
 	t.Cleanup(func() { _ = raw.Close() })
 	end := <-accepted
 	swept := make(chan struct{})
-	gate.Hook(driver.Hooks{Announce: func() {}, Refuse: func() {}, Finish: func() {}, CloseIdle: func() { side.Sweep(); close(swept) }})
+	gate.Hook(driver.Hooks{Announce: func() {}, Refuse: func() {}, Finish: func() {}, CloseIdle: func() { server.Sweep(); close(swept) }})
 	// Nobody knows the method, so that it is answered at once.
 	_, err = raw.Write(thrift.Append(nil, thrift.Outgoing{Message: mapping.Compose("nothing", mapping.Info{ID: []byte("q"), Deadline: 900}, nil), Seq: 1}))
 	require.NoError(t, err)
@@ -129,7 +129,7 @@
 	_, err = io.ReadFull(raw, make([]byte, 8))
 	require.NoError(t, err)
 	end.mu.Lock() // as when a further call has been answered, to which the policy of before the last calls was applied
-	end.seat.Enter(connlimit.Busy, manual.Now())
+	end.slot.Enter(connlimit.StateBusy, manual.Now())
 	gate.Stop(shutdown.Times{Accept: 10, Kill: 1000, Answers: 500, End: 100})
 	manual.Advance(10)
 	<-swept
--- a/internal/node/downstream/thriftserver/front.go
+++ b/internal/node/downstream/thriftserver/server.go
@@ -37,7 +37,7 @@
 	Classes  []Class
 	Methods  map[string]Method // by their names as they are on the wire
 	Tenants  map[string]int
-	Lobby    connlimit.Settings
+	Limiter  connlimit.Settings
 	Messages thrift.Limits
 	Open     int     // calls open on one connection
 	Pipeline int     // bytes kept of what comes behind
@@ -46,54 +46,54 @@
 	Stall    float64 // ms that results may stand still on their way to a client whose connection ends
 }
 
-// Side serves clients.
-type Side struct {
-	set   Settings
-	clock clock.Clock
-	core  *core.Core
-	gate  *driver.Gate
-	lobby *connlimit.Lobby
-	log   *slog.Logger
+// Server serves clients.
+type Server struct {
+	set     Settings
+	clock   clock.Clock
+	core    *core.Core
+	gate    *driver.Gate
+	limiter *connlimit.Limiter
+	log     *slog.Logger
 }
 
 // New makes a front.
-func New(set Settings, c clock.Clock, to *core.Core, g *driver.Gate, log *slog.Logger) *Side {
-	return &Side{set: set, clock: c, core: to, gate: g, lobby: connlimit.New(set.Lobby, c), log: log}
+func New(set Settings, c clock.Clock, to *core.Core, g *driver.Gate, log *slog.Logger) *Server {
+	return &Server{set: set, clock: c, core: to, gate: g, limiter: connlimit.New(set.Limiter, c), log: log}
 }
 
 // Connections is how many connections of clients are open.
-func (s *Side) Connections() int { return s.lobby.Connections() }
+func (s *Server) Connections() int { return s.limiter.Connections() }
 
 // MakeRoom has a connection make room for clients who wait because all places are taken.
-func (s *Side) MakeRoom() { s.lobby.MakeRoom() }
+func (s *Server) MakeRoom() { s.limiter.MakeRoom() }
 
 // Sweep ends the connections that carry no call for long, and those whose call is not whole in time; it is to be called often.
 // While the node stops, they stay, since none can be replaced, until no call can be answered on them any more.
-func (s *Side) Sweep() {
-	limit := s.lobby.IdleLimit()
+func (s *Server) Sweep() {
+	limit := s.limiter.IdleLimit()
 	switch policy := s.gate.Policy(); {
 	case policy.EndIdle:
 		limit = 0
 	case !policy.Replaceable:
 		limit = math.Inf(1)
 	}
-	s.lobby.Sweep(limit)
+	s.limiter.Sweep(limit)
 }
 
 // Accept takes a new connection.
-func (s *Side) Accept(n *netpoll.Conn) netpoll.Handler {
-	c := &conn{side: s, net: n, reader: thrift.NewReader(s.set.Messages), open: map[int32]*core.Call{}}
+func (s *Server) Accept(n *netpoll.Conn) netpoll.Handler {
+	c := &conn{server: s, net: n, reader: thrift.NewReader(s.set.Messages), open: map[int32]*core.Call{}}
 	s.gate.Connected(false)
-	c.seat, c.once = s.lobby.Sit(c)
+	c.slot, c.once = s.limiter.Admit(c)
 	return c
 }
 
 // conn is a client's connection.
 type conn struct {
-	side *Side
-	net  *netpoll.Conn
-	seat *connlimit.Seat
-	once bool // it ends with its first result
+	server *Server
+	net    *netpoll.Conn
+	slot   *connlimit.Slot
+	once   bool // it ends with its first result
 
 	mu     sync.Mutex
 	reader *thrift.Reader
@@ -112,9 +112,9 @@
 	if c.ended || c.deaf {
 		return
 	}
-	c.came = c.side.clock.Now()
+	c.came = c.server.clock.Now()
 	c.reader.Feed(data)
-	if len(c.open) > 0 && c.reader.Buffered() > c.side.set.Pipeline {
+	if len(c.open) > 0 && c.reader.Buffered() > c.server.set.Pipeline {
 		c.deaf = true
 		return
 	}
@@ -150,7 +150,7 @@
 // waits tells whether a call is to be served only after another one.
 func (c *conn) waits(m *thrift.Message) bool {
 	same := c.open[m.Seq] != nil
-	return same || len(c.open) >= c.side.set.Open || len(c.open) > 0 && m.Form.Transport == thrift.Unframed
+	return same || len(c.open) >= c.server.set.Open || len(c.open) > 0 && m.Form.Transport == thrift.Unframed
 }
 
 // settle notes what the connection is about now.
@@ -158,11 +158,11 @@
 	switch {
 	case c.ended:
 	case len(c.open) > 0:
-		c.seat.Enter(connlimit.Busy, c.came)
+		c.slot.Enter(connlimit.StateBusy, c.came)
 	case !c.reader.Idle():
-		c.seat.Enter(connlimit.Reading, c.came)
+		c.slot.Enter(connlimit.StateReading, c.came)
 	default:
-		c.seat.Enter(connlimit.Idle, c.came)
+		c.slot.Enter(connlimit.StateIdle, c.came)
 		c.retireAfterLastCalls()
 	}
 }
@@ -170,24 +170,24 @@
 // retireAfterLastCalls ends a connection that has just become idle if the node already ends those: the sweep that did so may have
 // found this one busy, and no later one may come before the node ends.
 func (c *conn) retireAfterLastCalls() {
-	if c.side.gate.Policy().EndIdle {
-		go c.Retire()
+	if c.server.gate.Policy().EndIdle {
+		go c.CloseIfIdle()
 	}
 }
 
 // call handles one call under the lock.
 func (c *conn) call(m *thrift.Message) {
-	c.seat.Enter(connlimit.Busy, c.came)
+	c.slot.Enter(connlimit.StateBusy, c.came)
 	if m.Type != thrift.Call && m.Type != thrift.OneWay {
 		c.write(m, mapping.Fault(m.Name, mapping.InvalidMessageType, "a client sends calls"))
 		return
 	}
-	call, fault := c.side.read(m, c.came, c.net)
+	call, fault := c.server.read(m, c.came, c.net)
 	if fault != nil {
 		c.write(m, fault)
 		return
 	}
-	if a, ok := c.side.core.Take(call); !ok {
+	if a, ok := c.server.core.Take(call); !ok {
 		c.write(m, result(m, a))
 		return
 	}
@@ -196,7 +196,7 @@
 }
 
 // read finds what the core has to know, or the application exception where the call cannot be served.
-func (s *Side) read(m *thrift.Message, came float64, client *netpoll.Conn) (call *core.Call, fault *thrift.Message) {
+func (s *Server) read(m *thrift.Message, came float64, client *netpoll.Conn) (call *core.Call, fault *thrift.Message) {
 	method, ok := s.set.Methods[string(m.Name)]
 	if !ok {
 		return nil, mapping.Fault(m.Name, mapping.UnknownMethod, "unknown method")
@@ -232,7 +232,7 @@
 
 // serve has a call served and writes its result.
 func (c *conn) serve(m *thrift.Message, call *core.Call) {
-	a := c.side.core.Serve(call)
+	a := c.server.core.Serve(call)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.open, m.Seq)
@@ -279,14 +279,14 @@
 	if m.Type != thrift.OneWay {
 		_ = c.net.Write(thrift.Append(nil, thrift.Outgoing{Message: r, Form: m.Form, Seq: m.Seq, HeadSeq: m.HeaderSeq}))
 	}
-	if c.net.Backlog() > int64(c.side.set.Backlog) {
+	if c.net.Backlog() > int64(c.server.set.Backlog) {
 		c.ended = true
 		c.leave()
 		go c.net.Close()
 		return
 	}
-	policy := c.side.gate.Policy()
-	if last := c.once || policy.EndAnswered || policy.Replaceable && c.side.lobby.Crowded(); last && len(c.open) == 0 && c.next == nil && c.reader.Idle() {
+	policy := c.server.gate.Policy()
+	if last := c.once || policy.EndAnswered || policy.Replaceable && c.server.limiter.Crowded(); last && len(c.open) == 0 && c.next == nil && c.reader.Idle() {
 		c.end()
 	}
 }
@@ -294,8 +294,8 @@
 // end closes the connection when all is written.
 func (c *conn) end() {
 	c.ended = true
-	c.seat.Enter(connlimit.Leaving, c.came)
-	c.net.End(c.side.set.Linger, c.side.set.Stall)
+	c.slot.Enter(connlimit.StateClosing, c.came)
+	c.net.End(c.server.set.Linger, c.server.set.Stall)
 }
 
 // leave gives up the calls of a client that is not served any more.
@@ -308,9 +308,9 @@
 // unreadable tells a client why nothing more of it is read, once all that it asked before is answered, and ends the connection.
 func (c *conn) unreadable(err error) {
 	c.ended = true
-	c.side.log.Warn("a client sent what cannot be read", "client", c.net.Peer(), "status", "thrift", "error", err)
-	c.seat.Enter(connlimit.Leaving, c.came)
-	defer c.net.End(c.side.set.Linger, c.side.set.Stall)
+	c.server.log.Warn("a client sent what cannot be read", "client", c.net.Peer(), "status", "thrift", "error", err)
+	c.slot.Enter(connlimit.StateClosing, c.came)
+	defer c.net.End(c.server.set.Linger, c.server.set.Stall)
 	if errors.Is(err, thrift.ErrNotThrift) {
 		_ = c.net.Write(http1.AppendResponse(nil, http1.Reply{Status: 400, Body: []byte("Thrift is spoken here\n"), Close: true}))
 		return
@@ -321,8 +321,8 @@
 	}
 }
 
-// Retire is that of lobby.Guest.
-func (c *conn) Retire() bool {
+// CloseIfIdle implements connlimit.Conn.
+func (c *conn) CloseIfIdle() bool {
 	c.mu.Lock()
 	free := c.ended || len(c.open) == 0 && c.next == nil && c.reader.Idle() && c.net.Farewell()
 	c.ended = c.ended || free
@@ -331,18 +331,18 @@
 	case free && c.net.Backlog() == 0:
 		c.net.Close()
 	case free:
-		c.net.End(c.side.set.Linger, c.side.set.Stall)
+		c.net.End(c.server.set.Linger, c.server.set.Stall)
 	}
 	return free
 }
 
 var errSlow = errors.New("the call was not whole in time")
 
-// Slow is that of lobby.Guest.
-func (c *conn) Slow() {
+// CloseSlowRead implements connlimit.Conn.
+func (c *conn) CloseSlowRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ended && len(c.open) == 0 && !c.reader.Idle() && c.seat.Overdue() {
+	if !c.ended && len(c.open) == 0 && !c.reader.Idle() && c.slot.Overdue() {
 		c.unreadable(errSlow)
 	}
 }
@@ -356,8 +356,8 @@
 		calls = append(calls, call)
 	}
 	c.mu.Unlock()
-	c.seat.Rise()
-	c.side.gate.Disconnected(false)
+	c.slot.Release()
+	c.server.gate.Disconnected(false)
 	for _, call := range calls {
 		call.Leave()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,7 @@
 	gate   *driver.Gate
 	core   *core.Core
 	loop   *netpoll.Loop
-	north  *httpserver.Side
+	north  *httpserver.Server
 	pool   *connpool.Pool
 	watch  *discovery.Watcher
 	lists  *lists      // of several sources; nil = the list is discovery's, as it is
@@ -207,7 +207,7 @@
 		return nil, err
 	}
 	room := o.Room(conf)
-	var side *httpserver.Side
+	var side *httpserver.Server
 	ready := make(chan struct{}) // a client may connect before the rest stands
 	n.loop, err = listen(&extra, conf.Listen, room.Clients+room.Spare, func(c *netpoll.Conn) netpoll.Handler {
 		<-ready
--- a/node/thrift.go
+++ b/node/thrift.go
@@ -27,7 +27,7 @@
 	kinds []string // types of machines that speak it
 	pilot *dispatch.Dispatcher
 	core  *core.Core
-	front *thriftserver.Side // nil = no listener
+	front *thriftserver.Server // nil = no listener
 	loop  *netpoll.Loop
 }
 
@@ -88,7 +88,7 @@
 	}
 	fs := thriftserver.Settings{Methods: map[string]thriftserver.Method{}, Tenants: map[string]int{}, Messages: messageLimits(o), Open: front.Open,
 		Pipeline: front.PipelineMost.Bytes, Backlog: front.BacklogMost.Bytes, Linger: front.Linger.Ms, Stall: o.North.HTTP.Stall.Ms,
-		Lobby: connlimit.Settings{Connections: room.Thrift, Crowded: room.Thrift, Limits: connlimit.Limits{Idle: front.IdleAfter.Ms,
+		Limiter: connlimit.Settings{Connections: room.Thrift, Crowded: room.Thrift, Limits: connlimit.Limits{Idle: front.IdleAfter.Ms,
 			Read: front.ReadLimit.Ms, First: front.FirstLimit.Ms, Settle: front.Settle.Ms}}}
 	for i, c := range n.conf.Settings.Classes {
 		fs.Classes = append(fs.Classes, thriftserver.Class{Keyed: c.Effect == decide.Keyed})
