Let a leaving standby member stay until an attempt that gives it a vote has ended

A vote of nobody is one loss less that is survived, until its failure is noticed. Change: a leaving member is released once a majority of the voters has answered a heartbeat that announces its departure, from its own epoch and with nothing promised: what was under way then has ended.

--- a/internal/fleet/replica/crossings_test.go
+++ b/internal/fleet/replica/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,6 +67,37 @@
 	}
 }
 
+// A voter leaves, and a moment later the standby member leaves that is about to get its vote. It stays until the attempt that gives it
+// the vote has ended, and once it has gone no view gives it one: another standby member is there.
+func TestAStandbyLeavesWhileItIsGivenAVote(t *testing.T) {
+	given := 0
+	for seed := range fewerWithRaceDetector(60) {
+		sim := newFiveMembers(t, seed)
+		leaver := sim.nodes[seed%5]
+		sim.join("r1", leaver.domain)
+		sim.join("r2", leaver.domain)
+		sim.runUntil(sim.now + 4500*time.Millisecond)
+		first, second := sim.node("r1"), sim.node("r2")
+		sim.leave(leaver, func() { sim.removeNode(leaver) })
+		sim.runUntil(sim.now + time.Duration(seed%12)*time.Millisecond)
+		gone := false
+		sim.leave(first, func() { gone = true; sim.removeNode(first) })
+		for range 3000 {
+			sim.runUntil(sim.now + time.Millisecond)
+			named := slices.Contains(sim.view().Voters, first.disk.Self)
+			require.False(t, gone && named, "seed %d at %v: %v", seed, sim.now, sim.view())
+			if named {
+				given++
+			}
+		}
+		require.True(t, gone, "seed %d", seed)
+		require.Contains(t, sim.view().Voters, second.disk.Self, "seed %d", seed)
+		require.Len(t, sim.view().Voters, 5, "seed %d", seed)
+		requireProgress(t, sim, 2*time.Second, "seed %d", seed)
+	}
+	require.Positive(t, given, "a standby that leaves was given a vote")
+}
+
 // A member returns with the disk that it had two views ago, in the tick in which the head dies, leaves or is cut off. It learns the
 // present view, what was acknowledged stays, and it is in the chain again.
 func TestAMemberReturnsFromTwoViewsAgoAsTheHeadChanges(t *testing.T) {
--- a/internal/fleet/replica/departure.go
+++ b/internal/fleet/replica/departure.go
@@ -7,7 +7,10 @@
 
 // Leave announces to the other members that this one is about to shut down for good, so that they replace it.
 func (m *Machine) Leave(now time.Duration) Ready {
-	m.leaving = true
+	m.now = max(now, m.now)
+	if !m.leaving {
+		m.leaving, m.leavingSince = true, m.now
+	}
 	out := m.BroadcastHeartbeat(now)
 	out.add(m.reconfigure())
 	return out
@@ -25,7 +28,8 @@
 }
 
 // Released reports whether a leaving member may shut down: it is not in the chain, no other process can take its vote now or
-// once it has caught up, and a majority of the voters has adopted the view.
+// once it has caught up, and a majority of the voters has adopted the view. It has heard from each of these since it announced its
+// departure, and they had promised nothing then: an attempt that was under way, which may give this member a vote, has ended.
 func (m *Machine) Released() bool {
 	if m.view.Epoch == 0 || !m.config.CanVote {
 		return true
@@ -35,7 +39,7 @@
 	}
 	adopted := 0
 	for _, voter := range m.view.Voters {
-		if voter != m.self && m.reachable(voter) && m.peers[voter.Address].status.Epoch >= m.view.Epoch {
+		if voter != m.self && m.reachable(voter) && m.peers[voter.Address].confirmedAt >= m.leavingSince {
 			adopted++
 		}
 	}
--- a/internal/fleet/replica/machine.go
+++ b/internal/fleet/replica/machine.go
@@ -29,6 +29,7 @@
 	founders          []string // addresses whose majority agrees on the first view
 	healthy           bool
 	leaving           bool
+	leavingSince      time.Duration // when it announced that it is about to shut down for good
 	now               time.Duration
 	startedAt         time.Duration
 	appendSentAt      time.Duration // when the uncommitted entry was last sent
