--- a/internal/fleet/replica/crossings_test.go
+++ b/internal/fleet/replica/crossings_test.go
@@ -142,14 +142,17 @@
 // rememberedOrders is the number of accepted orders that a state remembers by their digests.
 const rememberedOrders = 4096
 
+// retryInterval is the interval at which an operator in a hurry sends an order again.
+const retryInterval = 5 * time.Millisecond
+
 // An order is sent again to all members while orders are committed that make the state forget its digest. It is acknowledged as the
 // same revision as long as it is remembered, and afterwards neither acknowledged anew nor rejected: nobody can tell any more.
 func TestAnOrderIsSentAgainWhileItsDigestIsForgotten(t *testing.T) {
 	sim := newBootstrapped(t, 1)
 	order := sim.newOrder(1, 2, "sent again")
-	sim.commitSoon(t, order)
+	sim.commitEvery(t, order, retryInterval)
 	for sim.lastAcked() < rememberedOrders {
-		sim.commitSoon(t, sim.newOrder(sim.lastAcked(), sim.lastAcked()+1, "between"))
+		sim.commitEvery(t, sim.newOrder(sim.lastAcked(), sim.lastAcked()+1, "between"), retryInterval)
 	}
 	sendAgain := func() (acknowledged int) {
 		before := sim.ackCount(order)
@@ -188,19 +191,6 @@
 	requireProgress(t, sim, 2*time.Second)
 }
 
-// commitSoon submits an order until it is acknowledged, every few milliseconds.
-func (sim *simulation) commitSoon(t *testing.T, order operator.Order) {
-	t.Helper()
-	for range 1000 {
-		sim.submit(order)
-		sim.runUntil(sim.now + 5*time.Millisecond)
-		if _, acked := sim.ackedRevisions[order.Digest()]; acked {
-			return
-		}
-	}
-	require.Fail(t, "not acknowledged")
-}
-
 // committedState returns the committed state of the member that has committed most.
 func (sim *simulation) committedState() *operator.State {
 	var latest *operator.State
--- a/internal/fleet/replica/scenarios_test.go
+++ b/internal/fleet/replica/scenarios_test.go
@@ -331,17 +331,8 @@
 // The vote of the one that has been unreachable for longest is replaced, and the other one has its vote when it is back.
 func TestTheVoterThatFailedFirstIsReplacedFirst(t *testing.T) {
 	for seed := range uint64(30) {
-		sim := newSimulation(seed, 3)
-		sim.maxFailures = 2
-		for i := 3; i < 5; i++ {
-			n := &node{address: fmt.Sprintf("n%d", i)}
-			sim.nodes = append(sim.nodes, n)
-			sim.schedule(time.Duration(sim.rand.IntN(300))*time.Millisecond, func() { sim.start(n) })
-		}
-		sim.runUntil(4 * time.Second)
-		sim.submitUntilCommitted(t, 0, 1)
+		sim := newFiveMembers(t, seed)
 		voters := sim.view().Voters
-		require.Len(t, voters, 5, "seed %d", seed)
 		gone, briefly := sim.nodeOf(voters[4]), sim.nodeOf(voters[0])
 		sim.removeNode(gone)
 		sim.join("r1", gone.domain)
--- a/internal/fleet/replica/simulation_operator_test.go
+++ b/internal/fleet/replica/simulation_operator_test.go
@@ -213,10 +213,15 @@
 // commitQuickly submits an order until it is acknowledged, as often as a message takes down the chain.
 func (sim *simulation) commitQuickly(t *testing.T) {
 	t.Helper()
-	order := sim.newOrder(sim.lastAcked(), sim.lastAcked()+1, "quick")
+	sim.commitEvery(t, sim.newOrder(sim.lastAcked(), sim.lastAcked()+1, "quick"), 15*time.Millisecond)
+}
+
+// commitEvery submits an order again and again, at an interval, until it is acknowledged.
+func (sim *simulation) commitEvery(t *testing.T, order operator.Order, interval time.Duration) {
+	t.Helper()
 	for range 1000 {
 		sim.submit(order)
-		sim.runUntil(sim.now + 15*time.Millisecond)
+		sim.runUntil(sim.now + interval)
 		if _, acked := sim.ackedRevisions[order.Digest()]; acked {
 			return
 		}
--- a/internal/node/downstream/thriftserver/crossing_test.go
+++ b/internal/node/downstream/thriftserver/crossing_test.go
@@ -39,14 +39,11 @@
 	return nil
 }
 
-// Guards against a call that is ended as late though it has only just begun: the one that was late came whole between the look at all
-// connections and the end of this one.
-func TestSweepLooksAgain(t *testing.T) {
-	w := warned{slog.NewTextHandler(io.Discard, nil), make(chan string), make(chan struct{})}
-	c, accepted := clock.NewManual(1e6), make(chan *conn, 1)
+// listen starts a server that sends each connection that it accepts to accepted.
+func listen(t *testing.T, c clock.Clock, gate *driver.Gate, log *slog.Logger, accepted chan *conn) (*Server, *netpoll.Loop) {
+	t.Helper()
 	server := New(Settings{Limiter: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
-		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, c, nil,
-		driver.New(nil, drain.Times{}, c), slog.New(w))
+		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, c, nil, gate, log)
 	l, err := netpoll.Listen("127.0.0.1:0", 9, func(n *netpoll.Conn) netpoll.Handler {
 		h := server.Accept(n)
 		accepted <- h.(*conn)
@@ -54,6 +51,15 @@
 	})
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
+	return server, l
+}
+
+// Guards against a call that is ended as late though it has only just begun: the one that was late came whole between the look at all
+// connections and the end of this one.
+func TestSweepLooksAgain(t *testing.T) {
+	w := warned{slog.NewTextHandler(io.Discard, nil), make(chan string), make(chan struct{})}
+	c, accepted := clock.NewManual(1e6), make(chan *conn, 1)
+	server, l := listen(t, c, driver.New(nil, drain.Times{}, c), slog.New(w), accepted)
 	// Nobody knows the method, so that it is answered at once.
 	whole := thrift.Append(nil, thrift.Outgoing{Message: mapping.Compose("nothing", mapping.Info{ID: []byte("q"), Deadline: 900}, nil), Seq: 1})
 	half := len(whole) / 2
@@ -106,16 +112,7 @@
 func TestResultWhileTheLastCallsBegin(t *testing.T) {
 	manual, accepted := clock.NewManual(1e6), make(chan *conn, 1)
 	gate := driver.New(nil, drain.Times{}, manual)
-	server := New(Settings{Limiter: connlimit.Settings{Connections: 9, Crowded: 9, Limits: connlimit.Limits{Idle: 60_000, Read: 2500, First: 2800}},
-		Messages: thrift.DefaultLimits, Open: 9, Pipeline: 9999, Backlog: 9999, Linger: 600_000, Stall: 600_000}, manual, nil, gate,
-		slog.New(slog.DiscardHandler))
-	l, err := netpoll.Listen("127.0.0.1:0", 9, func(n *netpoll.Conn) netpoll.Handler {
-		h := server.Accept(n)
-		accepted <- h.(*conn)
-		return h
-	})
-	require.NoError(t, err)
-	t.Cleanup(l.Stop)
+	server, l := listen(t, manual, gate, slog.New(slog.DiscardHandler), accepted)
 	raw, err := net.Dial("tcp", l.Addr())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = raw.Close() })
