Release no member of the control plane that has not announced its departure

Cause, by reading: a process that stops has Leave queued, waits drainDelay and reads the published state. A standby member counted as released all the time, so with a queue that stands for longer than that, as behind a slow disk, it would have ended without having told anybody, and would not have held. The simulation asks the machine after Leave and cannot see it. Change: Released is false before Leave. That a process was met by it was not played.

--- a/internal/fleet/replica/crossings_test.go
+++ b/internal/fleet/replica/crossings_test.go
@@ -78,6 +78,7 @@
 		sim.join("r2", leaver.domain)
 		sim.runUntil(sim.now + 4500*time.Millisecond)
 		first, second := sim.node("r1"), sim.node("r2")
+		require.False(t, first.machine.Released(), "seed %d: it has not announced its departure, and a process reads this before it has", seed)
 		sim.leave(leaver, func() { sim.removeNode(leaver) })
 		sim.runUntil(sim.now + time.Duration(seed%12)*time.Millisecond)
 		gone := false
--- a/internal/fleet/replica/departure.go
+++ b/internal/fleet/replica/departure.go
@@ -27,14 +27,14 @@
 	return true
 }
 
-// Released reports whether a leaving member may shut down: it is not in the chain, no other process can take its vote now or
-// once it has caught up, and a majority of the voters has adopted the view. It has heard from each of these since it announced its
-// departure, and they had promised nothing then: an attempt that was under way, which may give this member a vote, has ended.
+// Released reports whether a member that has announced its departure may shut down: it is not in the chain, no other process can take
+// its vote now or once it has caught up, and a majority of the voters has adopted the view. It has heard from each of these since the
+// announcement, and they had promised nothing then: an attempt that was under way, which may give this member a vote, has ended.
 func (m *Machine) Released() bool {
 	if m.view.Epoch == 0 || !m.config.CanVote {
 		return true
 	}
-	if m.InChain() || m.sealed() || m.isVoter() && m.hasSuccessor() {
+	if !m.leaving || m.InChain() || m.sealed() || m.isVoter() && m.hasSuccessor() {
 		return false
 	}
 	adopted := 0
