Give tests and the lab loopback addresses that no other process uses

Twelve places made such addresses in seven ways, by 12 to 22 bits of the process's number. Change: internal/loopback reserves a /24 network for the process by a name in the kernel's abstract namespace and returns each address once; all those places use it, and lab/fleet, whose own reservation it replaces. The TLS test's certificate is for the address that was called, as strictly as before.

--- a/cmd/linenwheel-etcd/run_test.go
+++ b/cmd/linenwheel-etcd/run_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,6 +19,7 @@
 	"go.uber.org/goleak"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/endpoints/agent"
 	"linenwheel.dev/linenwheel/lab/etcdtest"
 )
@@ -78,10 +78,8 @@
 	require.NoError(t, err)
 	defer c.Close()
 	c.Protect("node", "secret")
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.15:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+	addr, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	addr := l.Addr().String()
-	require.NoError(t, l.Close())
 	dir := t.TempDir()
 	path, secret := filepath.Join(dir, "o.toml"), filepath.Join(dir, "password")
 	require.NoError(t, os.WriteFile(secret, []byte("wrong\n"), 0o600))
--- a/cmd/linenwheel-etcd/soak_test.go
+++ b/cmd/linenwheel-etcd/soak_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"maps"
-	"net"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -18,6 +17,7 @@
 	"go.uber.org/goleak"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/config"
 	"linenwheel.dev/linenwheel/internal/node/dispatch"
 	"linenwheel.dev/linenwheel/lab/etcdtest"
@@ -36,10 +36,9 @@
 	c, err := etcdtest.New(etcdtest.Settings{Members: 3, Clock: clock.NewSystem()})
 	require.NoError(t, err)
 	defer c.Close()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.15:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+	addr, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	addr, dir := l.Addr().String(), t.TempDir()
-	require.NoError(t, l.Close())
+	dir := t.TempDir()
 	path := filepath.Join(dir, "o.toml")
 	ends := c.Endpoints()
 	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, "[log]\nlevel = \"error\"\n[inventory]\ntrust = [\"etcd\"]\n[inventory.etcd]\nagent = %q\nprefix = \"r/\"\n"+
--- a/cmd/linenwheel-keep/main_test.go
+++ b/cmd/linenwheel-keep/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/consensus/backup"
 	"linenwheel.dev/linenwheel/internal/node/consensus/client"
 	"linenwheel.dev/linenwheel/internal/node/consensus/protocol"
@@ -44,11 +44,10 @@
 	dir, members := t.TempDir(), ""
 	set := client.Config{Name: "test", AttemptTimeout: 10 * time.Second}
 	for _, name := range []string{"a", "b", "c"} {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.11:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+		address, err := loopback.FreeAddress()
 		require.NoError(t, err)
-		set.Replicas = append(set.Replicas, client.Replica{Name: name, Address: l.Addr().String()})
-		require.NoError(t, l.Close())
-		members += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", name, l.Addr())
+		set.Replicas = append(set.Replicas, client.Replica{Name: name, Address: address})
+		members += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", name, address)
 	}
 	options := func(fleet string) string {
 		path := filepath.Join(dir, fleet+".toml")
--- a/cmd/linenwheel-keep/page_test.go
+++ b/cmd/linenwheel-keep/page_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
@@ -29,7 +29,10 @@
 		require.NoError(t, err)
 		return string(text)
 	}
-	host := fmt.Sprintf("127.%d.%d.13:", 128+os.Getpid()>>8&63, os.Getpid()&255) // where no other takes the ports
+	network, err := loopback.Reserve()
+	require.NoError(t, err)
+	defer func() { _ = network.Release() }()
+	host := network.Host(1) + ":"
 	script := []string{"trap 'kill -9 $(jobs -p); wait' EXIT"}
 	for _, line := range strings.Split(read("docs/operate/life.md"), "\n") {
 		if command, ok := strings.CutPrefix(line, "    "); ok && command != "make build" {
--- a/cmd/linenwheel/newcomer_test.go
+++ b/cmd/linenwheel/newcomer_test.go
@@ -14,16 +14,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/statedir"
 	"linenwheel.dev/linenwheel/node"
 )
 
 // free is an address at which nobody listens.
-func free() string {
-	l := must(net.Listen("tcp", own))
-	defer l.Close()
-	return l.Addr().String()
-}
+func free() string { return must(loopback.FreeAddress()) }
 
 // withDead has discovery name a further rater, which refuses connections.
 func (s *site) withDead() {
--- a/cmd/linenwheel/peers_test.go
+++ b/cmd/linenwheel/peers_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/consensus/replica"
 )
 
@@ -24,10 +24,9 @@
 func TestPeers(t *testing.T) {
 	addresses, text := map[string]string{}, "[peers]\nfleet = \"f\"\nkeepers = [\"a\", \"b\", \"c\"]\npatience = \"2m\"\n"
 	for _, name := range []string{"a", "b", "c", "d"} {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.8:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+		address, err := loopback.FreeAddress()
 		require.NoError(t, err)
-		addresses[name] = l.Addr().String()
-		require.NoError(t, l.Close())
+		addresses[name] = address
 		text += fmt.Sprintf("[[peers.member]]\nname = %q\naddress = %q\n", name, addresses[name])
 	}
 	file := filepath.Join(t.TempDir(), "o.toml")
--- a/cmd/linenwheel/policy_test.go
+++ b/cmd/linenwheel/policy_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/consensus/client"
 	"linenwheel.dev/linenwheel/internal/node/consensus/replica"
 	"linenwheel.dev/linenwheel/internal/node/rollout"
@@ -25,10 +25,9 @@
 // twice, one of two operators at once who is not told of the other, a member's refusal without its words, a document that is too
 // long told as one of which nothing is known, and a way back that is none.
 func TestPolicy(t *testing.T) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.12:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	address, dir := l.Addr().String(), t.TempDir()
-	require.NoError(t, l.Close())
+	dir := t.TempDir()
 	write := func(name, text string) string {
 		path := filepath.Join(dir, name)
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
--- a/cmd/linenwheel/process_test.go
+++ b/cmd/linenwheel/process_test.go
@@ -21,6 +21,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/options"
 	"linenwheel.dev/linenwheel/node"
 )
@@ -188,7 +189,7 @@
 }
 
 // own is an address of this process's, where no other's connection takes a port that is free for the moment.
-var own = fmt.Sprintf("127.%d.%d.13:0", 128+os.Getpid()>>8&63, os.Getpid()&255)
+var own = must(loopback.Host()) + ":0"
 
 func must[T any](x T, err error) T {
 	if err != nil {
--- a/internal/fleet/backend/exchange_test.go
+++ b/internal/fleet/backend/exchange_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 // script is what a stand-in backend does with the requests of one connection, one after the other.
@@ -185,10 +187,8 @@
 			require.NotEqual(t, NotSent, outcomeOf(t, err))
 		})
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	closed, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	closed := listener.Addr().String()
-	require.NoError(t, listener.Close())
 	_, _, _, err = doRequest(NewClient(), closed, "a")
 	require.Equal(t, NotSent, outcomeOf(t, err), "refused")
 }
--- a/internal/fleet/dataplane/listen_test.go
+++ b/internal/fleet/dataplane/listen_test.go
@@ -11,15 +11,15 @@
 	"github.com/stretchr/testify/require"
 
 	"linenwheel.dev/linenwheel/internal/fleet/settings"
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 // freeAddress returns an address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // startListening starts a node's listener and returns the channel on which it comes once the node is configured.
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 // Service answers with as many bytes as requested, or not before the end of the test.
@@ -66,10 +68,8 @@
 }
 
 func TestCallToClosedPortFails(t *testing.T) {
-	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
 	var reply []byte
 	require.Error(t, NewPool().Call(address, "Test.Bytes", 3, &reply, time.Minute))
 }
@@ -131,10 +131,8 @@
 }
 
 func TestFailedDialIsTriedAgain(t *testing.T) {
-	listener, err := Listen(t.Context(), "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
 	pool := NewPool()
 	for range 2 {
 		var reply []byte
--- a/internal/node/consensus/replica/replica_test.go
+++ b/internal/node/consensus/replica/replica_test.go
@@ -8,7 +8,6 @@
 	"io/fs"
 	"log/slog"
 	"net"
-	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/consensus/client"
 	"linenwheel.dev/linenwheel/internal/node/consensus/protocol"
 	"linenwheel.dev/linenwheel/internal/node/statemachine"
@@ -31,12 +31,11 @@
 	config := client.Config{Fleet: "f", Name: "test", AttemptTimeout: 10 * time.Second}
 	addresses := map[string]string{}
 	for i := range n {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.9:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+		address, err := loopback.FreeAddress()
 		require.NoError(t, err)
 		name := fmt.Sprint("k", i)
-		addresses[name] = l.Addr().String()
-		config.Replicas = append(config.Replicas, client.Replica{Name: name, Address: addresses[name]})
-		require.NoError(t, l.Close())
+		addresses[name] = address
+		config.Replicas = append(config.Replicas, client.Replica{Name: name, Address: address})
 		if proxy != nil {
 			addresses[name] = proxy(addresses[name])
 		}
--- a/internal/node/scenario/script.go
+++ b/internal/node/scenario/script.go
@@ -26,7 +26,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -38,11 +37,16 @@
 
 	"linenwheel.dev/linenwheel/internal/clock"
 	"linenwheel.dev/linenwheel/internal/codec/http1"
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
-// Loopback is an address of the loopback network for this process alone. At a shared address the port of a socket that was closed may
-// be another process's a moment later, and whoever still connects to it talks to the wrong one.
-var Loopback = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, os.Getpid()&0xff)
+// Loopback returns an IP address of the loopback network for this process alone. At a shared address the port of a socket that was
+// closed may be another process's a moment later, and whoever still connects to it talks to the wrong one.
+func Loopback(t testing.TB) string {
+	host, err := loopback.Host()
+	require.NoError(t, err)
+	return host
+}
 
 // patience is how long a step may take in real time before the scenario fails.
 const patience = time.Minute
@@ -93,15 +97,17 @@
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = syscall.Close(fd) })
-	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(Loopback).As4()}))
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: netip.MustParseAddr(Loopback(t)).As4()}))
 	at, err := syscall.Getsockname(fd)
 	require.NoError(t, err)
-	return fmt.Sprintf("%s:%d", Loopback, at.(*syscall.SockaddrInet4).Port)
+	return fmt.Sprintf("%s:%d", Loopback(t), at.(*syscall.SockaddrInet4).Port)
 }
 
 // listen accepts connections, each message on which goes to came.
 func (s *Stage) listen(host string, came chan *peer) string {
-	l, err := net.Listen("tcp", Loopback+":0")
+	address, err := loopback.FreeAddress() // which no stage before this one had, whose node may still call there
+	require.NoError(s.t, err)
+	l, err := net.Listen("tcp", address)
 	require.NoError(s.t, err)
 	s.t.Cleanup(func() { _ = l.Close() })
 	go func() {
--- a/lab/circle/circle.go
+++ b/lab/circle/circle.go
@@ -11,17 +11,16 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/consensus/client"
 	"linenwheel.dev/linenwheel/internal/node/consensus/protocol"
 	"linenwheel.dev/linenwheel/internal/node/statemachine"
@@ -81,16 +80,11 @@
 // New makes a circle of machines; Start starts their keepers.
 func New(names []string, o Options) (*Circle, error) {
 	c := &Circle{o: o, counts: counts{n: map[string]int{}}}
-	circle, used := circles.Add(1), map[string]bool{}
 	for _, name := range names {
-		address, err := freeAddress(circle)
-		for err == nil && used[address] { // nobody listens yet: the same port may be given again
-			address, err = freeAddress(circle)
-		}
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
-		used[address] = true
 		c.keepers = append(c.keepers, &keeper{name: name, address: address, dir: filepath.Join(o.Dir, name), wires: map[string]*wire{}})
 	}
 	for _, from := range c.keepers {
@@ -109,18 +103,6 @@
 	return c, nil
 }
 
-// circles counts those of this process: each has a loopback address of its own, so that no other process's connection takes a
-// port while the keeper there is down.
-var circles atomic.Uint32
-
-func freeAddress(circle uint32) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()>>8&63, os.Getpid()&255, 1+circle%250))
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // Close ends every process that the circle started.
 func (c *Circle) Close() {
 	for _, k := range c.keepers {
--- a/lab/duplicates/duplicates.go
+++ b/lab/duplicates/duplicates.go
@@ -11,15 +11,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/circle"
 	"linenwheel.dev/linenwheel/lab/live/proc"
 )
@@ -437,10 +436,6 @@
 	c.peak, c.cpu = max(c.peak, u.Peak), c.cpu+u.CPU
 }
 
-// started counts the nodes of this process: each has a loopback address of its own, so that no other process's connection takes its
-// port while it is down.
-var started atomic.Uint32
-
 // start starts the node and waits until it is ready.
 func (w *world) start(number int, agent string) (*child, error) {
 	name := fmt.Sprint("n", number)
@@ -448,12 +443,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 192+os.Getpid()>>8&31, os.Getpid()&255, 1+started.Add(1)%250))
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	address := l.Addr().String()
-	_ = l.Close() // the node listens there next
 	c := &child{address: address, spec: proc.Spec{Name: name, Command: w.set.Node, Listen: address, Discovery: agent, Dir: dir,
 		Log: filepath.Join(dir, "node.log")}}
 	if w.set.Options != "" {
--- a/lab/duplicates/fleet_test.go
+++ b/lab/duplicates/fleet_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
@@ -84,10 +83,9 @@
 	t.Parallel()
 	ctx, stop := context.WithTimeout(context.Background(), most)
 	defer stop()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.7:0", 128+os.Getpid()>>8&63, os.Getpid()&255)) // where no other takes the port
+	control, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	w := &world{set: Settings{Node: filepath.Join(programs, "linenwheel"), Dir: t.TempDir()}, control: l.Addr().String()}
-	require.NoError(t, l.Close())
+	w := &world{set: Settings{Node: filepath.Join(programs, "linenwheel"), Dir: t.TempDir()}, control: control}
 	// A node that starts hears its orders however long its keepers take: what one does that has waited in vain is another test's.
 	keepers, err := w.gather(ctx, &Fleet{Keepers: 3, Unsynced: true, OrdersWait: "10m", Program: filepath.Join(programs, "linenwheel-keep")})
 	require.NoError(t, err)
--- a/lab/etcdtest/cluster.go
+++ b/lab/etcdtest/cluster.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 // Cluster is members with one store. All of its methods may be called from any goroutine.
@@ -54,8 +55,12 @@
 	c := &Cluster{clock: set.Clock, tls: set.TLS, memory: set.Memory, news: make(chan struct{}), store: NewStore(), id: 0xc1, term: 2, leader: true,
 		password: map[string]string{}, tokens: map[string]string{}}
 	for i := range set.Members {
-		m := &Member{cluster: c, id: uint64(i + 1), address: "127.0.0.1:0", conns: map[net.Conn]bool{}}
-		if err := m.Up(); err != nil {
+		m := &Member{cluster: c, id: uint64(i + 1), conns: map[net.Conn]bool{}}
+		err := m.takeAddress()
+		if err == nil {
+			err = m.Up()
+		}
+		if err != nil {
 			c.Close()
 			return nil, err
 		}
@@ -297,19 +302,26 @@
 	etcdserverpb.RegisterAuthServer(server, auth{s: s})
 	etcdserverpb.RegisterMaintenanceServer(server, maintenance{s: s})
 	m.cluster.do(func() {
-		m.address, m.server, m.drop = l.Addr().String(), server, make(chan struct{})
+		m.server, m.drop = server, make(chan struct{})
 	})
 	go func() { _ = server.Serve(counted{l, m}) }() // it ends with Stop
 	return nil
 }
 
+// takeAddress chooses the member's address, which stays its own while it is down.
+func (m *Member) takeAddress() (err error) {
+	if m.cluster.memory {
+		m.address = fmt.Sprintf("member-%d:2379", m.id)
+		return nil
+	}
+	m.address, err = loopback.FreeAddress()
+	return err
+}
+
 func (m *Member) listen() (net.Listener, error) {
 	if !m.cluster.memory {
 		return net.Listen("tcp", m.address)
 	}
-	if m.pipes == nil {
-		m.address = fmt.Sprintf("member-%d:2379", m.id)
-	}
 	m.pipes = &pipes{name: m.address, conns: make(chan net.Conn), closed: make(chan struct{})}
 	return m.pipes, nil
 }
--- a/lab/etcdtest/etcdtest_test.go
+++ b/lab/etcdtest/etcdtest_test.go
@@ -211,14 +211,21 @@
 func TestUsers(t *testing.T) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
-	who := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{{127, 0, 0, 1}}, IsCA: true, BasicConstraintsValid: true}
-	der, err := x509.CreateCertificate(rand.Reader, who, who, &key.PublicKey, key)
+	root := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, root, root, &key.PublicKey, key)
 	require.NoError(t, err)
 	cert, err := x509.ParseCertificate(der)
 	require.NoError(t, err)
+	// A member's address is chosen when it starts: its certificate is for the address that was called.
+	certificate := func(hello *tls.ClientHelloInfo) (*tls.Certificate, error) {
+		called := hello.Conn.LocalAddr().(*net.TCPAddr).IP
+		leaf := &x509.Certificate{SerialNumber: big.NewInt(2), NotAfter: root.NotAfter, IPAddresses: []net.IP{called}}
+		der, err := x509.CreateCertificate(rand.Reader, leaf, cert, &key.PublicKey, key)
+		return &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, err
+	}
 	pool := x509.NewCertPool()
 	pool.AddCert(cert)
-	c, client, _ := start(t, Settings{TLS: &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}}},
+	c, client, _ := start(t, Settings{TLS: &tls.Config{GetCertificate: certificate}},
 		clientv3.Config{Username: "node", Password: "secret", TLS: &tls.Config{RootCAs: pool}})
 	for range 2 {
 		_, err = client.Put(t.Context(), "a", "1")
@@ -291,3 +298,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, uint64(1), status.Leader)
 }
+
+// Guards against a member that cannot come back because a connection took its port while it was down: connections leave from 127.0.0.1.
+func TestPortOfAMemberThatIsDown(t *testing.T) {
+	c, err := New(Settings{Members: 1, Clock: clock.NewSystem()})
+	require.NoError(t, err)
+	defer c.Close()
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = server.Close() }()
+	address, err := net.ResolveTCPAddr("tcp4", c.Members[0].address)
+	require.NoError(t, err)
+	c.Members[0].Down()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: address.Port}}
+	taker, err := dialer.Dial("tcp4", server.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = taker.Close() }()
+	require.NoError(t, c.Members[0].Up())
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/engine"
 )
 
@@ -37,7 +37,6 @@
 	Binaries  string        // folder of linenwheel-control and linenwheel-data
 	Folder    string        // for settings, disks and logs
 	Heartbeat time.Duration // of raters; 0 = a short one
-	Subnet    byte          // second byte of the machines' loopback addresses, so that fleets of one process do not meet
 }
 
 // Machine is one process on an address of its own.
@@ -56,7 +55,7 @@
 	Data    []*Machine
 	Raters  []*engine.Server
 	options Options
-	network *network
+	network *loopback.Network
 	ports   ports
 	cancel  context.CancelFunc
 }
@@ -67,7 +66,7 @@
 // Start starts a fleet. Its raters register themselves until it is stopped.
 func Start(options Options) (*Fleet, error) {
 	f := &Fleet{options: options, ports: ports{front: 8662, readiness: 8663, control: 8665, internal: 7680}}
-	network, err := reserveNetwork(options.Subnet, f.ports.control)
+	network, err := loopback.Reserve()
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +96,7 @@
 }
 
 func (f *Fleet) machine(name string, number int, program string) *Machine {
-	ip := net.IPv4(127, f.options.Subnet, f.network.number, byte(10+number)).String()
+	ip := f.network.Host(10 + number)
 	return &Machine{Name: name, IP: ip, program: filepath.Join(f.options.Binaries, program), folder: filepath.Join(f.options.Folder, name)}
 }
 
@@ -197,7 +196,7 @@
 	for _, server := range f.Raters {
 		server.Close()
 	}
-	return f.network.release()
+	return f.network.Release()
 }
 
 // register sends a rater's heartbeats, each to the first control process that takes it.
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -41,9 +41,9 @@
 // The ample times below are bounds for a busy machine, not measurements.
 const ample = 30 * time.Second
 
-func startFleet(t *testing.T, subnet byte) *Fleet {
+func startFleet(t *testing.T) *Fleet {
 	t.Helper()
-	f, err := Start(Options{Control: 3, Data: 2, Raters: 3, Binaries: binaries, Folder: t.TempDir(), Subnet: subnet})
+	f, err := Start(Options{Control: 3, Data: 2, Raters: 3, Binaries: binaries, Folder: t.TempDir()})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.Stop() })
 	require.NoError(t, f.Configure(http.MethodPut, 0, configuration, ample))
@@ -52,7 +52,7 @@
 }
 
 func TestAFleetServesThroughTheLossOfEachControlProcess(t *testing.T) {
-	f := startFleet(t, 41)
+	f := startFleet(t)
 	status, body, err := f.Request(f.Data[0], "h", "/stream/3", "key", "0000000000000001")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
@@ -85,7 +85,7 @@
 }
 
 func TestARevokedKeyAndAConflictAndABadOrder(t *testing.T) {
-	f := startFleet(t, 42)
+	f := startFleet(t)
 	revoke := `{"Revision":2,"Upsert":{"Tenants":[{"Name":"t1","ApiKeys":["key"]}]}}`
 	require.NoError(t, f.Configure(http.MethodPatch, 1, revoke, ample))
 	require.Eventually(t, func() bool {
@@ -98,7 +98,7 @@
 }
 
 func TestAllKilledComeBackWithWhatWasAcknowledged(t *testing.T) {
-	f := startFleet(t, 43)
+	f := startFleet(t)
 	require.NoError(t, f.Configure(http.MethodPatch, 1, `{"Revision":7,"Note":"kept"}`, ample))
 	all := append(append([]*Machine(nil), f.Control...), f.Data...)
 	for _, m := range all {
@@ -116,7 +116,7 @@
 }
 
 func TestAPlannedStopEndsByItselfAndLosesNothing(t *testing.T) {
-	f := startFleet(t, 44)
+	f := startFleet(t)
 	stop := make(chan struct{})
 	go func() {
 		f.Data[0].Terminate()
--- a/lab/fleetdemo/main.go
+++ b/lab/fleetdemo/main.go
@@ -15,7 +15,6 @@
 const (
 	within   = 20 * time.Second
 	requests = 60
-	subnet   = 40
 )
 
 const configuration = `{"Revision":1,
@@ -42,7 +41,7 @@
 	say := func(format string, args ...any) {
 		fmt.Printf("%6.2f s  "+format+"\n", append([]any{time.Since(begin).Seconds()}, args...)...)
 	}
-	f, err := fleet.Start(fleet.Options{Control: 3, Data: 3, Raters: 4, Binaries: "bin", Folder: folder, Subnet: subnet})
+	f, err := fleet.Start(fleet.Options{Control: 3, Data: 3, Raters: 4, Binaries: "bin", Folder: folder})
 	if err != nil {
 		return err
 	}
--- a/lab/lists/programs.go
+++ b/lab/lists/programs.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 // program is a child process.
@@ -104,7 +106,7 @@
 
 // node starts a node and waits until it is ready.
 func (b *bench) node(ctx context.Context, w writer) (p *program, listen string, ready time.Duration, err error) {
-	if listen, err = freeAddress(); err != nil {
+	if listen, err = loopback.FreeAddress(); err != nil {
 		return nil, "", 0, err
 	}
 	flags, err := b.files(w, listen, fmt.Sprintf("[takeover]\nsocket = %q\n", b.socket()))
--- a/lab/lists/writers.go
+++ b/lab/lists/writers.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"linenwheel.dev/linenwheel/internal/clock"
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/etcdtest"
 )
 
@@ -142,7 +143,7 @@
 	if e.cluster, err = etcdtest.New(etcdtest.Settings{Members: 3, Clock: clock.NewSystem()}); err != nil {
 		return nil, err
 	}
-	if e.addr, err = freeAddress(); err == nil {
+	if e.addr, err = loopback.FreeAddress(); err == nil {
 		err = os.WriteFile(path, []byte(e.options()), 0o600)
 	}
 	if err == nil {
@@ -214,11 +215,3 @@
 	_ = os.WriteFile(f.path+".new", text, 0o600)
 	_ = os.Rename(f.path+".new", f.path)
 }
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
--- a/lab/long/main.go
+++ b/lab/long/main.go
@@ -18,6 +18,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"linenwheel.dev/linenwheel/internal/loopback"
 )
 
 const settings = `{"group_size":1,"my_number":0,"locality":"z","zones":["z"],"machine_types":["k"],"weights":"nominal",
@@ -74,12 +76,9 @@
 	})); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	if r.listen, err = loopback.FreeAddress(); err != nil {
 		return err
 	}
-	r.listen = l.Addr().String()
-	_ = l.Close()
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": r.listen, "discovery": r.discover, "seed": "1",
 		"limits":   map[string]any{"cores": 1, "memory_mb": r.memory, "sockets": r.sockets},
 		"settings": json.RawMessage(settings)})
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -22,6 +22,7 @@
 	"syscall"
 	"time"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/lab/circle"
 	"linenwheel.dev/linenwheel/lab/live/proc"
 )
@@ -324,15 +325,6 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"index": index, "snapshot": changed, "endpoints": list}) // or it has left
 }
 
-func (s *Site) free() (string, error) {
-	n := s.serial.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 224+os.Getpid()>>8&15, os.Getpid()&255, 1+n%250)) // where no other takes the port
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // Add starts a node on an empty machine, and waits until it is ready.
 func (s *Site) Add(ctx context.Context, name string) (*Node, error) { return s.add(ctx, name, name) }
 
@@ -344,10 +336,10 @@
 func (s *Site) add(ctx context.Context, machine, name string) (*Node, error) {
 	n := &Node{Name: name, machine: machine, site: s}
 	var err error
-	if n.Address, err = s.free(); err != nil {
+	if n.Address, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
-	if n.Door, err = s.free(); err != nil {
+	if n.Door, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -69,7 +69,7 @@
 			"LINENWHEEL_OPTIONS": optionsPath}[name]
 	}
 	write := func(discovery string) {
-		conf := map[string]any{"name": "n0", "listen": scenario.Loopback + ":0", "discovery": discovery,
+		conf := map[string]any{"name": "n0", "listen": scenario.Loopback(t) + ":0", "discovery": discovery,
 			"seed": "1", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
 			"known": map[string]any{"index": 0, "endpoints": list}, "settings": json.RawMessage(settings)}
 		tune(s, conf)
--- a/node/refused_test.go
+++ b/node/refused_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/internal/loopback"
 	"linenwheel.dev/linenwheel/internal/node/options"
-	"linenwheel.dev/linenwheel/internal/node/scenario"
 )
 
 // Guards against a node that could not be made, whose operators' door is taken, and that keeps its sockets and the lock of its
@@ -21,10 +21,9 @@
 	require.NoError(t, err)
 	defer func() { _ = taken.Close() }()
 	free := func() string {
-		l, err := net.Listen("tcp", scenario.Loopback+":0")
+		address, err := loopback.FreeAddress()
 		require.NoError(t, err)
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
+		return address
 	}
 	dir := t.TempDir()
 	o := DefaultOptions()
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -45,7 +45,7 @@
 		}
 	}
 	set["locality"] = "z"
-	text, err := json.MarshalIndent(map[string]any{"name": "n0", "listen": scenario.Loopback + ":0", "discovery": discovery, "seed": "1",
+	text, err := json.MarshalIndent(map[string]any{"name": "n0", "listen": scenario.Loopback(t) + ":0", "discovery": discovery, "seed": "1",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": set}, "", " ")
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/node/thrift_test.go
+++ b/node/thrift_test.go
@@ -22,7 +22,7 @@
 // startThrift brings up a node that speaks Thrift on both sides, with hosts by their addresses and protocols.
 func startThrift(t *testing.T, south thriftpeers.Form, cross bool, hosts map[string]string) (*scenario.Stage, *Node) {
 	o := DefaultOptions()
-	o.North.Thrift.Listen, o.North.Thrift.Service = scenario.Loopback+":0", "Rating"
+	o.North.Thrift.Listen, o.North.Thrift.Service = scenario.Loopback(t)+":0", "Rating"
 	o.North.Thrift.Methods = []options.ThriftMethod{{Name: "postCharge", Class: "pay"}, {Name: "capAlert", Class: "alert"},
 		{Name: "note", Class: "pay", OneWay: true}}
 	o.South.Thrift.Protocol, o.South.Thrift.Transport, o.South.Thrift.Cross = south.Protocol, south.Transport, cross
