Tell a rater's end from a node's where an attempt still waits for its handshake

An attempt that was read whole waits for the handshake's time before the machine has it; where the rater ended in that time, the reset of its own connection was taken for the node's. The same held for an answer that was being written. Change: a session knows the life of the process that accepted it, and the host the last life that ended. An attempt that ended during the handshake no longer reaches the machine. TestRaterEnds waits until the machine has the attempt; TestCutDuringTheHandshake forces the crossing.

--- a/lab/live/raters/raters.go
+++ b/lab/live/raters/raters.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"linenwheel.dev/linenwheel/lab/live/link"
@@ -252,6 +253,7 @@
 	timer  *time.Timer
 	closed bool
 	life   int                 // which process of it runs, counted
+	ended  atomic.Int64        // the life of the last process that ended and reset its connections
 	open   map[uint64]*attempt // by tag
 	events []world.Event       // emitted since they were last taken
 	shared float64             // when its share was last written down
@@ -326,6 +328,7 @@
 		}
 	}
 	if fell {
+		h.ended.Store(int64(h.life))
 		h.lose(now, record.CutByRater)
 	}
 	h.fleet.working.Add(len(ends)) // before the host can be closed
@@ -359,6 +362,9 @@
 func (h *host) step(s world.Step) {
 	h.do(func(now float64) {
 		h.model.Do(now, s)
+		if s.Do == world.EndRater {
+			h.ended.Store(int64(h.life))
+		}
 		if s.Do == world.StartRater || s.Do == world.EndRater || s.Do == world.HideRater {
 			h.life++
 		}
--- a/lab/live/raters/raters_test.go
+++ b/lab/live/raters/raters_test.go
@@ -141,6 +141,7 @@
 	w, hung := dial(t, f, 0), dial(t, f, 1)
 	f.Step(world.Step{Do: world.Freeze, Rater: 1, Node: -1})
 	hung.send(r.Method, r.Target, stage.ID(r.ID), r.Key, r.Body)
+	f.waitForAttempt(t, 1)
 	f.Step(world.Step{Do: world.DrainRater, Rater: 0, Node: -1})
 	status, err := ask(w)
 	require.NoError(t, err)
@@ -166,6 +167,60 @@
 	assert.Len(t, seen[record.RaterDown], 2)
 }
 
+// waitForAttempt returns once a rater has an attempt in its machine.
+func (f *Fleet) waitForAttempt(t *testing.T, rater int) {
+	t.Helper()
+	h := f.hosts[rater]
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return len(h.open) > 0
+	}, time.Minute, time.Millisecond)
+}
+
+// TestCutDuringTheHandshake guards against a rater's end that is taken for the node's, where the rater ends while an attempt that it has
+// read whole still waits for the handshake to be paid; and against such an attempt that reaches the machine after its end.
+func TestCutDuringTheHandshake(t *testing.T) {
+	for _, cutBy := range []uint8{record.CutByRater, record.CutByNode} {
+		st, f, r := fleet(t)
+		h := f.hosts[1]
+		h.spec.HandshakeTrips = 1e6 // longer than the test
+		node, rater := tcpPair(t)
+		conn := f.link(h, 0).Wrap(rater)
+		s := &session{host: h, conn: conn, in: bufio.NewReader(conn), first: true, life: h.life}
+		a := &attempt{session: s, number: st.Number(), id: r.ID, req: r, done: make(chan struct{})}
+		goesOn := make(chan bool)
+		go func() { goesOn <- s.hand(a, world.Attempt{Tag: uint64(a.number), Request: r.ID, Work: 1}) }()
+		if cutBy == record.CutByRater {
+			f.Step(world.Step{Do: world.EndRater, Rater: 1, Node: -1})
+		} else {
+			require.NoError(t, node.Close())
+		}
+		assert.False(t, <-goesOn)
+		s.give(a, world.Attempt{Tag: uint64(a.number), Request: r.ID, Work: 1}) // as the handshake's timer does
+		assert.Empty(t, h.open)
+		f.Close()
+		seen := kinds(st)
+		require.Len(t, seen[record.Cut], 1)
+		assert.Equal(t, cutBy, seen[record.Cut][0].How)
+		assert.Empty(t, seen[record.Ran])
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	client, err = net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	server, err = l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	return client, server
+}
+
 // TestSpoiltAnswers guards against troubles that do nothing: each kind of spoilt answer must be one that cannot be read, and each surplus
 // one must be good at its start.
 func TestSpoiltAnswers(t *testing.T) {
--- a/lab/live/raters/serve.go
+++ b/lab/live/raters/serve.go
@@ -32,6 +32,7 @@
 	node  int
 	full  bool // came above the cap: its first request is turned away
 	first bool // nothing has been read yet: the handshake is still to be paid
+	life  int  // the life of the rater's process that accepted it
 
 	write sync.Mutex // one answer at a time
 }
@@ -39,9 +40,9 @@
 // serve reads the requests of a connection, one after the other, until it ends.
 func (h *host) serve(c *link.Conn, node int) {
 	s := &session{host: h, conn: c, in: bufio.NewReaderSize(c, 4<<10), node: node, first: true}
-	dial, life := world.Silent, 0
+	dial := world.Silent
 	h.do(func(now float64) {
-		dial, life = h.model.Connect(now), h.life
+		dial, s.life = h.model.Connect(now), h.life
 		e := record.Event{At: now, Kind: record.Connected, Number: h.fleet.stage.Number(), Node: int16(node),
 			Rater: int16(h.spec.Number), Work: float32(h.spec.HandshakeWork)}
 		if dial != world.Connected {
@@ -55,7 +56,7 @@
 	_ = c.Close()
 	if !s.full {
 		h.do(func(now float64) {
-			if h.life == life { // those of a process that has ended went with it
+			if h.life == s.life { // those of a process that has ended went with it
 				h.model.Disconnect(now)
 			}
 		})
@@ -121,25 +122,31 @@
 	return s.hand(a, offer)
 }
 
+// give has the machine take an attempt, unless that has ended meanwhile.
+func (s *session) give(a *attempt, offer world.Attempt) {
+	h := s.host
+	h.do(func(now float64) {
+		if h.model.Mode() >= world.Down {
+			a.cut(now, record.CutByRater)
+			return
+		}
+		if a.isDone() {
+			return // it ended during the handshake
+		}
+		h.open[offer.Tag] = a
+		a.ticket = h.model.Offer(now, offer)
+	})
+}
+
 // hand gives an attempt to the machine, after the handshake if the connection is new, and waits for its end.
 func (s *session) hand(a *attempt, offer world.Attempt) bool {
 	h := s.host
-	give := func() {
-		h.do(func(now float64) {
-			if h.model.Mode() >= world.Down {
-				a.cut(now, record.CutByRater)
-				return
-			}
-			h.open[offer.Tag] = a
-			a.ticket = h.model.Offer(now, offer)
-		})
-	}
 	trips := h.spec.HandshakeTrips * 2 * h.fleet.stage.Day.Pass(-1, nodeParty(s.node), party(h), 0).Delay
 	if s.first && trips > 0 {
 		s.first = false
-		time.AfterFunc(time.Duration(trips*1e6), give)
+		time.AfterFunc(time.Duration(trips*1e6), func() { s.give(a, offer) })
 	} else {
-		give()
+		s.give(a, offer)
 	}
 	// The node gives the attempt up by closing the connection or ending its sending.
 	_, err := s.in.Peek(1)
@@ -148,7 +155,7 @@
 	}
 	if err != nil {
 		h.do(func(now float64) {
-			if a.cut(now, record.CutByNode) {
+			if a.cut(now, s.closedBy()) {
 				h.model.Cancel(now, a.ticket)
 			}
 		})
@@ -162,6 +169,15 @@
 	}
 }
 
+// closedBy returns who ended the session's connection, once an error has shown its end: the rater, if the process that accepted it has
+// ended since, or the node.
+func (s *session) closedBy() uint8 {
+	if s.host.ended.Load() >= int64(s.life) {
+		return record.CutByRater
+	}
+	return record.CutByNode
+}
+
 // unfit tells with which status a request must be answered that no client sent in this form; 0 for one that a client did.
 func (s *session) unfit(a *attempt, req *http.Request, body []byte, now float64) int {
 	e := record.Event{At: now, Kind: record.Foreign, Request: a.id, Number: a.number, Node: int16(s.node),
@@ -223,6 +239,16 @@
 // counts tells whether it is an attempt at a usual client's request: no probe, no rude client's, none that is unfit.
 func (a *attempt) counts() bool { return !a.isProbe && a.req != nil && !a.req.Rude }
 
+// isDone tells whether the attempt has been answered or cut.
+func (a *attempt) isDone() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // cut notes that the attempt gets no answer; false if it had its end already.
 func (a *attempt) cut(now float64, why uint8) (cut bool) {
 	a.once.Do(func() {
@@ -287,7 +313,7 @@
 			}
 			_ = s.conn.SetReadDeadline(time.Now().Add(time.Duration(s.host.spec.ConnIdle * 1e6)))
 		} else if a.counts() {
-			e.Kind, e.How, e.Value = record.Cut, record.CutByNode, 0
+			e.Kind, e.How, e.Value = record.Cut, s.closedBy(), 0
 			s.host.sink.Add(e)
 		}
 		close(a.done)
