Leave the descriptor of a connection whose write failed to the poller

Cause: the socket engine closes a connection in the goroutine whose write fails. Where the poller has an event of that connection still to handle, the next connection gets the number and is ended by that event: a new client is cut off, or a request to a host may have run. The look before each write left a gap of microseconds. Change: Conn writes to the socket itself where nothing waits and gives the engine only what was not taken; after an error it shuts the socket down, so that the poller closes it, and no end that is read then passes for a clean one. What is left: a connection that breaks between two writes of a full socket.

--- a/internal/node/netpoll/crossing_test.go
+++ b/internal/node/netpoll/crossing_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -279,33 +280,140 @@
 }
 
 // Guards against a last byte that the socket has taken, but that is not counted yet when its connection is given up: what may have run
-// would be told not to have.
-func TestTakenWaitsForTheWriteUnderWay(t *testing.T) {
+// would be told not to have. Bytes that waited are written by the engine, which counts them under its lock.
+func TestTakenWaitsForTheEnginesWriteUnderWay(t *testing.T) {
+	const size = 16 << 20 // more than the socket takes at once
 	conns := make(chan *Conn, 1)
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
 	require.NoError(t, err)
 	t.Cleanup(l.Stop)
-	taken, free := make(chan struct{}), make(chan struct{})
+	client, err := net.Dial("tcp", l.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	c := <-conns
+	taken, free := make(chan int, 1), make(chan struct{})
+	var hook sync.Once
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, b []byte, n int) {
-		close(taken)
-		<-free
+		hook.Do(func() {
+			taken <- n
+			<-free
+		})
 		l.wrote(nb, b, n)
 	})
+	wrote := make(chan error, 1)
+	go func() { wrote <- c.Write(make([]byte, size)) }()
+	go func() { _, _ = io.Copy(io.Discard, client) }()
+	under := <-taken
+	before := c.Written()
+	c.Close()
+	told := tellTaken(t, c)
+	close(free)
+	assert.GreaterOrEqual(t, <-told, before+int64(under))
+	require.NoError(t, <-wrote)
+}
+
+// Guards against the same where the socket takes at once what is written.
+func TestTakenWaitsForTheWriteUnderWay(t *testing.T) {
+	conns := make(chan *Conn, 1)
+	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
 	client, err := net.Dial("tcp", l.Addr())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = client.Close() })
 	c := <-conns
+	taken, free := make(chan struct{}), make(chan struct{})
+	c.count = func(n int) {
+		close(taken)
+		<-free
+		c.took(n)
+	}
 	wrote := make(chan error, 1)
 	go func() { wrote <- c.Write([]byte("last")) }()
 	<-taken
-	c.Close()
+	closed := make(chan struct{})
+	go func() { c.Close(); close(closed) }()
+	told := tellTaken(t, c)
+	close(free)
+	assert.EqualValues(t, 4, <-told)
+	require.NoError(t, <-wrote)
+	<-closed
+}
+
+// tellTaken calls Taken, which must not return yet, and returns where its result comes.
+func tellTaken(t *testing.T, c *Conn) <-chan int64 {
+	t.Helper()
 	told := make(chan int64, 1)
 	go func() { told <- c.Taken() }()
 	for range 1000 {
 		runtime.Gosched()
 		require.Empty(t, told, "the socket has them")
 	}
+	return told
+}
+
+// Guards against a write that fails closing the descriptor while the poller still has an event of that connection to see to: the next
+// connection under its number would be ended by it. And against a reset that a write was told of being taken for a clean end.
+func TestFailedWriteLeavesTheDescriptorToThePoller(t *testing.T) {
+	ends := make(chan error, 1)
+	block, free, inData := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	conns := make(chan *Conn, 1)
+	handlers := make(chan Handler, 3)
+	handlers <- &blocking{inData: inData, block: block, free: free}
+	handlers <- &reporting{ends: ends}
+	handlers <- &reporting{ends: make(chan error, 1)}
+	l, err := Listen("127.0.0.1:0", 3, func(c *Conn) Handler { conns <- c; return <-handlers })
+	require.NoError(t, err)
+	t.Cleanup(l.Stop)
+	connect := func() (*net.TCPConn, *Conn) {
+		raw, err := net.Dial("tcp", l.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = raw.Close() })
+		return raw.(*net.TCPConn), <-conns
+	}
+	first, holding := connect()
+	second, breaking := connect()
+	// The poller is held in the first connection's bytes, in a batch of events that has the second one's end.
+	say(t, first, "x")
+	<-inData
+	say(t, first, "y")
+	polled(t, holding, unix.POLLIN)
+	require.NoError(t, second.SetLinger(0))
+	require.NoError(t, second.Close())
+	polled(t, breaking, unix.POLLHUP)
+	close(block)
+	<-inData
+	require.Error(t, breaking.send([]byte("z")), "the look before it came too early")
+	third, next := connect()
 	close(free)
-	assert.EqualValues(t, 4, <-told)
-	require.NoError(t, <-wrote)
+	assert.Equal(t, errEnded, <-ends)
+	require.NoError(t, next.Write([]byte("served")))
+	answer := make([]byte, len("served"))
+	_, err = io.ReadFull(third, answer)
+	require.NoError(t, err)
+}
+
+// blocking holds the poller in its first Data until block is closed, and in the second until free is.
+type blocking struct {
+	inData      chan struct{}
+	block, free chan struct{}
+	calls       int
 }
+
+func (b *blocking) Data([]byte) {
+	b.calls++
+	b.inData <- struct{}{}
+	if b.calls == 1 {
+		<-b.block
+	} else {
+		<-b.free
+	}
+}
+
+func (b *blocking) Closed(error) {}
+
+// reporting tells how its connection ended.
+type reporting struct{ ends chan error }
+
+func (r *reporting) Data([]byte)      {}
+func (r *reporting) Closed(err error) { r.ends <- err }
--- a/internal/node/netpoll/flow.go
+++ b/internal/node/netpoll/flow.go
@@ -57,7 +57,7 @@
 		if n <= 0 || err != nil {
 			if !errors.Is(err, syscall.EAGAIN) { // the engine hears of it, too, and closes the socket next
 				c.heard = true // the system tells of a reset once: a further read would find an end in its place
-				c.finished.Store(err == nil)
+				c.finished.Store(err == nil && !c.isBroken())
 				c.over()
 			}
 			return
@@ -124,6 +124,13 @@
 	return !c.isClosed()
 }
 
+// isBroken tells whether a write has failed. It waits for one that is under way.
+func (c *Conn) isBroken() bool {
+	c.last.Lock()
+	defer c.last.Unlock()
+	return c.broken
+}
+
 func (c *Conn) isClosed() bool {
 	c.last.Lock()
 	defer c.last.Unlock()
--- a/internal/node/netpoll/loop.go
+++ b/internal/node/netpoll/loop.go
@@ -64,9 +64,17 @@
 	last   sync.Mutex  // orders what is done to the descriptor with its end
 	closed bool        // the engine closes it; its number is another connection's then
 	sent   bool        // all that was to be written before its end is
+	count  func(n int) // takes note of what a write of the socket's own took: took, unless a test holds it up
+	broken bool        // a write has failed: an end that is read afterwards is none of the other side's
 	lapse  *time.Timer // closes it once the other side has had its time to take what is written, or to end it too
 }
 
+func newConn(nb *nbio.Conn) *Conn {
+	c := &Conn{nb: nb, room: make(chan struct{}, 1)}
+	c.count = c.took
+	return c
+}
+
 // descriptor lets f see the descriptor, unless it is closed.
 func (c *Conn) descriptor(f func(fd int)) {
 	c.last.Lock()
@@ -103,9 +111,8 @@
 	return ended
 }
 
-// Write writes b or keeps what the socket does not take yet. The connection is closed on an error. The engine closes it here
-// if the socket refuses, with what that means for the next one under its number (see Close); so one that is known to be
-// broken is left to the poller.
+// Write writes b or keeps what the socket does not take yet. After an error nothing more can be written, and the poller closes the
+// connection, once it has read how it ended: the system tells of a reset once, and a write must not be what it tells.
 func (c *Conn) Write(b []byte) error {
 	if c.ended() {
 		return fmt.Errorf("writing: %w", errEnded)
@@ -113,17 +120,55 @@
 	return c.send(b)
 }
 
-// send is Write for a connection that look has just found fit.
+// send is Write for a connection that look has just found fit. The engine closes a connection whose write fails right there, with what
+// that means for the next one under its number (see Close), so it is given only what the socket did not take.
 func (c *Conn) send(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	waiting := c.asked > c.written.Load()
 	c.asked += int64(len(b))
-	if _, err := c.nb.Write(b); err != nil {
+	if !waiting {
+		taken, err := c.writeNow(b)
+		if err != nil {
+			return fmt.Errorf("writing: %w", err)
+		}
+		if b = b[taken:]; len(b) == 0 {
+			return nil
+		}
+	}
+	if _, err := c.nb.Write(b); err != nil { // one that breaks between the two writes of a full socket
 		return fmt.Errorf("writing: %w", err)
 	}
 	return nil
 }
 
+// writeNow returns how many bytes the socket took at once, where nothing that was written before waits.
+func (c *Conn) writeNow(b []byte) (taken int, err error) {
+	err = errEnded
+	c.descriptor(func(fd int) {
+		taken, err = unix.Write(fd, b)
+		switch {
+		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+			taken, err = 0, nil
+		case err != nil:
+			taken, c.broken = 0, true
+			_ = unix.Shutdown(fd, unix.SHUT_RDWR) // the poller hears of the end, whatever the error was
+		default:
+			c.count(taken)
+		}
+	})
+	return taken, err
+}
+
+// took counts what the socket has taken. The engine may hold its lock here.
+func (c *Conn) took(n int) {
+	done := c.written.Add(int64(n))
+	if end := c.ending.Load(); end > 0 && done >= end {
+		go c.endSending()
+	}
+	c.wake()
+}
+
 // Peer is the address of the other side.
 func (c *Conn) Peer() string { return c.nb.RemoteAddr().String() }
 
@@ -133,7 +178,8 @@
 // Taken is Written once a write that is under way has been counted: after Close it stays as it is. It waits for what the engine does
 // with the connection, so no lock may be held that a handler takes.
 func (c *Conn) Taken() int64 {
-	_, _ = c.nb.Write(nil) // writes are one after another
+	c.descriptor(func(int) {}) // writes are one after another: Write's own,
+	_, _ = c.nb.Write(nil)     // and the engine's
 	return c.written.Load()
 }
 
@@ -402,11 +448,7 @@
 // wrote counts what a socket has taken. The engine holds its lock here.
 func (l *Loop) wrote(nb *nbio.Conn, _ []byte, n int) {
 	if c := l.conn(nb); c != nil {
-		done := c.written.Add(int64(n))
-		if end := c.ending.Load(); end > 0 && done >= end {
-			go c.endSending()
-		}
-		c.wake()
+		c.took(n)
 	}
 }
 
@@ -435,7 +477,8 @@
 	if l.conn(nb) != nil { // dialled
 		return
 	}
-	c := &Conn{nb: nb, came: true, room: make(chan struct{}, 1)}
+	c := newConn(nb)
+	c.came = true
 	l.conns.Store(nb, c) // what the handler writes at once is counted
 	c.handler = l.accept(c)
 	l.conns.Store(nb, c) // and the poller sees the handler
@@ -469,7 +512,7 @@
 		_ = raw.Close()
 		return nil, fmt.Errorf("connecting to %s: %w", addr, err)
 	}
-	c := &Conn{nb: nb, room: make(chan struct{}, 1)}
+	c := newConn(nb)
 	_ = nb.SetReadBuffer(receiveMost)
 	c.handler = handle(c)
 	l.conns.Store(nb, c)
--- a/internal/node/netpoll/pulse.go
+++ b/internal/node/netpoll/pulse.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("making a pulse: %w", err)
 	}
-	l.conns.Store(nb, &Conn{nb: nb, handler: p, room: make(chan struct{}, 1)})
+	c := newConn(nb)
+	c.handler = p
+	l.conns.Store(nb, c)
 	if _, err := l.engine.AddConn(nb); err != nil {
 		return nil, fmt.Errorf("making a pulse: %w", err)
 	}
