Keep a connection whose flowing answer has said that it stays

Change: where the answer's head has said that the connection stays, reading waits until the answer is noted.

--- a/internal/node/downstream/httpserver/conn.go
+++ b/internal/node/downstream/httpserver/conn.go
@@ -44,6 +44,8 @@
 	upload *bodypipe.Pipe // the rest of its body, which is still coming
 	held   int            // bytes of the budget reserved for its body
 	closes bool           // the answer that was begun last ends the connection
+	stays  bool           // the answer that flows has said in its head that the connection stays
+	waits  bool           // what comes is not read until that answer is written
 	gone   chan struct{}  // closed when the connection has ended; made when an answer flows
 }
 
@@ -115,13 +117,34 @@
 		return
 	}
 	if c.busy && c.parser.Buffered() > c.server.limits.Load().Pipeline {
-		c.deaf = true
-		c.parser = c.server.parser()
+		c.overflow()
 		return
 	}
 	c.next()
 }
 
+// overflow bounds, under the lock, what is kept behind the request that is being handled: its answer is the last. An answer that flows
+// may have said that the connection stays, and its client may have read it to its end, and sent the next request, before this side
+// has noted that it is written: then the client waits. It does not where it has ended its side meanwhile (netpoll.Conn.Pause).
+func (c *conn) overflow() {
+	if c.stays && !c.waits {
+		c.waits = true
+		c.net.Pause()
+		return
+	}
+	c.deaf = true
+	c.parser = c.server.parser()
+}
+
+// readOn reads, under the lock, what had to wait for the answer that has flowed.
+func (c *conn) readOn() {
+	c.stays = false
+	if c.waits {
+		c.waits = false
+		c.net.Resume()
+	}
+}
+
 // next reads on, under the lock, until a request is taken or bytes are missing.
 func (c *conn) next() {
 	for !c.busy && !c.ended {
--- a/internal/node/downstream/httpserver/crossing_test.go
+++ b/internal/node/downstream/httpserver/crossing_test.go
@@ -1,10 +1,12 @@
 package httpserver
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -324,3 +326,50 @@
 	require.NoError(t, err)
 	require.Empty(t, b.heard(raw))
 }
+
+// Guards against a connection that ends though the answer before has said that it stays: the client has read all of an answer that flows
+// and sent more than is kept behind a request before the front has noted that the answer is written.
+func TestRequestsBehindAnAnswerThatHasFlowed(t *testing.T) {
+	const requests = 1500 // together longer than what is kept
+	b := newBench(t, 9, slog.DiscardHandler)
+	raw, c := b.client()
+	b.set.Bodies.Budget = bodypipe.NewBudget(1 << 20)
+	rest := bodypipe.New(b.set.Bodies.Budget, func(bool) {}, func() {})
+	c.mu.Lock()
+	c.busy = true
+	c.enter(busy)
+	c.mu.Unlock()
+	flowed := make(chan struct{})
+	go func() {
+		defer close(flowed)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.flow(&http1.Message{}, &core.Call{}, &http1.Message{Status: 200, Rest: rest, Length: 6})
+	}()
+	rest.Put([]byte("answer"))
+	require.NoError(t, raw.SetDeadline(time.Now().Add(time.Minute)))
+	in := bufio.NewReader(raw)
+	first, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	defer func() { _ = first.Body.Close() }()
+	_, err = io.ReadAll(first.Body)
+	require.NoError(t, err)
+	require.False(t, first.Close)
+	_, err = io.WriteString(raw, strings.Repeat(upRequest, requests))
+	require.NoError(t, err)
+	b.until(func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.deaf || c.parser.Buffered() > limits.Pipeline
+	})
+	rest.End(io.EOF)
+	<-flowed
+	for range requests {
+		answer, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		_, err = io.Copy(io.Discard, answer.Body)
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+	}
+}
--- a/internal/node/downstream/httpserver/flow.go
+++ b/internal/node/downstream/httpserver/flow.go
@@ -26,6 +26,7 @@
 		c.net.Abort() // its client sees that something is missing
 	case !c.ended:
 		c.answered()
+		c.readOn()
 		c.next()
 	}
 }
@@ -39,7 +40,7 @@
 	if m.Old && r.Length < 0 { // its client knows no chunks
 		r.Length, c.closes = -2, true
 	}
-	r.Close = c.closes
+	r.Close, c.stays = c.closes, !c.closes
 	gone := make(chan struct{})
 	c.gone, c.call = gone, nil
 	_ = c.net.Write(http1.AppendResponse(make([]byte, 0, headRoom), r))
