Name the socket layer's connection in standard words and split it by concern

Change: conn.go, write.go, shutdown.go, request.go and loop.go; ShutdownIfIdle, IsDrained, FinalWritten, HasUnacknowledged, WaitForBacklog, WriteRequest, and comments that say who may call when, with units and sources.

--- a/internal/node/downstream/httpserver/conn.go
+++ b/internal/node/downstream/httpserver/conn.go
@@ -34,19 +34,19 @@
 
 	retired bool // it was told to make room
 
-	mu     sync.Mutex
-	parser *http1.Parser
-	came   float64        // when bytes came last
-	busy   bool           // a request is being handled
-	deaf   bool           // more came behind it than is kept: its answer is the last
-	ended  bool           // nothing more is read
-	call   *core.Call     // that request
-	upload *bodypipe.Pipe // the rest of its body, which is still coming
-	held   int            // bytes of the budget reserved for its body
-	closes bool           // the answer that was begun last ends the connection
-	stays  bool           // the answer that flows has said in its head that the connection stays
-	waits  bool           // what comes is not read until that answer is written
-	gone   chan struct{}  // closed when the connection has ended; made when an answer flows
+	mu         sync.Mutex
+	parser     *http1.Parser
+	came       float64        // when bytes came last
+	busy       bool           // a request is being handled
+	overflowed bool           // more was received behind that request than is kept: its response is the last
+	ended      bool           // nothing more is read
+	call       *core.Call     // that request
+	upload     *bodypipe.Pipe // the rest of its body, which is still coming
+	held       int            // bytes of the budget reserved for its body
+	closes     bool           // the answer that was begun last ends the connection
+	keepAlive  bool           // the head of the streamed response under way left the connection open
+	readPaused bool           // reading waits until that response is written
+	gone       chan struct{}  // closed when the connection has ended; made when an answer flows
 }
 
 // enter notes what the connection is about from now on, or that it still is.
@@ -108,7 +108,7 @@
 	if c.ended {
 		return
 	}
-	if c.deaf {
+	if c.overflowed {
 		return
 	}
 	c.came = c.server.clock.Now()
@@ -123,24 +123,25 @@
 	c.next()
 }
 
-// overflow bounds, under the lock, what is kept behind the request that is being handled: its answer is the last. An answer that flows
-// may have said that the connection stays, and its client may have read it to its end, and sent the next request, before this side
-// has noted that it is written: then the client waits. It does not where it has ended its side meanwhile (netpoll.Conn.Pause).
+// overflow bounds what is kept behind the request that is being handled: its response becomes the last one. Where the head of a streamed
+// response has left the connection open, reading is paused instead: the client may have read that response to its end, and sent its next
+// request, before flow has returned. A client that has ended its side is read all the same (netpoll.Conn.Pause). The caller holds the
+// lock.
 func (c *conn) overflow() {
-	if c.stays && !c.waits {
-		c.waits = true
+	if c.keepAlive && !c.readPaused {
+		c.readPaused = true
 		c.net.Pause()
 		return
 	}
-	c.deaf = true
+	c.overflowed = true
 	c.parser = c.server.parser()
 }
 
-// readOn reads, under the lock, what had to wait for the answer that has flowed.
+// readOn resumes reading after a streamed response. The caller holds the lock.
 func (c *conn) readOn() {
-	c.stays = false
-	if c.waits {
-		c.waits = false
+	c.keepAlive = false
+	if c.readPaused {
+		c.readPaused = false
 		c.net.Resume()
 	}
 }
--- a/internal/node/downstream/httpserver/crossing_test.go
+++ b/internal/node/downstream/httpserver/crossing_test.go
@@ -87,7 +87,7 @@
 	b.until(func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.net.Quiet() && (tail != "" && c.parser.Buffered() >= len(tail) || tail == "" && c.parser.Idle() || c.parser.Came() > 0)
+		return c.net.IsDrained() && (tail != "" && c.parser.Buffered() >= len(tail) || tail == "" && c.parser.Idle() || c.parser.Came() > 0)
 	})
 }
 
@@ -177,7 +177,7 @@
 		b.until(func() bool {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			return c.parser.Idle() && c.net.Quiet()
+			return c.parser.Idle() && c.net.IsDrained()
 		})
 		b.clock.Advance(1)
 		b.Sweep()
@@ -216,7 +216,7 @@
 	})
 	resting, c4 := b.client()
 	b.up(resting)
-	b.until(c4.net.Quiet) // the poller has left it
+	b.until(c4.net.IsDrained) // the poller has left it
 	newest := func() net.Conn {
 		b.until(func() bool { return b.Connections() <= 4 }) // the one before has made room
 		r, c := b.client()
@@ -360,7 +360,7 @@
 	b.until(func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.deaf || c.parser.Buffered() > limits.Pipeline
+		return c.overflowed || c.parser.Buffered() > limits.Pipeline
 	})
 	rest.End(io.EOF)
 	<-flowed
--- a/internal/node/downstream/httpserver/eviction.go
+++ b/internal/node/downstream/httpserver/eviction.go
@@ -129,8 +129,8 @@
 	now, limits := c.server.clock.Now(), c.server.limits.Load()
 	c.mu.Lock()
 	resting := func() bool { return c.resting(now, rest) }
-	free := c.ended || !c.busy && c.parser.Idle() && c.still(resting) && c.net.Farewell()
-	if room && !free && !c.busy && c.still(func() bool { return c.behind(now, limits) >= 0 }) && c.net.Quiet() {
+	free := c.ended || !c.busy && c.parser.Idle() && c.still(resting) && c.net.ShutdownIfIdle()
+	if room && !free && !c.busy && c.still(func() bool { return c.behind(now, limits) >= 0 }) && c.net.IsDrained() {
 		c.last(c.parser.Head(), text(503, "", core.ReasonBusy)) // which it may go on sending over
 	}
 	c.ended = c.ended || free
--- a/internal/node/downstream/httpserver/flow.go
+++ b/internal/node/downstream/httpserver/flow.go
@@ -40,7 +40,7 @@
 	if m.Old && r.Length < 0 { // its client knows no chunks
 		r.Length, c.closes = -2, true
 	}
-	r.Close, c.stays = c.closes, !c.closes
+	r.Close, c.keepAlive = c.closes, !c.closes
 	gone := make(chan struct{})
 	c.gone, c.call = gone, nil
 	_ = c.net.Write(http1.AppendResponse(make([]byte, 0, headRoom), r))
@@ -96,7 +96,7 @@
 		before := w.c.net.Written()
 		late := make(chan struct{})
 		stop := w.c.server.clock.At(w.c.server.clock.Now()+w.c.server.limits.Load().Stall, func() { close(late) })
-		good := w.c.net.Room(window, late)
+		good := w.c.net.WaitForBacklog(window, late)
 		stop()
 		select {
 		case <-w.gone:
--- a/internal/node/downstream/httpserver/response.go
+++ b/internal/node/downstream/httpserver/response.go
@@ -101,14 +101,14 @@
 	c.server.mu.Unlock()
 	if c.upload != nil { // the rest of the request is not wanted any more
 		c.upload.Drop()
-		c.upload, c.deaf = nil, true
+		c.upload, c.overflowed = nil, true
 	}
-	c.closes = m.Close || c.once || c.deaf || crowded || policy.EndAnswered
+	c.closes = m.Close || c.once || c.overflowed || crowded || policy.EndAnswered
 }
 
 // answered does, under the lock, what follows when all of an answer was written.
 func (c *conn) answered() {
-	end := c.closes || c.deaf
+	end := c.closes || c.overflowed
 	c.ended = end
 	if end {
 		c.enter(leaving)
--- a/internal/node/downstream/thriftserver/server.go
+++ b/internal/node/downstream/thriftserver/server.go
@@ -324,7 +324,7 @@
 // CloseIfIdle implements connlimit.Conn.
 func (c *conn) CloseIfIdle() bool {
 	c.mu.Lock()
-	free := c.ended || len(c.open) == 0 && c.next == nil && c.reader.Idle() && c.net.Farewell()
+	free := c.ended || len(c.open) == 0 && c.next == nil && c.reader.Idle() && c.net.ShutdownIfIdle()
 	c.ended = c.ended || free
 	c.mu.Unlock()
 	switch {
--- a/internal/node/netpoll/crossing_test.go
+++ b/internal/node/netpoll/crossing_test.go
@@ -49,7 +49,7 @@
 // polled waits until the machine tells some of these of a connection; the poller may not know.
 func polled(t *testing.T, c *Conn, events int16) {
 	require.Eventually(t, func() (told bool) {
-		c.descriptor(func(fd int) {
+		c.withDescriptor(func(fd int) {
 			look := []unix.PollFd{{Fd: int32(fd), Events: events}}
 			n, err := unix.Poll(look, 0)
 			told = err == nil && n > 0 && look[0].Revents&events != 0
@@ -59,14 +59,14 @@
 }
 
 // Guards against a request that the poller has read and not yet handed on being lost with a connection that looks idle.
-func TestFarewellSeesWhatIsOnItsWay(t *testing.T) {
+func TestShutdownIfIdleSeesWhatIsOnItsWay(t *testing.T) {
 	h := holding(t, 1)
 	client, c := h.connect(t)
 	say(t, client, "one")
 	<-h.came // read, and on its way: nothing stands in the socket
-	assert.False(t, c.Farewell())
+	assert.False(t, c.ShutdownIfIdle())
 	close(h.free)
-	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond, "the handler has it")
+	require.Eventually(t, c.ShutdownIfIdle, time.Minute, time.Millisecond, "the handler has it")
 }
 
 // counting tells how many bytes it was handed, at the end.
@@ -79,7 +79,7 @@
 func (c *counting) Closed(error)  { c.end <- c.n }
 
 // Guards against a request that is read after the shutdown of its connection and handed on all the same.
-func TestNothingIsHandedOnAfterTheFarewell(t *testing.T) {
+func TestNothingReachesTheHandlerAfterShutdownIfIdle(t *testing.T) {
 	handler, conns := &counting{end: make(chan int, 1)}, make(chan *Conn, 1)
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return handler })
 	require.NoError(t, err)
@@ -87,7 +87,7 @@
 	client, err := net.Dial("tcp", l.Addr())
 	require.NoError(t, err)
 	c := <-conns
-	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond)
+	require.Eventually(t, c.ShutdownIfIdle, time.Minute, time.Millisecond)
 	say(t, client, "late") // the client has not read the end yet
 	require.NoError(t, client.Close())
 	assert.Zero(t, <-handler.end)
@@ -170,7 +170,7 @@
 
 // begin asks whether a request could go out.
 func begin(c, client *Conn) (fit, gone bool) {
-	fit, gone, _ = c.Begin(nil, client, func() {})
+	fit, gone, _ = c.WriteRequest(nil, client, func() {})
 	return fit, gone
 }
 
@@ -220,7 +220,7 @@
 	h := holding(t, 2)
 	h.hold(t)
 	client, c := h.connect(t)
-	fit, _, err := c.Begin([]byte("request"), nil, func() {
+	fit, _, err := c.WriteRequest([]byte("request"), nil, func() {
 		say(t, client, "stray")
 		polled(t, c, unix.POLLIN)
 		raw, err := client.SyscallConn()
@@ -344,7 +344,7 @@
 func tellTaken(t *testing.T, c *Conn) <-chan int64 {
 	t.Helper()
 	told := make(chan int64, 1)
-	go func() { told <- c.Taken() }()
+	go func() { told <- c.FinalWritten() }()
 	for range 1000 {
 		runtime.Gosched()
 		require.Empty(t, told, "the socket has them")
--- a/internal/node/netpoll/flow.go
+++ b/internal/node/netpoll/flow.go
@@ -5,7 +5,6 @@
 	"io"
 	"sync"
 	"syscall"
-	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -19,12 +18,11 @@
 
 var spare = sync.Pool{New: func() any { return new([readMost]byte) }}
 
-// Pause puts off reading until Resume: what the other side sends waits in the kernel, and then with the sender. When the other
-// side ends the connection meanwhile, what waits is read all the same, for the engine closes the socket then; that is bounded by
-// the kernel's buffer.
+// Pause stops reading until Resume: what the other side sends stays in the kernel, and then with the sender. When the other side ends the
+// connection meanwhile, what the kernel holds is read all the same, for the engine closes the socket then.
 func (c *Conn) Pause() { c.paused.Store(true) }
 
-// Resume goes on reading, from a goroutine of its own.
+// Resume continues reading, in a goroutine of its own.
 func (c *Conn) Resume() {
 	if c.paused.CompareAndSwap(true, false) {
 		go c.catchUp()
@@ -43,7 +41,7 @@
 func (c *Conn) read(buffer []byte) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	for total := 0; !c.heard; {
+	for total := 0; !c.readEnded; {
 		if (c.paused.Load() || total > turnMost) && !c.hungUp() {
 			if !c.paused.Load() {
 				go c.catchUp()
@@ -56,14 +54,14 @@
 		}
 		if n <= 0 || err != nil {
 			if !errors.Is(err, syscall.EAGAIN) { // the engine hears of it, too, and closes the socket next
-				c.heard = true // the system tells of a reset once: a further read would find an end in its place
-				c.finished.Store(err == nil && !c.isBroken())
-				c.over()
+				c.readEnded = true // the system tells of a reset once: a further read would find an end in its place
+				c.cleanEnd.Store(err == nil && !c.isBroken())
+				c.markClosed()
 			}
 			return
 		}
 		total += n
-		if !c.deaf.Load() {
+		if !c.discarding.Load() {
 			c.handler.Data(buffer[:n])
 		} else if c.dropped += n; c.dropped > dropMost {
 			c.Close()
@@ -75,9 +73,9 @@
 	}
 }
 
-// hungUp tells whether the other side has ended the connection.
+// hungUp reports whether the kernel knows that the other side has ended the connection.
 func (c *Conn) hungUp() (ended bool) {
-	c.descriptor(func(fd int) {
+	c.withDescriptor(func(fd int) {
 		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(look, 0)
 		ended = err == nil && n > 0 && look[0].Revents != 0
@@ -92,7 +90,7 @@
 // endedBy is how a connection ended that the engine closes.
 func (c *Conn) endedBy(err error) error {
 	switch {
-	case c.finished.Load():
+	case c.cleanEnd.Load():
 		return io.EOF
 	case err == nil || errors.Is(err, io.EOF): // the engine's word for any end
 		return errEnded
@@ -100,23 +98,23 @@
 	return err
 }
 
-// wake has Room look again.
-func (c *Conn) wake() {
+// signalProgress has WaitForBacklog check again.
+func (c *Conn) signalProgress() {
 	select {
-	case c.room <- struct{}{}:
+	case c.progress <- struct{}{}:
 	default:
 	}
 }
 
-// Room blocks until no more than so many bytes wait for the socket to take them; it fails when the connection has ended or stop
-// is closed. One goroutine at a time may wait.
-func (c *Conn) Room(most int, stop <-chan struct{}) bool {
+// WaitForBacklog blocks until Backlog is at most `most` bytes and returns true, or false once the connection has ended or stop is closed.
+// One goroutine at a time may call it.
+func (c *Conn) WaitForBacklog(most int, stop <-chan struct{}) bool {
 	for c.Backlog() > int64(most) {
 		if c.isClosed() {
 			return false
 		}
 		select {
-		case <-c.room:
+		case <-c.progress:
 		case <-stop:
 			return false
 		}
@@ -124,26 +122,15 @@
 	return !c.isClosed()
 }
 
-// isBroken tells whether a write has failed. It waits for one that is under way.
+// isBroken reports whether a write has failed. It waits for writeNow.
 func (c *Conn) isBroken() bool {
-	c.last.Lock()
-	defer c.last.Unlock()
+	c.descriptorMu.Lock()
+	defer c.descriptorMu.Unlock()
 	return c.broken
 }
 
 func (c *Conn) isClosed() bool {
-	c.last.Lock()
-	defer c.last.Unlock()
+	c.descriptorMu.Lock()
+	defer c.descriptorMu.Unlock()
 	return c.closed
 }
-
-// Abort resets the connection at once, so that the other side sees that something is missing. An end would not do: to one that was told
-// no length it means that it has all. The descriptor stays the poller's to close (see Close).
-func (c *Conn) Abort() {
-	c.descriptor(func(fd int) {
-		_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-		nobody := unix.RawSockaddr{Family: unix.AF_UNSPEC} // connecting to that breaks a connection off
-		_, _, _ = unix.Syscall(unix.SYS_CONNECT, uintptr(fd), uintptr(unsafe.Pointer(&nobody)), unsafe.Sizeof(nobody))
-	})
-	c.Close() // where the system does not reset it so
-}
--- a/internal/node/netpoll/loop.go
+++ b/internal/node/netpoll/loop.go
@@ -8,13 +8,11 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
-	"golang.org/x/sys/unix"
 
 	"linenwheel.dev/linenwheel/internal/clock"
 )
@@ -35,334 +33,6 @@
 
 const shortPause = 5 * time.Millisecond // where descriptors have run out for a moment
 
-// Handler takes what happens on a connection. Data comes from the poller, in order, and must not block; the bytes
-// live until it returns. Closed comes once.
-type Handler interface {
-	Data(data []byte)
-	Closed(err error)
-}
-
-// Conn is one connection.
-type Conn struct {
-	nb      *nbio.Conn
-	handler Handler
-	written atomic.Int64
-	asked   int64
-	mu      sync.Mutex // orders writes with the count of bytes asked for
-	ending  atomic.Int64
-	linger  float64     // milliseconds that End gives the other side, under mu
-	deaf    atomic.Bool // nothing that comes is handed on any more
-	came    bool        // it was accepted rather than dialled
-
-	reading         sync.Mutex    // held by who reads: the poller, or a goroutine that catches up
-	dropped         int           // bytes that nobody was handed, by who reads
-	heard           bool          // how the other side ended it, by who reads
-	paused          atomic.Bool   // nothing more is to be read for now
-	toEnd, finished atomic.Bool   // the end is waited for; it has come
-	room            chan struct{} // something was taken of what was written, or the connection has ended
-
-	last   sync.Mutex  // orders what is done to the descriptor with its end
-	closed bool        // the engine closes it; its number is another connection's then
-	sent   bool        // all that was to be written before its end is
-	count  func(n int) // takes note of what a write of the socket's own took: took, unless a test holds it up
-	broken bool        // a write has failed: an end that is read afterwards is none of the other side's
-	lapse  *time.Timer // closes it once the other side has had its time to take what is written, or to end it too
-}
-
-func newConn(nb *nbio.Conn) *Conn {
-	c := &Conn{nb: nb, room: make(chan struct{}, 1)}
-	c.count = c.took
-	return c
-}
-
-// descriptor lets f see the descriptor, unless it is closed.
-func (c *Conn) descriptor(f func(fd int)) {
-	c.last.Lock()
-	defer c.last.Unlock()
-	if c.closed {
-		return
-	}
-	// The engine tells of an end some time after it has closed the descriptor, which may be another connection's by then.
-	if closed, _ := c.nb.IsClosed(); !closed {
-		f(c.nb.Hash()) // which is the descriptor
-	}
-}
-
-// over notes that the engine is about to close the descriptor: nothing is to be done to it any more.
-func (c *Conn) over() {
-	c.last.Lock()
-	defer c.last.Unlock()
-	c.closed = true
-	if c.lapse != nil {
-		c.lapse.Stop()
-	}
-}
-
-var errEnded = errors.New("the connection has ended")
-
-// ended tells whether the connection is broken, so that nothing can be written.
-func (c *Conn) ended() bool {
-	ended := true
-	c.descriptor(func(fd int) {
-		look := []unix.PollFd{{Fd: int32(fd)}}
-		n, err := unix.Poll(look, 0)
-		ended = err == nil && n > 0 && look[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
-	})
-	return ended
-}
-
-// Write writes b or keeps what the socket does not take yet. After an error nothing more can be written, and the poller closes the
-// connection, once it has read how it ended: the system tells of a reset once, and a write must not be what it tells.
-func (c *Conn) Write(b []byte) error {
-	if c.ended() {
-		return fmt.Errorf("writing: %w", errEnded)
-	}
-	return c.send(b)
-}
-
-// send is Write for a connection that look has just found fit. The engine closes a connection whose write fails right there, with what
-// that means for the next one under its number (see Close), so it is given only what the socket did not take.
-func (c *Conn) send(b []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	waiting := c.asked > c.written.Load()
-	c.asked += int64(len(b))
-	if !waiting {
-		taken, err := c.writeNow(b)
-		if err != nil {
-			return fmt.Errorf("writing: %w", err)
-		}
-		if b = b[taken:]; len(b) == 0 {
-			return nil
-		}
-	}
-	if _, err := c.nb.Write(b); err != nil { // one that breaks between the two writes of a full socket
-		return fmt.Errorf("writing: %w", err)
-	}
-	return nil
-}
-
-// writeNow returns how many bytes the socket took at once, where nothing that was written before waits.
-func (c *Conn) writeNow(b []byte) (taken int, err error) {
-	err = errEnded
-	c.descriptor(func(fd int) {
-		taken, err = unix.Write(fd, b)
-		switch {
-		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
-			taken, err = 0, nil
-		case err != nil:
-			taken, c.broken = 0, true
-			_ = unix.Shutdown(fd, unix.SHUT_RDWR) // the poller hears of the end, whatever the error was
-		default:
-			c.count(taken)
-		}
-	})
-	return taken, err
-}
-
-// took counts what the socket has taken. The engine may hold its lock here.
-func (c *Conn) took(n int) {
-	done := c.written.Add(int64(n))
-	if end := c.ending.Load(); end > 0 && done >= end {
-		go c.endSending()
-	}
-	c.wake()
-}
-
-// Peer is the address of the other side.
-func (c *Conn) Peer() string { return c.nb.RemoteAddr().String() }
-
-// Written is the number of bytes that the socket has taken.
-func (c *Conn) Written() int64 { return c.written.Load() }
-
-// Taken is Written once a write that is under way has been counted: after Close it stays as it is. It waits for what the engine does
-// with the connection, so no lock may be held that a handler takes.
-func (c *Conn) Taken() int64 {
-	c.descriptor(func(int) {}) // writes are one after another: Write's own,
-	_, _ = c.nb.Write(nil)     // and the engine's
-	return c.written.Load()
-}
-
-// Backlog is the number of bytes written that the socket has not taken yet.
-func (c *Conn) Backlog() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.asked - c.written.Load()
-}
-
-// Farewell tells the other side that nothing more comes, if nothing has come that was not handed on: a connection that looks idle
-// may not be. Bytes that are read but on their way to the handler count, and so do those that the poller has not read. If it gives
-// true, nothing that comes later is handed on, and End or Close is to follow. Between looking and telling there is next to no time,
-// whereas the engine closes a socket some time after its poller hears of the end.
-func (c *Conn) Farewell() bool {
-	if !c.reading.TryLock() {
-		return false
-	}
-	defer c.reading.Unlock()
-	free, empty := true, c.Backlog() == 0
-	c.descriptor(func(fd int) {
-		if n, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil && n > 0 {
-			free = false
-		} else if empty {
-			_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the other side was faster
-		}
-	})
-	c.deaf.Store(free)
-	return free
-}
-
-// Quiet tells whether nothing has come that was not handed on.
-func (c *Conn) Quiet() (quiet bool) {
-	if !c.reading.TryLock() {
-		return false
-	}
-	defer c.reading.Unlock()
-	c.descriptor(func(fd int) {
-		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
-		quiet = err == nil && n == 0
-	})
-	return quiet
-}
-
-// Close ends the connection at once. The poller closes the descriptor when it hears of that: were it closed here, the next
-// connection could get its number while the poller still has an event of this one to see to, and be ended by it.
-func (c *Conn) Close() {
-	c.descriptor(func(fd int) {
-		_ = unix.Shutdown(fd, unix.SHUT_RDWR) // it fails where the connection has ended, of which the poller hears too
-	})
-}
-
-// End tells the other side that nothing more comes once all that was to be written is, and closes the connection when the other side
-// ends it too, after so many milliseconds at the latest (linger). What still comes is read and dropped: a close over bytes that nobody
-// has read resets the connection, and the last answer may be lost with it. Where the other side takes nothing of what is still to be
-// written for so many milliseconds (stall), the connection is closed as it is: it would be held for ever.
-func (c *Conn) End(linger, stall float64) {
-	c.deaf.Store(true)
-	c.Resume()
-	c.mu.Lock()
-	c.linger = linger
-	c.ending.Store(c.asked)
-	done := c.written.Load() >= c.asked
-	c.mu.Unlock()
-	if done {
-		c.endSending()
-	} else {
-		c.limitStall(stall)
-	}
-}
-
-// endSending is the part of End that waits until all is written.
-func (c *Conn) endSending() {
-	c.mu.Lock()
-	linger := c.linger
-	c.mu.Unlock()
-	c.descriptor(func(fd int) {
-		_ = unix.Shutdown(fd, unix.SHUT_WR) // it fails where the connection has ended, of which the poller hears too
-		if !c.sent {
-			c.sent = true
-			c.expire(linger, c.Close)
-		}
-	})
-}
-
-// limitStall closes the connection once the other side takes nothing for so many milliseconds, until all is written.
-func (c *Conn) limitStall(stall float64) {
-	c.last.Lock()
-	defer c.last.Unlock()
-	if c.closed || c.sent || c.lapse != nil {
-		return
-	}
-	before := c.written.Load()
-	var look func()
-	look = func() {
-		c.last.Lock()
-		now := c.written.Load()
-		stalled := !c.closed && !c.sent && now == before
-		if before = now; !c.closed && !c.sent && !stalled {
-			c.expire(stall, look)
-		}
-		c.last.Unlock()
-		if stalled {
-			c.Close()
-		}
-	}
-	c.expire(stall, look)
-}
-
-// expire has f called after so many milliseconds, under last, in place of what was to be called before.
-func (c *Conn) expire(after float64, f func()) {
-	if c.lapse != nil {
-		c.lapse.Stop()
-	}
-	c.lapse = time.AfterFunc(time.Duration(after*float64(time.Millisecond)), f)
-}
-
-// Begin writes the first bytes of a request for a client if nothing has come on c that was not asked for, the other side has not ended
-// it (fit), and the client has not ended its own connection (gone): the poller hears of all that some time after the machine does. A
-// nil client is not looked at. Nothing that comes is handed on before it is written; asked is called right before that. It fails
-// where something has come that cannot be the answer.
-func (c *Conn) Begin(b []byte, client *Conn, asked func()) (fit, gone bool, err error) {
-	if !c.reading.TryLock() { // something has come
-		return false, client.looksGone(), nil
-	}
-	defer c.reading.Unlock()
-	if fit, gone = c.look(client); !fit || gone {
-		return fit, gone, nil
-	}
-	asked()
-	if err = c.send(b); err == nil && c.stands() && c.Unheard() {
-		err = errEarly
-	}
-	return fit, gone, err
-}
-
-var errEarly = errors.New("something came before the request could be read")
-
-// stands tells whether something has come that is not read.
-func (c *Conn) stands() (some bool) {
-	c.descriptor(func(fd int) {
-		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
-		some = err == nil && n > 0
-	})
-	return some
-}
-
-// Unheard tells whether the other machine has not yet acknowledged all that the socket has taken. What has come until then was sent
-// before the last of it was there to be read: whatever is sent later carries the acknowledgement, and the machine takes note of
-// that before it lets the bytes be read.
-func (c *Conn) Unheard() (some bool) {
-	c.descriptor(func(fd int) {
-		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
-		some = err == nil && n > 0
-	})
-	return some
-}
-
-// look tells, in one system call, whether c is fit for a request, and whether the client that it is for has gone.
-func (c *Conn) look(client *Conn) (fit, gone bool) {
-	c.descriptor(func(fd int) {
-		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}, {Fd: -1}}
-		poll := func() {
-			n, err := unix.Poll(look, 0)
-			fit = err == nil && (n == 0 || look[0].Revents == 0)
-			gone = gone || err == nil && look[1].Revents != 0
-		}
-		if client == nil {
-			poll()
-			return
-		}
-		gone = true // unless its descriptor is still its own
-		client.descriptor(func(fd int) {
-			gone, look[1] = false, unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
-			poll()
-		})
-	})
-	return fit, gone
-}
-
-// looksGone tells whether the other side has ended a connection; that of nobody has not.
-func (c *Conn) looksGone() bool { return c != nil && (c.isClosed() || c.hungUp()) }
-
 // Loop is a running engine.
 type Loop struct {
 	engine   *nbio.Engine
@@ -426,11 +96,11 @@
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if c := l.conn(nb); c != nil {
 			l.conns.Delete(nb)
-			if c.came {
+			if c.accepted {
 				l.slots.release()
 			}
-			c.over()
-			c.wake()
+			c.markClosed()
+			c.signalProgress()
 			c.handler.Closed(c.endedBy(err))
 		}
 	})
@@ -478,7 +148,7 @@
 		return
 	}
 	c := newConn(nb)
-	c.came = true
+	c.accepted = true
 	l.conns.Store(nb, c) // what the handler writes at once is counted
 	c.handler = l.accept(c)
 	l.conns.Store(nb, c) // and the poller sees the handler
--- a/internal/node/netpoll/loop_test.go
+++ b/internal/node/netpoll/loop_test.go
@@ -99,7 +99,7 @@
 
 // Guards against a connection that is taken for idle while a request stands in its socket, and against a client that goes
 // on asking because it learns of the end only when the handler has taken care of it.
-func TestFarewell(t *testing.T) {
+func TestShutdownIfIdle(t *testing.T) {
 	s, conns := slow{make(chan struct{}), make(chan struct{})}, make(chan *Conn, 1)
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return s })
 	require.NoError(t, err)
@@ -114,11 +114,11 @@
 		n, err := unix.IoctlGetInt(c.nb.Hash(), unix.TIOCINQ)
 		return err == nil && n == 3
 	}, time.Minute, time.Millisecond)
-	assert.False(t, c.Farewell(), "a request stands in the socket")
+	assert.False(t, c.ShutdownIfIdle(), "a request stands in the socket")
 	s.free <- struct{}{}
 	<-s.came
 	s.free <- struct{}{}
-	require.Eventually(t, c.Farewell, time.Minute, time.Millisecond, "the poller has handed it all on")
+	require.Eventually(t, c.ShutdownIfIdle, time.Minute, time.Millisecond, "the poller has handed it all on")
 	go c.End(0, 600_000)
 	have, err := io.ReadAll(client)
 	require.NoError(t, err)
@@ -142,11 +142,11 @@
 	c := <-conns
 	require.NoError(t, client.(*net.TCPConn).SetLinger(0))
 	require.NoError(t, client.Close())
-	require.Eventually(t, c.ended, time.Minute, time.Millisecond)
+	require.Eventually(t, c.hasPollError, time.Minute, time.Millisecond)
 	require.ErrorIs(t, c.Write([]byte("x")), errEnded)
-	c.last.Lock()
+	c.descriptorMu.Lock()
 	assert.False(t, c.closed, "its number is not free before the poller has seen to its end")
-	c.last.Unlock()
+	c.descriptorMu.Unlock()
 	close(s.free)
 	_ = holds.Close()
 }
--- a/internal/node/upstream/connpool/pool.go
+++ b/internal/node/upstream/connpool/pool.go
@@ -213,7 +213,7 @@
 		c.net.Close()
 		return
 	}
-	if c.alone && c.reader.Idle() && c.net.Unheard() { // it was sent before the host had the request
+	if c.alone && c.reader.Idle() && c.net.HasUnacknowledged() { // it was sent before the host had the request
 		c.broken = true
 		c.finish(end{err: errBroken})
 		c.mu.Unlock()
@@ -360,7 +360,7 @@
 	defer stop()
 	body, _ := about.(*Body)
 	need := c.need.Load()
-	whole := func() bool { return c.net.Written() >= need || c.net.Taken() >= need }
+	whole := func() bool { return c.net.Written() >= need || c.net.FinalWritten() >= need }
 	counted := false
 	count := func() {
 		if !counted && p.set.Sent != nil && whole() {
@@ -495,7 +495,7 @@
 			return back()
 		}
 		out = c.measure(out, about)
-		fit, gone, err := c.net.Begin(out, client, func() { c.ask(about) })
+		fit, gone, err := c.net.WriteRequest(out, client, func() { c.ask(about) })
 		if gone { // the poller has not heard of it yet
 			call.Leave()
 			return back()
--- a/internal/node/upstream/connpool/upload.go
+++ b/internal/node/upstream/connpool/upload.go
@@ -49,7 +49,7 @@
 			if !good {
 				return 0, errHost
 			}
-			if !c.net.Room(p.set.Budget.Window(), stop) {
+			if !c.net.WaitForBacklog(p.set.Budget.Window(), stop) {
 				return 0, nil
 			}
 			if len(done) > 0 {
