Walk an old order that is sent again after a fleet was taken over from obsolete disks

Change: the test of the way out goes on: 412 for an order of the time before, 200 for the next change and for its repetition.

--- a/internal/fleet/controlplane/export_test.go
+++ b/internal/fleet/controlplane/export_test.go
@@ -35,6 +35,9 @@
 	read := do(n, http.MethodGet, "/-/config", "")
 	require.Equal(t, http.StatusOK, read.Code)
 	require.JSONEq(t, `{"Revision":40,"Backends":[{"Name":"llm"},{"Name":"report"}]}`, read.Body.String())
+	require.Equal(t, http.StatusPreconditionFailed, submitOrder(n, 39, `{"Revision":40}`), "which orders were accepted before is not taken over")
+	require.Equal(t, http.StatusOK, submitOrder(n, 40, `{"Revision":41}`), "the operator goes on from what was exported")
+	require.Equal(t, http.StatusOK, submitOrder(n, 40, `{"Revision":41}`), "repeated")
 }
 
 func TestExportNeedsADirectory(t *testing.T) {
