--- a/lab/live/clients/clients_test.go
+++ b/lab/live/clients/clients_test.go
@@ -62,6 +62,7 @@
 		}
 		sent++ // the first one warms a connection up
 		a.At = st.Clock.Now()
+		if sent == 1 { time.Sleep(200 * time.Millisecond) }
 		c.open.Add(1)
 		c.play(a)
 	}
