--- a/lab/live/clients/clients_test.go
+++ b/lab/live/clients/clients_test.go
@@ -18,6 +18,9 @@
 	"linenwheel.dev/linenwheel/lab/world"
 )
 
+// shortDeadline is the time that a request of the class "short" has, in milliseconds.
+const shortDeadline = 1000
+
 // play has the clients of a day send one request, as often as they will, to a node that acts as it is told: one line for each
 // request that reaches it, in order. It gives the kinds of events that the clients wrote down.
 func play(t *testing.T, class string, node ...string) (seen []string) {
@@ -27,9 +30,6 @@
 	site.Clients.Backoff = form.Millis(1)
 	for i := range site.Classes {
 		site.Classes[i].Deadline = form.Millis(60e3)
-		if class == "short" {
-			site.Classes[i].Deadline = form.Millis(100)
-		}
 	}
 	day, err := world.Draw(site, 1, nil)
 	require.NoError(t, err)
@@ -60,9 +60,13 @@
 		if (day.Classes[a.Class].Effect == world.Unsafe) == (class == "keyed") {
 			continue
 		}
-		sent++ // the first one warms a connection up
+		sent++ // the first one warms a connection up, whatever the class: a busy machine may hold it up for longer than a short time
+		if class == "short" && sent == 2 {
+			for i := range day.Classes {
+				day.Classes[i].Deadline = shortDeadline
+			}
+		}
 		a.At = st.Clock.Now()
-		if sent == 1 { time.Sleep(200 * time.Millisecond) }
 		c.open.Add(1)
 		c.play(a)
 	}
