--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -43,7 +43,7 @@
 	assert.NotEqual(t, second.Host(1), again.Host(1))
 }
 
-// Guards against a network that another process has, and against one that stays taken when its process was killed.
+// Guards against a network that another process has.
 func TestProcessesDoNotShareANetwork(t *testing.T) {
 	hosts := map[string]bool{}
 	for range 3 {
--- a/internal/node/netpoll/crossing_test.go
+++ b/internal/node/netpoll/crossing_test.go
@@ -290,7 +290,7 @@
 
 // Guards against a last byte that the socket has taken, but that is not counted yet when its connection is given up: what may have run
 // would be told not to have. Bytes that waited are written by the engine, which counts them under its lock.
-func TestTakenWaitsForTheEnginesWriteUnderWay(t *testing.T) {
+func TestFinalWrittenWaitsForTheEnginesWrite(t *testing.T) {
 	const size = 16 << 20 // more than the socket takes at once
 	conns := make(chan *Conn, 1)
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
@@ -315,14 +315,14 @@
 	under := <-taken
 	before := c.Written()
 	c.Close()
-	told := tellTaken(t, c)
+	told := awaitFinalWritten(t, c)
 	close(free)
 	assert.GreaterOrEqual(t, <-told, before+int64(under))
 	require.NoError(t, <-wrote)
 }
 
 // Guards against the same where the socket takes at once what is written.
-func TestTakenWaitsForTheWriteUnderWay(t *testing.T) {
+func TestFinalWrittenWaitsForTheWriteUnderWay(t *testing.T) {
 	conns := make(chan *Conn, 1)
 	l, err := Listen("127.0.0.1:0", 1, func(c *Conn) Handler { conns <- c; return silent{} })
 	require.NoError(t, err)
@@ -342,15 +342,15 @@
 	<-taken
 	closed := make(chan struct{})
 	go func() { c.Close(); close(closed) }()
-	told := tellTaken(t, c)
+	told := awaitFinalWritten(t, c)
 	close(free)
 	assert.EqualValues(t, 4, <-told)
 	require.NoError(t, <-wrote)
 	<-closed
 }
 
-// tellTaken calls Taken, which must not return yet, and returns where its result comes.
-func tellTaken(t *testing.T, c *Conn) <-chan int64 {
+// awaitFinalWritten calls FinalWritten, which must not return yet, and returns where its result comes.
+func awaitFinalWritten(t *testing.T, c *Conn) <-chan int64 {
 	t.Helper()
 	told := make(chan int64, 1)
 	go func() { told <- c.FinalWritten() }()
--- a/internal/node/options/options.go
+++ b/internal/node/options/options.go
@@ -113,7 +113,7 @@
 	// speak Thrift, too.
 	Stall Duration `toml:"stall" default:"15s" min:"1s" max:"1h" reload:"now"`
 	// PipelineMost is how much is kept of what comes behind a request that is being handled; with more, that request's
-	// answer is the connection's last.
+	// answer is the connection's last, or, where a streamed answer has left the connection open, reading waits for its end.
 	PipelineMost Size `toml:"pipeline_most" default:"32KiB" min:"1KiB" max:"16MiB" reload:"now"`
 	// BacklogMost is how much of answers is kept for a client that does not read them; with more, its connection ends.
 	// The largest answer must fit.
--- a/lab/etcdtest/cluster.go
+++ b/lab/etcdtest/cluster.go
@@ -243,7 +243,7 @@
 	})
 	for _, m := range c.Members {
 		if err := m.Up(); err != nil {
-			panic(err) // its address was its own a moment ago
+			panic(err) // nothing else listens at its address
 		}
 	}
 }
--- a/lab/site/site.go
+++ b/lab/site/site.go
@@ -18,7 +18,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -66,7 +65,6 @@
 	o       Options
 	agent   string
 	stops   []func()
-	serial  atomic.Uint32
 
 	mu    sync.Mutex
 	nodes map[string]*Node
@@ -97,13 +95,9 @@
 	begun   int // bytes of its log when it was started last
 }
 
-// sites counts those of this process, for addresses that no other takes.
-var sites atomic.Uint32
-
 // New starts keepers and raters.
 func New(ctx context.Context, o Options) (*Site, error) {
 	s := &Site{o: o, nodes: map[string]*Node{}, runs: map[string]int{}, tries: map[string]bool{}, trail: map[string][]string{}, at: map[string]string{}, moved: make(chan struct{}), polls: map[*http.Request]int{}}
-	s.serial.Store(sites.Add(1) * 16)
 	names := []string{}
 	for i := range o.Keepers {
 		names = append(names, fmt.Sprint("k", i))
--- a/node/refused_test.go
+++ b/node/refused_test.go
@@ -17,14 +17,14 @@
 // Guards against a node that could not be made, whose operators' door is taken, and that keeps its sockets and the lock of its
 // journal all the same: its embedder could not try again.
 func TestNodeThatIsNotMadeHoldsNothing(t *testing.T) {
-	taken, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = taken.Close() }()
 	free := func() string {
 		address, err := loopback.FreeAddress()
 		require.NoError(t, err)
 		return address
 	}
+	taken, err := net.Listen("tcp", free()) // which the node made below gets
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
 	dir := t.TempDir()
 	o := DefaultOptions()
 	o.Repeats.On = true
