Show that a rater's endless non-answer takes the data processes over their memory

A rater in trouble sends bytes that are not an answer. The data process keeps them all, and the platform ends it: rule Fault, on three of three data machines.

--- a/review/standin/rater.go
+++ b/review/standin/rater.go
@@ -31,6 +31,7 @@
 	pause                      time.Duration
 	running                    atomic.Int64
 	failPercent                atomic.Int64 // percentage of requests that end with the rater's own 500
+	garblePercent              atomic.Int64 // percentage of requests that are answered with bytes that are no answer
 	sequence                   int64
 }
 
@@ -98,6 +99,11 @@
 		r.failPercent.Store(int64(value))
 		return
 	}
+	if percent, found := strings.CutPrefix(request.URL.Path, "/standin/garble/"); found {
+		value, _ := strconv.Atoi(percent)
+		r.garblePercent.Store(int64(value))
+		return
+	}
 	if request.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", r.id)
 		return
@@ -117,6 +123,10 @@
 	last := request.Header.Get("Last-Event-Id")
 	fails := rand.Int64N(100) < r.failPercent.Load()
 	fmt.Fprintf(os.Stdout, "%s %s runs %s after event %q, fails %v\n", time.Now().Format("15:04:05.000"), r.id, id, last, fails)
+	if rand.Int64N(100) < r.garblePercent.Load() {
+		sendGarbage(w)
+		return
+	}
 	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = io.WriteString(w, "error of the rater\n")
