Show that a key goes on to work once the last tenant is removed

A change that removes the last tenant takes its keys away. Every data process then serves requests with any key: rule CONFIG.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,7 @@
 // play is one case. It returns whether the rule was broken, or an error if the case could not run.
 type play func(s *stage) (broken bool, err error)
 
-var plays = map[string]play{"resume": playResume, "garbage": playGarbage}
+var plays = map[string]play{"resume": playResume, "revoke": playRevoke, "garbage": playGarbage}
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "rater" {
