--- a/review/standin/garbage.go
+++ b/review/standin/garbage.go
@@ -14,16 +14,16 @@
 
 // Figures of the case. Of 4 raters, 2 (a share of 0.5) spoil 2 of 100 of their answers.
 const (
-	garbageRaters    = 4
-	garblePercent    = 2
-	garbageLength    = 75 * time.Second
-	garbageEvery     = 25 * time.Millisecond
-	clientPatience   = 3200 * time.Millisecond // four times TargetLatencyMs without an event
-	memoryLimitMB    = 284                     // Limits.MemoryMb
-	memoryCheck      = 20 * time.Millisecond
-	restartDelay     = 500 * time.Millisecond
-	maxOwnEnds       = 2       // on more than one machine
-	linkBytesPer10ms = 1250000 // 1,000 Mbit/s
+	garbageRaters  = 4
+	garblePercent  = 2
+	garbageLength  = 75 * time.Second
+	garbageEvery   = 25 * time.Millisecond
+	clientPatience = 3200 * time.Millisecond // four times TargetLatencyMs without an event
+	memoryLimitMB  = 284                     // Limits.MemoryMb
+	memoryCheck    = 20 * time.Millisecond
+	restartDelay   = 500 * time.Millisecond
+	maxOwnEnds     = 2      // on more than one machine
+	garbagePer10ms = 625000 // 500 Mbit/s, half of a machine's link
 )
 
 // garbageCase holds how often the processes went over their memory.
@@ -199,14 +199,14 @@
 	return outcome
 }
 
-// sendGarbage sends bytes that are no answer at the rate of a machine's link, until the connection is closed.
+// sendGarbage sends bytes that are no answer at half the rate of a machine's link, until the connection is closed.
 func sendGarbage(w http.ResponseWriter) {
 	connection, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = connection.Close() }()
-	garbage := []byte(strings.Repeat("no answer, ", linkBytesPer10ms/11))
+	garbage := []byte(strings.Repeat("no answer, ", garbagePer10ms/11))
 	for begin, sent := time.Now(), 0; time.Since(begin) < 15*time.Second; sent++ {
 		if _, err := connection.Write(garbage); err != nil {
 			fmt.Fprintf(os.Stdout, "garbage ended after %v and %d MB: %v\n", time.Since(begin).Round(time.Millisecond), sent*len(garbage)>>20, err)
