--- a/review/standin/garbage.go
+++ b/review/standin/garbage.go
@@ -12,12 +12,14 @@
 	"time"
 )
 
-// Figures of the case. Of 4 raters, 2 (a share of 0.5) spoil 2 of 100 of their answers.
+// Figures of the case. Of 4 raters, 2 (a share of 0.5) spoil 2 of 100 of their answers, for 5 s at a time.
 const (
 	garbageRaters  = 4
 	garblePercent  = 2
-	garbageLength  = 75 * time.Second
-	garbageEvery   = 25 * time.Millisecond
+	garbleRounds   = 14
+	garbleLength   = 5 * time.Second
+	garblePause    = 2 * time.Second
+	garbageEvery   = 16 * time.Millisecond
 	clientPatience = 3200 * time.Millisecond // four times TargetLatencyMs without an event
 	memoryLimitMB  = 284                     // Limits.MemoryMb
 	memoryCheck    = 20 * time.Millisecond
@@ -60,31 +62,56 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	if s.trouble {
-		for _, address := range raters[:garbageRaters/2] {
-			response, err := http.Get(fmt.Sprintf("http://%s/standin/garble/%d", address, garblePercent))
-			if err != nil {
-				return false, err
-			}
-			_ = response.Body.Close()
-			s.say("the rater at %s spoils %d of 100 answers", address, garblePercent)
-		}
-	}
 	stop := make(chan struct{})
 	var work sync.WaitGroup
 	for _, m := range s.data {
 		work.Go(func() { c.platform(m, stop) })
 	}
 	work.Go(func() { c.traffic(stop, &work) })
-	time.Sleep(garbageLength)
+	err := c.rounds(raters[:garbageRaters/2])
 	close(stop)
 	work.Wait()
+	if err != nil {
+		return false, err
+	}
 	for _, address := range raters {
 		s.copyLog("rater-"+address+".log", func(line string) bool { return strings.HasPrefix(line, "garbage") })
 	}
 	return c.judge()
 }
 
+// rounds lets raters spoil answers for garbleLength at a time.
+func (c *garbageCase) rounds(raters []string) error {
+	for round := range garbleRounds {
+		if err := c.garble(raters, garblePercent); err != nil {
+			return err
+		}
+		c.say("round %d begins", round)
+		time.Sleep(garbleLength)
+		if err := c.garble(raters, 0); err != nil {
+			return err
+		}
+		time.Sleep(garblePause)
+	}
+	return nil
+}
+
+// garble sets the percentage of answers that raters spoil. Without the disruption it does nothing.
+func (c *garbageCase) garble(raters []string, percent int) error {
+	if !c.trouble {
+		return nil
+	}
+	for _, address := range raters {
+		response, err := http.Get(fmt.Sprintf("http://%s/standin/garble/%d", address, percent))
+		if err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+		c.say("the rater at %s spoils %d of 100 answers", address, percent)
+	}
+	return nil
+}
+
 // judge applies the rule: on two machines at least, processes ended by themselves three times.
 func (c *garbageCase) judge() (bool, error) {
 	c.say("%d streams whole; others: %v", c.served, c.failures)
