Parse server-sent events in a file of its own, and end them at CRLF blank lines too

stream.go held the forwarding of responses and the parsing of events side by side. events.go now has the parsing.

Events whose lines end in CRLF were not found: such a stream was held back until its end and written as one piece.

--- /dev/null
+++ b/internal/fleet/proxy/events.go
@@ -0,0 +1,55 @@
+package proxy
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// eventEnds are the byte sequences that terminate a server-sent event.
+var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+
+// completeEvents returns the length of the complete events at the beginning of data, 0 if there is none.
+func completeEvents(data []byte) int {
+	end := 0
+	for _, terminator := range eventEnds {
+		if i := bytes.LastIndex(data, terminator); i >= 0 {
+			end = max(end, i+len(terminator))
+		}
+	}
+	return end
+}
+
+// cutEvent splits data after its first event. If no event ends in data, all of it is the event.
+func cutEvent(data []byte) (event, rest []byte) {
+	end := len(data)
+	for _, terminator := range eventEnds {
+		if i := bytes.Index(data[:end], terminator); i >= 0 {
+			end = i + len(terminator)
+		}
+	}
+	return data[:end], data[end:]
+}
+
+// eventFields is what this package reads of a server-sent event.
+type eventFields struct {
+	id       string // the id, a number that increases along the stream
+	number   int64  // id as a number
+	numbered bool   // the event has an id that is a number
+}
+
+// parseEvent reads the fields of an event. Only its first id counts.
+func parseEvent(event []byte) eventFields {
+	var fields eventFields
+	idSeen := false
+	for line := range bytes.Lines(event) {
+		value, isID := bytes.CutPrefix(line, []byte("id:"))
+		if !isID || idSeen {
+			continue
+		}
+		idSeen = true
+		fields.id = string(bytes.TrimSpace(value))
+		number, err := strconv.ParseInt(fields.id, 10, 64)
+		fields.number, fields.numbered = number, err == nil
+	}
+	return fields
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -1,12 +1,10 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"linenwheel.dev/linenwheel/decide"
@@ -19,9 +17,6 @@
 // chunkSize is the maximum size of a read from a backend, in bytes.
 const chunkSize = 16 << 10
 
-// eventEnd terminates a server-sent event.
-var eventEnd = []byte("\n\n")
-
 // streamState is the progress of forwarding a response, over all attempts.
 type streamState struct {
 	headerWritten   bool
@@ -183,8 +178,7 @@
 	for {
 		n, err := response.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
-		complete := bytes.LastIndex(buffered, eventEnd) + len(eventEnd)
-		if complete >= len(eventEnd) {
+		if complete := completeEvents(buffered); complete > 0 {
 			e.recordFirstToken(attempt)
 			e.recordChunk(attempt)
 			if err := e.writeNewEvents(response, buffered[:complete]); err != nil {
@@ -203,18 +197,15 @@
 
 // writeNewEvents writes the events that have not been written to the client yet.
 func (e *exchange) writeNewEvents(response *backend.Response, events []byte) error {
-	var fresh []byte
+	var fresh, event []byte
 	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd) + len(eventEnd)
-		event := events[:end]
-		events = events[end:]
-		if id, number, found := parseEventID(event); found {
-			if e.stream.lastEventID != "" && number <= e.stream.lastEventNumber {
-				continue
-			}
-			e.stream.lastEventID, e.stream.lastEventNumber = id, number
+		event, events = cutEvent(events)
+		fields := parseEvent(event)
+		if fields.numbered && e.stream.lastEventID != "" && fields.number <= e.stream.lastEventNumber {
+			continue
 		}
 		fresh = append(fresh, event...)
+		e.stream.recordEvent(fields)
 	}
 	if len(fresh) == 0 {
 		return nil
@@ -222,17 +213,9 @@
 	return e.writeBody(response, fresh)
 }
 
-// parseEventID returns the id of an event, which is a number that increases along the stream. It returns false if
-// there is none.
-func parseEventID(event []byte) (id string, number int64, found bool) {
-	for line := range bytes.Lines(event) {
-		value, isID := bytes.CutPrefix(line, []byte("id:"))
-		if !isID {
-			continue
-		}
-		id = string(bytes.TrimSpace(value))
-		number, err := strconv.ParseInt(id, 10, 64)
-		return id, number, err == nil
+// recordEvent records an event that is written to the client.
+func (s *streamState) recordEvent(fields eventFields) {
+	if fields.numbered {
+		s.lastEventID, s.lastEventNumber = fields.id, fields.number
 	}
-	return "", 0, false
 }
