End a resumed stream as complete only where a later attempt continued it

What callers saw: a stream with StreamResume is broken off by its backend's crash and is sent on to a second backend, which answers with its own 500.

Cause: forward chose how to write a response by the response alone. A failure took the way of forwardChunks, which writes to the client and ends the body, whether or not the header of an earlier attempt's success had gone out. The same held for any status from 300 on, for a 204, and for a success without a new event (text, events that the client has, no body at all): each of them ended the stream as complete.

Why this works: once a header has been written, a response with a status from 300 on is dropped, and a success completes the client's response only if it added an event. Otherwise another backend is tried where attempts and the retry budget allow it, or the connection is closed, which the client sees. A success without an event could mean that the stream had been complete before; as nothing tells the two apart, the client is left to ask with Last-Event-Id.

--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -35,6 +35,7 @@
 	id       string // the id, a number that increases along the stream
 	number   int64  // id as a number
 	numbered bool   // the event has an id that is a number
+	hasData  bool   // the event has data: a client acts on it
 }
 
 // parseEvent reads the fields of an event. Only its first id counts.
@@ -42,6 +43,9 @@
 	var fields eventFields
 	idSeen := false
 	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			fields.hasData = true
+		}
 		value, isID := bytes.CutPrefix(line, []byte("id:"))
 		if !isID || idSeen {
 			continue
--- a/internal/fleet/proxy/handler_test.go
+++ b/internal/fleet/proxy/handler_test.go
@@ -28,6 +28,7 @@
 const document = `{"Revision":1,
 "Routes":[
  {"Name":"resumed","Hostname":"h","PathPrefix":"/stream/resumed/","RouteType":"streaming","TimeoutMs":3000,"TargetLatencyMs":500,"Backend":"llm","MaxAttempts":2,"SessionAffinity":true,"StreamResume":true},
+ {"Name":"thrice","Hostname":"h","PathPrefix":"/stream/thrice/","RouteType":"streaming","TimeoutMs":3000,"TargetLatencyMs":500,"Backend":"llm","MaxAttempts":3,"StreamResume":true},
  {"Name":"plain","Hostname":"h","PathPrefix":"/stream/plain/","RouteType":"streaming","TimeoutMs":3000,"TargetLatencyMs":500,"Backend":"llm","MaxAttempts":2},
  {"Name":"safe","Hostname":"h","PathPrefix":"/safe/","RouteType":"safe","TimeoutMs":3000,"TargetLatencyMs":500,"Backend":"llm","MaxAttempts":2},
  {"Name":"unsafe","Hostname":"h","PathPrefix":"/unsafe/","RouteType":"unsafe","TimeoutMs":400,"TargetLatencyMs":100,"Backend":"llm","MaxAttempts":2,"Priority":3},
@@ -54,6 +55,9 @@
 	overQuota   bool
 	results     []routing.Result
 
+	noRetries        bool // the retry budget is empty
+	leaseEndsAtRetry bool // the lease ends before the second attempt
+
 	quotaWaits   bool      // Acquire waits until its context ends and then denies the request
 	waitDeadline time.Time // of the context passed to Acquire
 	waitErr      error     // error with which that context ended
@@ -72,6 +76,9 @@
 func (f *fixture) Pick(_ string, request *routing.Request) *routing.Attempt {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.leaseEndsAtRetry && len(request.Exclude) > 0 {
+		f.leased = false
+	}
 	for range f.backends {
 		candidate := f.backends[f.nextBackend%len(f.backends)]
 		f.nextBackend++
@@ -120,7 +127,7 @@
 }
 
 func (f *fixture) Deposit(string)          {}
-func (f *fixture) TryWithdraw(string) bool { return true }
+func (f *fixture) TryWithdraw(string) bool { return !f.noRetries }
 
 func newFixture(t *testing.T, backends int) *fixture {
 	t.Helper()
--- /dev/null
+++ b/internal/fleet/proxy/resume_test.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/engine"
+)
+
+// silence stands for the response of a backend that sends nothing until its client leaves.
+const silence = "silence"
+
+// rawBackend is a backend that sends the same bytes to each request and then closes the connection.
+type rawBackend struct {
+	response string
+	requests atomic.Int32
+}
+
+func (b *rawBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.requests.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	if b.response == silence {
+		<-r.Context().Done()
+		return
+	}
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(connection, b.response)
+	_ = connection.Close()
+}
+
+// addRaw adds a backend that sends the given bytes.
+func (f *fixture) addRaw(t *testing.T, response string) *rawBackend {
+	t.Helper()
+	raw := &rawBackend{response: response}
+	server := httptest.NewServer(raw)
+	t.Cleanup(server.Close)
+	f.backends = append(f.backends, &engine.Server{ID: fmt.Sprintf("r%d", len(f.backends)), Address: server.Listener.Addr().String()})
+	return raw
+}
+
+// framed returns a response to the request a1 with a stated length; header holds further lines.
+func framed(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d -\r\nAttempt-Id: a1\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// Lines of a response's header.
+const (
+	sealLine   = "Response-Seal: other\r\n"
+	streamLine = "Content-Type: text/event-stream\r\n"
+	textLine   = "Content-Type: text/plain\r\n"
+)
+
+// Guards against a stream that ends as complete although a later attempt did not continue it: whatever else that
+// attempt's backend sends must neither reach the client nor end the response.
+func TestResponseThatDoesNotContinueAStreamIsNotForwarded(t *testing.T) {
+	success := sealLine + streamLine
+	unframed := "HTTP/1.1 200 -\r\nAttempt-Id: a1\r\n" + success + "\r\n"
+	for name, test := range map[string]struct {
+		response string
+		body     string // events that the client receives after the first two
+	}{
+		"own failure":              {framed(500, sealLine, "error\n"), ""},
+		"own failure, empty":       {framed(500, sealLine, ""), ""},
+		"failure with events":      {framed(500, success, events(3, 6)), ""},
+		"own timeout":              {framed(504, sealLine, "late\n"), ""},
+		"not found":                {framed(404, sealLine, "none\n"), ""},
+		"redirect":                 {framed(302, sealLine+"Location: /\r\n", ""), ""},
+		"no content":               {"HTTP/1.1 204 -\r\nAttempt-Id: a1\r\n" + sealLine + "\r\n", ""},
+		"empty success":            {framed(200, success, ""), ""},
+		"empty success, unframed":  {unframed, ""},
+		"success with a comment":   {framed(200, success, ": alive\n\n"), ": alive\n\n"},
+		"success with text":        {framed(200, sealLine+textLine, "yours"), ""},
+		"success with old events":  {framed(200, success, events(1, 2)), ""},
+		"success without a seal":   {framed(200, streamLine, events(3, 6)), ""},
+		"cut in its first event":   {framed(200, success, "id: 3\ndata: pie"), ""},
+		"cut by its length":        {strings.TrimSuffix(framed(200, success, events(3, 6)), events(6, 6)), events(3, 5)},
+		"not executed":             {framed(503, "Not-Executed: 1\r\n", ""), ""},
+		"misdirected":              {framed(421, "", ""), ""},
+		"not a response":           {"this is no answer\r\n\r\n", ""},
+		"connection closed":        {"", ""},
+		"silent until the timeout": {silence, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.backends[0].SetFault(engine.BreaksOff)
+			raw := f.addRaw(t, test.response)
+			got := f.send(t, "/stream/resumed/6", func(r *http.Request) { r.Header.Set("Deadline-Ms", "700") })
+			f.requireTruncated(t, got, events(1, 2)+test.body)
+			require.EqualValues(t, 1, raw.requests.Load())
+		})
+	}
+}
+
+// requireTruncated checks that the client received the first backend's header and a body that is visibly incomplete.
+func (f *fixture) requireTruncated(t *testing.T, got clientResponse, body string) {
+	t.Helper()
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, f.backends[0].Seal("a1"), got.header.Get("Response-Seal"), "header and seal are those of the first backend")
+	require.Equal(t, body, got.body)
+	require.False(t, got.complete, "the client must see that events are missing")
+}
+
+// Guards against an error of this process, after a stream has begun, that ends the stream as complete.
+func TestStreamThatNoBackendContinuesIsVisiblyTruncated(t *testing.T) {
+	for name, test := range map[string]struct {
+		backends int
+		setUp    func(f *fixture)
+	}{
+		"no other backend":   {1, func(*fixture) {}},
+		"empty retry budget": {2, func(f *fixture) { f.noRetries = true }},
+		"lease has run out":  {2, func(f *fixture) { f.leaseEndsAtRetry = true }},
+		"refused connection": {2, func(f *fixture) { f.backends[1].Close() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, test.backends)
+			f.backends[0].SetFault(engine.BreaksOff)
+			test.setUp(f)
+			f.requireTruncated(t, f.send(t, "/stream/resumed/6", nil), events(1, 2))
+		})
+	}
+}
+
+// Guards against giving a stream up, where attempts are left, because one later attempt did not continue it.
+func TestStreamIsContinuedAfterAnAttemptThatDidNotContinueIt(t *testing.T) {
+	for name, response := range map[string]string{
+		"own failure":   framed(500, sealLine, "error\n"),
+		"not found":     framed(404, sealLine, "none\n"),
+		"empty success": framed(200, sealLine+streamLine, ""),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.backends[0].SetFault(engine.BreaksOff)
+			f.addRaw(t, response)
+			sound, err := engine.Start("r2", "llm", engine.DefaultModel())
+			require.NoError(t, err)
+			t.Cleanup(sound.Close)
+			f.backends = append(f.backends, sound)
+			got := f.send(t, "/stream/thrice/6", nil)
+			require.Equal(t, events(1, 6), got.body)
+			require.True(t, got.complete)
+			require.Equal(t, f.backends[0].Seal("a1"), got.header.Get("Response-Seal"))
+			require.Equal(t, "2", sound.Requests()[0].Get("Last-Event-Id"))
+		})
+	}
+}
+
+// Guards against taking whole bodies for truncated ones.
+func TestWholeBodiesOnStreamingRoutesAreForwarded(t *testing.T) {
+	for name, test := range map[string]struct {
+		status       int
+		header, body string
+	}{
+		"events":              {200, sealLine + streamLine, events(1, 3)},
+		"events without type": {200, sealLine, events(1, 3)},
+		"CRLF events":         {200, sealLine + streamLine, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"},
+		"no event":            {200, sealLine + streamLine, ""},
+		"text":                {200, sealLine + textLine, "no stream"},
+		"failure":             {404, sealLine, "no stream"},
+		"resumed at its end":  {200, sealLine + streamLine, ": alive\n\n"},
+	} {
+		for _, path := range []string{"/stream/plain/", "/stream/resumed/"} {
+			t.Run(name+path, func(t *testing.T) {
+				f := newFixture(t, 0)
+				f.addRaw(t, framed(test.status, test.header, test.body))
+				got := f.send(t, path, func(r *http.Request) { r.Header.Set("Last-Event-Id", "7") })
+				require.Equal(t, test.status, got.status)
+				require.Equal(t, test.body, got.body)
+				require.True(t, got.complete)
+			})
+		}
+	}
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -17,12 +17,19 @@
 // chunkSize is the maximum size of a read from a backend, in bytes.
 const chunkSize = 16 << 10
 
+// errNoNewEvents means that a response was received up to its end and does not complete the client's response.
+var errNoNewEvents = errors.New("response continues a stream without a new event")
+
 // streamState is the progress of forwarding a response, over all attempts.
+//
+// Once the header of one attempt's response has been written, the only bytes that later attempts may add are the
+// events that follow lastEventID, and only a later attempt that adds some may complete the client's response.
 type streamState struct {
 	headerWritten   bool
 	started         bool   // the first part of a body has been received
 	lastEventID     string // of the last event written to the client, "" = none
 	lastEventNumber int64  // lastEventID as a number
+	eventsWritten   int    // number of events written to the client, comments excluded
 
 	lastChunkAt      time.Time        // when the latest part of a body was received
 	lastChunkAttempt *routing.Attempt // whose body that part belongs to
@@ -40,12 +47,25 @@
 	return e.route.Type == operator.Streaming && e.route.Resume
 }
 
+// responseResult returns the result of an attempt whose response was received whole, by its status.
+func responseResult(status int) routing.Result {
+	if status >= http.StatusInternalServerError {
+		return decide.Failed
+	}
+	return decide.Succeeded
+}
+
 // forward forwards a backend's response to the client and ends the attempt.
 func (e *exchange) forward(ctx context.Context, attempt *routing.Attempt, response *backend.Response) (attemptResult, *errkind.Error) {
 	if response.Status < http.StatusMultipleChoices && response.Header.Get(backend.HeaderSeal) == "" {
 		e.reportDone(attempt, decide.Failed, response.Load)
 		return attemptRetryable, errkind.New(errkind.MalformedResponse, "successful response without a Response-Seal header")
 	}
+	if e.stream.headerWritten && response.Status >= http.StatusMultipleChoices {
+		// The client has the header of a success and its first events: nothing of this response may follow them.
+		e.reportDone(attempt, responseResult(response.Status), response.Load)
+		return attemptRetryable, errkind.New(errkind.BackendLost, "")
+	}
 	var err error
 	switch {
 	case e.route.Type != operator.Streaming:
@@ -62,12 +82,8 @@
 func (e *exchange) finishForward(ctx context.Context, attempt *routing.Attempt, response *backend.Response, err error) (attemptResult, *errkind.Error) {
 	var clientFailed *clientError
 	switch {
-	case err == nil && response.Status >= http.StatusInternalServerError:
-		e.reportDone(attempt, decide.Failed, response.Load)
-		e.handler.Metrics.CountForwarded(response.Status)
-		return attemptDone, nil
 	case err == nil:
-		e.reportDone(attempt, decide.Succeeded, response.Load)
+		e.reportDone(attempt, responseResult(response.Status), response.Load)
 		e.handler.Metrics.CountForwarded(response.Status)
 		return attemptDone, nil
 	case errors.As(err, &clientFailed) || e.clientDisconnected():
@@ -173,6 +189,7 @@
 // forwardEvents forwards complete server-sent events, each exactly once. A response that is truncated within an
 // event is continued by another backend after the last complete event.
 func (e *exchange) forwardEvents(attempt *routing.Attempt, response *backend.Response) error {
+	continuing, writtenBefore := e.stream.headerWritten, e.stream.eventsWritten
 	var buffered []byte
 	chunk := make([]byte, chunkSize)
 	for {
@@ -187,7 +204,7 @@
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			return e.finishBody(response, buffered)
+			return e.finishEvents(response, buffered, continuing, e.stream.eventsWritten > writtenBefore)
 		}
 		if err != nil {
 			return err
@@ -195,6 +212,18 @@
 	}
 }
 
+// finishEvents ends the client's response after a body that was received whole. rest are the bytes after the last
+// event; continuing means that the header of an earlier attempt's response had been written before, progressed that
+// the body had new events.
+func (e *exchange) finishEvents(response *backend.Response, rest []byte, continuing, progressed bool) error {
+	if continuing && !progressed {
+		// The stream may have been complete before, but nothing distinguishes that from a backend that does not
+		// resume it. The client may ask itself, with Last-Event-Id.
+		return errNoNewEvents
+	}
+	return e.finishBody(response, rest)
+}
+
 // writeNewEvents writes the events that have not been written to the client yet.
 func (e *exchange) writeNewEvents(response *backend.Response, events []byte) error {
 	var fresh, event []byte
@@ -218,4 +247,7 @@
 	if fields.numbered {
 		s.lastEventID, s.lastEventNumber = fields.id, fields.number
 	}
+	if fields.numbered || fields.hasData {
+		s.eventsWritten++
+	}
 }
