Take a stream that ends within an event for a truncated one

What callers saw: a backend whose body ended within an event, with the end of its framing or without any framing, as after a crash, gave the client an answer that looked complete and lacked the rest (rule ORDER). This held for the first attempt as for later ones, on routes with StreamResume and on others.

Cause: the end of the body was taken for the end of the stream; bytes after the last event were passed on.

Why this works: events end with a blank line, and the protocol says that a crash may end a stream in the middle of one. On a route with StreamResume the partial event is dropped and another backend continues after the last whole one; elsewhere the connection is closed without the end of the body. Bodies that state another content type, failures and empty bodies are forwarded as before (TestWholeBodiesOnStreamingRoutesAreForwarded). A stated length is not passed on for a stream, as a body of that length looks complete to the client whatever follows.

--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -2,12 +2,18 @@
 
 import (
 	"bytes"
+	"mime"
 	"strconv"
+
+	"linenwheel.dev/linenwheel/internal/fleet/backend"
 )
 
 // eventEnds are the byte sequences that terminate a server-sent event.
 var eventEnds = [...][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
 
+// maxEventEnd is the length of the longest of eventEnds, in bytes.
+const maxEventEnd = len("\r\n\r\n")
+
 // completeEvents returns the length of the complete events at the beginning of data, 0 if there is none.
 func completeEvents(data []byte) int {
 	end := 0
@@ -30,6 +36,15 @@
 	return data[:end], data[end:]
 }
 
+// lastBytes returns the end of data by which endsWithinEvent decides, at most maxEventEnd bytes.
+func lastBytes(data []byte) []byte { return data[max(0, len(data)-maxEventEnd):] }
+
+// endsWithinEvent reports whether a body whose last bytes are tail ends before its last event does. An empty body
+// does not.
+func endsWithinEvent(tail []byte) bool {
+	return len(bytes.TrimSpace(tail[completeEvents(tail):])) > 0
+}
+
 // eventFields is what this package reads of a server-sent event.
 type eventFields struct {
 	id       string // the id, a number that increases along the stream
@@ -57,3 +72,13 @@
 	}
 	return fields
 }
+
+// statesOtherType reports whether a response states a content type other than that of an event stream.
+func statesOtherType(response *backend.Response) bool {
+	stated := response.Header.Get("Content-Type")
+	if stated == "" {
+		return false
+	}
+	mediaType, _, err := mime.ParseMediaType(stated)
+	return err != nil || mediaType != "text/event-stream"
+}
--- a/internal/fleet/proxy/headers.go
+++ b/internal/fleet/proxy/headers.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// writeHeader writes the header of a backend's response to the client.
+// writeHeader writes the header of a backend's response to the client. It omits the length of a stream's body, as a
+// body of that length would look complete even if it is found to end within an event.
 func (e *exchange) writeHeader(response *backend.Response) {
 	header := e.writer.Header()
 	closing := header.Get("Connection")
@@ -79,7 +80,7 @@
 	if closing != "" {
 		header.Set("Connection", closing)
 	}
-	if response.Length >= 0 && !e.resumable() {
+	if response.Length >= 0 && !e.resumable() && !e.isEventStream(response) {
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	if header.Get("Content-Type") == "" {
--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -83,6 +83,8 @@
 		"success with old events":  {framed(200, success, events(1, 2)), ""},
 		"success without a seal":   {framed(200, streamLine, events(3, 6)), ""},
 		"cut in its first event":   {framed(200, success, "id: 3\ndata: pie"), ""},
+		"cut in its last event":    {framed(200, success, events(3, 4)+"id: 5\nda"), events(3, 4)},
+		"cut in it, unframed":      {unframed + events(3, 4) + "id: 5\nda", events(3, 4)},
 		"cut by its length":        {strings.TrimSuffix(framed(200, success, events(3, 6)), events(6, 6)), events(3, 5)},
 		"not executed":             {framed(503, "Not-Executed: 1\r\n", ""), ""},
 		"misdirected":              {framed(421, "", ""), ""},
@@ -154,6 +156,35 @@
 	}
 }
 
+// Guards against a stream that ends as complete although its backend ended the body within an event, as a crash may.
+func TestStreamThatEndsWithinAnEventIsTruncated(t *testing.T) {
+	header := "HTTP/1.1 200 -\r\nAttempt-Id: a1\r\n" + sealLine + streamLine
+	cut := events(1, 2) + "id: 3\nda"
+	for name, response := range map[string]string{
+		"framed":   framed(200, sealLine+streamLine, cut),
+		"chunked":  header + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(cut), cut),
+		"unframed": header + "\r\n" + cut,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.addRaw(t, response)
+			got := f.send(t, "/stream/plain/6", nil)
+			require.Equal(t, cut, got.body, "bytes are forwarded as they are received")
+			require.False(t, got.complete)
+
+			f = newFixture(t, 0)
+			f.addRaw(t, response)
+			sound, err := engine.Start("r1", "llm", engine.DefaultModel())
+			require.NoError(t, err)
+			t.Cleanup(sound.Close)
+			f.backends = append(f.backends, sound)
+			got = f.send(t, "/stream/resumed/6", nil)
+			require.Equal(t, events(1, 6), got.body, "another backend continues after the last whole event")
+			require.True(t, got.complete)
+		})
+	}
+}
+
 // Guards against taking whole bodies for truncated ones.
 func TestWholeBodiesOnStreamingRoutesAreForwarded(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -17,8 +18,11 @@
 // chunkSize is the maximum size of a read from a backend, in bytes.
 const chunkSize = 16 << 10
 
-// errNoNewEvents means that a response was received up to its end and does not complete the client's response.
-var errNoNewEvents = errors.New("response continues a stream without a new event")
+// Reasons for which a response that was received up to its end does not complete the client's response.
+var (
+	errTruncatedEvent = errors.New("response ends within an event")
+	errNoNewEvents    = errors.New("response continues a stream without a new event")
+)
 
 // streamState is the progress of forwarding a response, over all attempts.
 //
@@ -47,6 +51,12 @@
 	return e.route.Type == operator.Streaming && e.route.Resume
 }
 
+// isEventStream reports whether a response is taken for a stream of events: a success on a streaming route, unless
+// it states another content type.
+func (e *exchange) isEventStream(response *backend.Response) bool {
+	return e.route.Type == operator.Streaming && response.Status < http.StatusMultipleChoices && !statesOtherType(response)
+}
+
 // responseResult returns the result of an attempt whose response was received whole, by its status.
 func responseResult(status int) routing.Result {
 	if status >= http.StatusInternalServerError {
@@ -138,12 +148,15 @@
 	return nil
 }
 
-// forwardChunks forwards bytes as they are received.
+// forwardChunks forwards bytes as they are received. A success that ends within an event counts as truncated.
 func (e *exchange) forwardChunks(attempt *routing.Attempt, response *backend.Response) error {
+	isEvents := e.isEventStream(response)
 	chunk := make([]byte, chunkSize)
+	var tail []byte // the last bytes of the body so far, at most maxEventEnd
 	for {
 		n, err := response.Read(chunk)
 		if n > 0 {
+			tail = lastBytes(append(tail, lastBytes(chunk[:n])...))
 			e.recordFirstToken(attempt)
 			e.recordChunk(attempt)
 			if err := e.writeBody(response, chunk[:n]); err != nil {
@@ -151,6 +164,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if isEvents && endsWithinEvent(tail) {
+				return errTruncatedEvent
+			}
 			return e.finishBody(response, nil)
 		}
 		if err != nil {
@@ -216,12 +232,17 @@
 // event; continuing means that the header of an earlier attempt's response had been written before, progressed that
 // the body had new events.
 func (e *exchange) finishEvents(response *backend.Response, rest []byte, continuing, progressed bool) error {
-	if continuing && !progressed {
+	switch {
+	case continuing && !progressed:
 		// The stream may have been complete before, but nothing distinguishes that from a backend that does not
 		// resume it. The client may ask itself, with Last-Event-Id.
 		return errNoNewEvents
+	case len(bytes.TrimSpace(rest)) == 0:
+		return e.finishBody(response, rest)
+	case !progressed && !e.isEventStream(response):
+		return e.finishBody(response, rest)
 	}
-	return e.finishBody(response, rest)
+	return errTruncatedEvent
 }
 
 // writeNewEvents writes the events that have not been written to the client yet.
