Resume a stream only where what has been written ends with a numbered event

A failure whose body was broken off was followed by the events of a second backend.

Cause: whether a broken response may be continued was decided by the route alone, not by what the client already has.

Why this works: a response is continued only if nothing of it has been written, or if the last event with data that was written has a number as its id, which is what the next backend is told in Last-Event-Id. Comments don't count.

Evidence: with the code before, TestStreamIsNotResumedAfterAnEventWithoutANumber failed in three of its five cases, and TestTruncatedFailureIsNotContinued; both pass now.

--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -211,3 +211,44 @@
 		}
 	}
 }
+
+// Guards against events that come twice: a backend that continues a stream repeats what follows the id that it is
+// told, and so all events that have no number as their id.
+func TestStreamIsNotResumedAfterAnEventWithoutANumber(t *testing.T) {
+	for name, test := range map[string]struct {
+		written string // before the connection breaks
+		resumed bool
+	}{
+		"no id":             {"data: a\n\ndata: b\n\n", false},
+		"id is no number":   {"id: x\ndata: a\n\n", false},
+		"last one has none": {events(1, 2) + "data: b\n\n", false},
+		"comment at last":   {events(1, 2) + ": alive\n\n", true},
+		"one in between":    {"data: a\n\n" + events(1, 2), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.addRaw(t, strings.TrimSuffix(framed(200, sealLine+streamLine, test.written+"x"), "x"))
+			next := f.addRaw(t, framed(200, sealLine+streamLine, events(3, 6)))
+			got := f.send(t, "/stream/resumed/6", nil)
+			require.Equal(t, test.resumed, got.complete)
+			if test.resumed {
+				require.Equal(t, test.written+events(3, 6), got.body)
+				return
+			}
+			require.Equal(t, test.written, got.body)
+			require.Zero(t, next.requests.Load())
+		})
+	}
+}
+
+// Guards against events that follow a part of a failure's body.
+func TestTruncatedFailureIsNotContinued(t *testing.T) {
+	f := newFixture(t, 0)
+	f.addRaw(t, strings.TrimSuffix(framed(404, sealLine, "no such page"), "page"))
+	next := f.addRaw(t, framed(200, sealLine+streamLine, events(1, 6)))
+	got := f.send(t, "/stream/resumed/6", nil)
+	require.Equal(t, http.StatusNotFound, got.status)
+	require.Equal(t, "no such ", got.body)
+	require.False(t, got.complete)
+	require.Zero(t, next.requests.Load())
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -31,7 +31,7 @@
 type streamState struct {
 	headerWritten   bool
 	started         bool   // the first part of a body has been received
-	lastEventID     string // of the last event written to the client, "" = none
+	lastEventID     string // of the last event written to the client, "" = none was written, or the last one has no number as its id
 	lastEventNumber int64  // lastEventID as a number
 	eventsWritten   int    // number of events written to the client, comments excluded
 
@@ -57,6 +57,12 @@
 	return e.route.Type == operator.Streaming && response.Status < http.StatusMultipleChoices && !statesOtherType(response)
 }
 
+// mayContinue reports whether another attempt may follow one whose response was truncated: nothing has been
+// written to the client, or the stream can be resumed after the last event that was written.
+func (e *exchange) mayContinue() bool {
+	return e.resumable() && (!e.stream.headerWritten || e.stream.lastEventID != "")
+}
+
 // responseResult returns the result of an attempt whose response was received whole, by its status.
 func responseResult(status int) routing.Result {
 	if status >= http.StatusInternalServerError {
@@ -104,7 +110,7 @@
 		return attemptFailed, errkind.New(errkind.DeadlineExceededInFlight, "")
 	}
 	e.reportDone(attempt, decide.Reset, response.Load)
-	if e.resumable() {
+	if e.mayContinue() {
 		return attemptRetryable, errkind.New(errkind.BackendLost, "")
 	}
 	return attemptFailed, errkind.New(errkind.BackendLost, "")
@@ -263,12 +269,16 @@
 	return e.writeBody(response, fresh)
 }
 
-// recordEvent records an event that is written to the client.
+// recordEvent records an event that is written to the client. After one with data and without a number as its id, a
+// stream cannot be resumed: another backend would repeat that event.
 func (s *streamState) recordEvent(fields eventFields) {
-	if fields.numbered {
+	switch {
+	case fields.numbered:
 		s.lastEventID, s.lastEventNumber = fields.id, fields.number
+	case fields.hasData:
+		s.lastEventID = ""
+	default:
+		return
 	}
-	if fields.numbered || fields.hasData {
-		s.eventsWritten++
-	}
+	s.eventsWritten++
 }
