Keep a list of the configuration absent until a PATCH adds an item to it

What callers saw: a PATCH that removes an unknown name from a list that the configuration does not have, or adds no item to it ("Remove":{"Tenants":[]}, as tools send it), left the list in the document, empty. Read back, the configuration had a list that nobody had sent.

Cause: remove and upsert stored their result whether or not the list was there before.

--- a/internal/fleet/operator/document.go
+++ b/internal/fleet/operator/document.go
@@ -38,6 +38,9 @@
 }
 
 // Document is one version of the configuration. It is immutable.
+//
+// An empty list differs from an absent one. A list stays absent until an item is added to it, and stays present when its last item is
+// removed. A list that is sent as null counts as empty.
 type Document struct {
 	Revision int64
 	lists    map[string][]item
@@ -194,18 +197,19 @@
 	return next, next.readLimits()
 }
 
-// list returns the list with a name. If that list has been kept unparsed until now, list parses it and removes it
-// from d.other.
-func (d *Document) list(name string) ([]item, error) {
-	if items, present := d.lists[name]; present {
-		return items, nil
+// list returns the list with a name, and whether the document has it. If that list has been kept unparsed until now,
+// list parses it and removes it from d.other.
+func (d *Document) list(name string) (items []item, present bool, err error) {
+	if items, present = d.lists[name]; present {
+		return items, true, nil
 	}
 	raw, present := d.other[name]
 	if !present {
-		return nil, nil
+		return nil, false, nil
 	}
 	delete(d.other, name)
-	return readItems(name, raw)
+	items, err = readItems(name, raw)
+	return items, true, err
 }
 
 func (d *Document) remove(raw json.RawMessage) error {
@@ -217,10 +221,13 @@
 		return invalid("field %s: %v", fieldRemove, err)
 	}
 	for name, removed := range lists {
-		items, err := d.list(name)
+		items, present, err := d.list(name)
 		if err != nil {
 			return err
 		}
+		if !present {
+			continue
+		}
 		d.lists[name] = slices.DeleteFunc(slices.Clone(items), func(i item) bool { return slices.Contains(removed, i.name) })
 	}
 	return nil
@@ -239,10 +246,13 @@
 		if err != nil {
 			return err
 		}
-		items, err := d.list(name)
+		items, present, err := d.list(name)
 		if err != nil {
 			return err
 		}
+		if !present && len(changed) == 0 {
+			continue
+		}
 		d.lists[name] = replaceOrAdd(items, changed)
 	}
 	return nil
--- /dev/null
+++ b/internal/fleet/operator/lists_test.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// copies returns the state as each way on which a configuration travels delivers it.
+func copies(t *testing.T, state *State) map[string]*State {
+	t.Helper()
+	document, err := ParseDocument(state.Document.JSON())
+	require.NoError(t, err)
+	whole := NewState()
+	whole.Document = document
+	return map[string]*State{"live": state, "restored": mustRestore(t, state), "sent whole": whole}
+}
+
+// lists returns the names of the document's lists with their lengths.
+func lists(t *testing.T, state *State) map[string]int {
+	t.Helper()
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal(state.Document.JSON(), &fields))
+	lengths := map[string]int{}
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		var entries []json.RawMessage
+		if json.Unmarshal(fields[name], &entries) == nil {
+			lengths[name] = len(entries)
+		}
+	}
+	return lengths
+}
+
+// Guards against a PATCH that adds an empty list where there was none, or drops a list with its last item.
+func TestPatchKeepsEmptyAndAbsentListsApart(t *testing.T) {
+	for _, list := range []string{fieldRoutes, fieldBackends, fieldTenants, "Other"} {
+		t.Run(list, func(t *testing.T) {
+			item := `{"Name":"x"}`
+			if list == fieldRoutes {
+				item = `{"Name":"x","TimeoutMs":1,"TrafficSplit":[{"Backend":"b","Weight":1}]}`
+			}
+			first := `{"Revision":1,"Backends":[{"Name":"b"}]}`
+			if list == fieldBackends {
+				first = `{"Revision":1}`
+			}
+			state := apply(t, NewState(), put(0, first))
+			for revision, step := range []struct {
+				change string
+				length int // -1 = absent
+			}{
+				{`"Remove":{"%s":["x"]}`, -1},
+				{`"Remove":{"%s":[]},"Upsert":{}`, -1},
+				{`"Upsert":{"%s":[]}`, -1},
+				{`"Upsert":{"%s":null}`, -1},
+				{`"Upsert":{"%s":[` + item + `]}`, 1},
+				{`"Remove":{"%s":["x"]}`, 0},
+				{`"Upsert":{"%s":[]}`, 0},
+				{`"Remove":{"%s":["x"]}`, 0},
+			} {
+				order := patch(int64(revision+1), fmt.Sprintf(`{"Revision":%d,`+step.change+`}`, revision+2, list))
+				state = apply(t, state, order)
+				for way, received := range copies(t, state) {
+					length, present := lists(t, received)[list]
+					require.Equal(t, step.length >= 0, present, "%s: %s", way, order.Body)
+					require.Equal(t, max(0, step.length), length)
+				}
+			}
+		})
+	}
+}
