Accept no key once the last tenant is removed

Cause: Compile took a configuration whose list of tenants is empty for one without tenants, where no key is asked for and the lease is not looked at. The list is still there in the document, on disk and in what the operator reads back.

Why this works: the table now says RequiresKeys where the document has the list, whatever its length. An empty list means that no key is valid: 401, or 503 while the lease has run out, as before.

For operators: a configuration that was stored with "Tenants":[] and is meant to have no keys needs a PUT that leaves the list out before the update.

--- a/internal/fleet/distribution/clientstate_test.go
+++ b/internal/fleet/distribution/clientstate_test.go
@@ -85,6 +85,20 @@
 	require.EqualValues(t, 3, c.Request("n", 1, 0).ConfigSeq)
 }
 
+// Guards against a node that accepts any key once the last tenant is removed, whichever way the change reaches it.
+func TestEmptyListOfTenantsReachesANodeAsPatchAndAsDocument(t *testing.T) {
+	remove := operator.Order{Method: http.MethodPatch, Base: 1, Body: []byte(`{"Revision":2,"Remove":{"Tenants":["t"]}}`)}
+	for document, required := range map[string]bool{`{"Revision":1,"Tenants":[{"Name":"t"}]}`: true, `{"Revision":1,"Tenants":[]}`: true, `{"Revision":1}`: false} {
+		c := NewClientState(true, revokeAfter)
+		mustApply(t, c, time.Second, reply(1, document, 0))
+		require.Equal(t, required, c.Table().RequiresKeys, document)
+		patched := reply(2, "", 0)
+		patched.Update = mustEncode(nil, remove)
+		mustApply(t, c, time.Second, patched)
+		require.Equal(t, required, c.Table().RequiresKeys, "%s, patched", document)
+	}
+}
+
 func backendRecord(id string, sequence int64, state registry.State) registry.Record {
 	return registry.Record{ID: id, Backend: "b", Address: id + ":1", Sequence: sequence, State: state}
 }
--- a/internal/fleet/operator/document.go
+++ b/internal/fleet/operator/document.go
@@ -39,7 +39,8 @@
 
 // Document is one version of the configuration. It is immutable.
 //
-// An empty list differs from an absent one. A list stays absent until an item is added to it, and stays present when its last item is
+// An empty list differs from an absent one: a document with an empty list of tenants accepts no key, one without the
+// list requires none. A list stays absent until an item is added to it, and stays present when its last item is
 // removed. A list that is sent as null counts as empty.
 type Document struct {
 	Revision int64
@@ -298,6 +299,12 @@
 	return body
 }
 
+// hasList reports whether the document has a list of routes, backends or tenants, which may be empty.
+func (d *Document) hasList(name string) bool {
+	_, present := d.lists[name]
+	return present
+}
+
 // messages returns the parsed messages of a list.
 func messages[M proto.Message](d *Document, list string) []M {
 	items := d.lists[list]
--- a/internal/fleet/operator/lists_test.go
+++ b/internal/fleet/operator/lists_test.go
@@ -20,6 +20,44 @@
 	return map[string]*State{"live": state, "restored": mustRestore(t, state), "sent whole": whole}
 }
 
+// Guards against requests that run with any key once the last tenant is removed, and against a deployment without
+// tenants that begins to refuse requests without a key.
+func TestKeysAreRequiredByAListOfTenantsEvenIfItIsEmpty(t *testing.T) {
+	const with, without = `{"Revision":1,"Tenants":[{"Name":"t","ApiKeys":["k"]}]}`, `{"Revision":1}`
+	for name, test := range map[string]struct {
+		first    string
+		change   Order
+		required bool
+	}{
+		"tenants":                    {with, patch(1, `{"Revision":2}`), true},
+		"no list":                    {without, patch(1, `{"Revision":2}`), false},
+		"last tenant removed":        {with, patch(1, `{"Revision":2,"Remove":{"Tenants":["t"]}}`), true},
+		"PUT of an empty list":       {with, put(1, `{"Revision":2,"Tenants":[]}`), true},
+		"PUT of null":                {with, put(1, `{"Revision":2,"Tenants":null}`), true},
+		"PUT without the list":       {with, put(1, `{"Revision":2}`), false},
+		"first PUT of an empty list": {without, put(1, `{"Revision":2,"Tenants":[]}`), true},
+		"first tenant added":         {without, patch(1, `{"Revision":2,"Upsert":{"Tenants":[{"Name":"t"}]}}`), true},
+		"removed and added":          {with, patch(1, `{"Revision":2,"Remove":{"Tenants":["t"]},"Upsert":{"Tenants":[]}}`), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := apply(t, NewState(), put(0, test.first))
+			for origin, state := range copies(t, before) {
+				state = must(state.ApplyCommitted(test.change))
+				for way, received := range copies(t, state) {
+					require.Equal(t, test.required, received.Document.Compile().RequiresKeys, "%s, then %s", origin, way)
+				}
+			}
+		})
+	}
+}
+
+func must(state *State, err error) *State {
+	if err != nil {
+		panic(err)
+	}
+	return state
+}
+
 // lists returns the names of the document's lists with their lengths.
 func lists(t *testing.T, state *State) map[string]int {
 	t.Helper()
--- a/internal/fleet/operator/table.go
+++ b/internal/fleet/operator/table.go
@@ -101,13 +101,15 @@
 
 // Table is a compiled document, used to look up the route and tenant of a request. It is immutable.
 type Table struct {
-	Revision  int64
-	hosts     map[string][]*Route // longest prefix first
-	Services  map[string]*Service
-	keys      map[string]*Tenant
-	Tenants   map[string]*Tenant
-	HasTenant bool
-	Limits    Limits
+	Revision int64
+	hosts    map[string][]*Route // longest prefix first
+	Services map[string]*Service
+	keys     map[string]*Tenant
+	Tenants  map[string]*Tenant
+	// RequiresKeys means that the document has a list of tenants: a request needs a key of one of them, unless its
+	// route is anonymous. If the list is empty, no key is valid. Without a list, keys are ignored.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Compile compiles a valid document.
@@ -131,7 +133,7 @@
 			t.keys[key] = compiled
 		}
 	}
-	t.HasTenant = len(t.Tenants) > 0
+	t.RequiresKeys = d.hasList(fieldTenants)
 	return t
 }
 
--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -87,9 +87,9 @@
 	return path
 }
 
-// authenticate finds the tenant by the request's API key, if the route requires one.
+// authenticate finds the tenant by the request's API key, if the configuration and the route require one.
 func (e *exchange) authenticate(table *operator.Table) error {
-	if !table.HasTenant || e.route.Anonymous {
+	if !table.RequiresKeys || e.route.Anonymous {
 		return nil
 	}
 	if !e.handler.Config.Leased() {
--- a/internal/fleet/proxy/handler_test.go
+++ b/internal/fleet/proxy/handler_test.go
@@ -380,6 +380,58 @@
 	}
 }
 
+// tableAfter returns the compiled configuration after a PATCH or PUT of the fixture's configuration.
+func tableAfter(t *testing.T, method, body string) *operator.Table {
+	t.Helper()
+	state, err := operator.NewState().Apply(operator.Order{Method: http.MethodPut, Body: []byte(document)})
+	require.NoError(t, err)
+	state, err = state.Apply(operator.Order{Method: method, Base: 1, Body: []byte(body)})
+	require.NoError(t, err)
+	return state.Document.Compile()
+}
+
+// Guards against requests that run with a key that was taken away, or with any other, once the last tenant is removed.
+func TestEmptyListOfTenantsAcceptsNoKeyAndAnAbsentOneRequiresNone(t *testing.T) {
+	empty := tableAfter(t, http.MethodPatch, `{"Revision":2,"Remove":{"Tenants":["t1"]}}`)
+	absent := tableAfter(t, http.MethodPut, strings.Replace(document[:strings.Index(document, ",\n\"Tenants\"")]+"}", `"Revision":1`, `"Revision":2`, 1))
+	for name, test := range map[string]struct {
+		table  *operator.Table
+		path   string
+		key    string
+		leased bool
+		status int
+	}{
+		"empty, the removed key":            {empty, "/safe/", "key", true, 401},
+		"empty, another key":                {empty, "/safe/", "other", true, 401},
+		"empty, no key":                     {empty, "/safe/", "", true, 401},
+		"empty, anonymous route":            {empty, "/open/", "", true, 200},
+		"empty, the lease has run out":      {empty, "/safe/", "key", false, 503},
+		"empty, anonymous, no lease":        {empty, "/open/", "key", false, 200},
+		"absent, no key":                    {absent, "/safe/", "", true, 200},
+		"absent, a key, which is ignored":   {absent, "/safe/", "key", true, 200},
+		"absent, the lease has run out":     {absent, "/safe/", "", false, 200},
+		"absent, an anonymous route, a key": {absent, "/open/", "key", true, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.table, f.leased = test.table, test.leased
+			got := f.send(t, test.path, func(r *http.Request) {
+				r.Header.Del("Api-Key")
+				if test.key != "" {
+					r.Header.Set("Api-Key", test.key)
+				}
+			})
+			require.Equal(t, test.status, got.status)
+			if test.status != http.StatusOK {
+				require.Zero(t, f.runs("a1"))
+				return
+			}
+			require.Empty(t, f.backends[0].Requests()[0].Get("Api-Key"))
+			require.Empty(t, f.backends[0].Requests()[0].Get("Tenant"))
+		})
+	}
+}
+
 // Guards against waiting for quota beyond the request's deadline, or after its client has disconnected.
 func TestQuotaWaitEndsWithTheRequest(t *testing.T) {
 	f := newFixture(t, 1)
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -97,6 +97,37 @@
 	require.ErrorContains(t, f.Configure(http.MethodPut, 2, `{"Revision":`, ample), "400")
 }
 
+// Guards against requests that run with any key once the last tenant is removed, also after a restart of all processes.
+func TestTheLastTenantsKeysEndWithIt(t *testing.T) {
+	f := startFleet(t)
+	requireRefused := func(when string) {
+		for _, m := range f.Data {
+			for _, key := range []string{"key", "never-held"} {
+				require.Eventually(t, func() bool {
+					status, _, err := f.Request(m, "h", "/call/", key, fmt.Sprintf("%016x", time.Now().UnixNano()))
+					return err == nil && status == http.StatusUnauthorized
+				}, ample, retryPause, "%s: %s with %s", when, m.Name, key)
+			}
+		}
+	}
+	require.NoError(t, f.Configure(http.MethodPatch, 1, `{"Revision":2,"Remove":{"Tenants":["t1"]}}`, ample))
+	requireRefused("after the change")
+	all := append(append([]*Machine(nil), f.Control...), f.Data...)
+	for _, m := range all {
+		m.Kill()
+	}
+	for _, m := range all {
+		require.NoError(t, f.Boot(m, false))
+	}
+	requireRefused("after the restart")
+	body, err := f.Read(ample)
+	require.NoError(t, err)
+	require.Contains(t, body, `"Tenants":[]`)
+	require.NoError(t, f.Configure(http.MethodPatch, 2, `{"Revision":3,"Upsert":{"Tenants":[{"Name":"t2","ApiKeys":["next"]}]}}`, ample))
+	require.NoError(t, f.AwaitServing("h", "/call/", "next", ample))
+	requireRefused("beside another tenant")
+}
+
 func TestAllKilledComeBackWithWhatWasAcknowledged(t *testing.T) {
 	f := startFleet(t)
 	require.NoError(t, f.Configure(http.MethodPatch, 1, `{"Revision":7,"Note":"kept"}`, ample))
