Replace a list that a PATCH sends whole on every replica alike

The configuration read back hung on which process answered.

Cause: the first change by name moves a list from the unparsed fields to the parsed ones, which win when the document is written; a PATCH replaced only the unparsed field.

Why this works: replacing the field drops the parsed list, so that all replicas have the same document.

Evidence: TestListThatAPatchReplacesIsTheSameOnEveryReplica failed before for the live state, and passes now.

--- a/internal/fleet/operator/document.go
+++ b/internal/fleet/operator/document.go
@@ -193,6 +193,7 @@
 	for name, raw := range fields {
 		if name != fieldRevision && name != fieldUpsert && name != fieldRemove && newMessage(name) == nil {
 			next.other[name] = raw
+			delete(next.lists, name)
 		}
 	}
 	return next, next.readLimits()
--- a/internal/fleet/operator/lists_test.go
+++ b/internal/fleet/operator/lists_test.go
@@ -110,3 +110,15 @@
 		})
 	}
 }
+
+// Guards against replicas whose documents differ after the same orders: one that has kept its state since an order
+// added to a list by name, and one that was restored since.
+func TestListThatAPatchReplacesIsTheSameOnEveryReplica(t *testing.T) {
+	state := apply(t, NewState(), put(0, `{"Revision":1,"Other":[{"Name":"a"}]}`))
+	state = apply(t, state, patch(1, `{"Revision":2,"Upsert":{"Other":[{"Name":"b"}]}}`))
+	change := patch(2, `{"Revision":3,"Other":[]}`)
+	for way, received := range copies(t, state) {
+		received = must(received.ApplyCommitted(change))
+		require.JSONEq(t, `{"Revision":3,"Other":[]}`, string(received.Document.JSON()), way)
+	}
+}
