Reject a PATCH whose routes, backends or tenants stand beside Upsert and Remove

What callers saw: PATCH {"Revision":9,"Tenants":[]} was acknowledged and changed nothing; the operator had to take all keys for taken away.

Cause: such a list is skipped, as a PATCH changes these lists by name.

Why this works: the process that receives the order answers 400 and names the field. Replaying and replicating orders stays as it was, because replicas of earlier versions may have accepted such an order; one that an earlier version accepted and that is sent again to this one is refused.

Evidence: TestPatchWithAListBesideUpsertAndRemoveIsRejected, 200 before, passes now.

--- a/internal/fleet/controlplane/operatorapi.go
+++ b/internal/fleet/controlplane/operatorapi.go
@@ -33,6 +33,10 @@
 		return
 	}
 	order := operator.Order{Method: r.Method, Base: base, Body: body}
+	if err := order.CheckFields(); err != nil {
+		writeError(w, err)
+		return
+	}
 	revision, err := retryUnknown(func(timeout time.Duration) (int64, error) { return n.submitToHead(order, timeout) })
 	if err != nil {
 		n.log.Info("failed to commit order", "base", base, "err", err)
--- a/internal/fleet/controlplane/operatorapi_test.go
+++ b/internal/fleet/controlplane/operatorapi_test.go
@@ -28,3 +28,14 @@
 	require.JSONEq(t, `{"Revision":3,"Backends":[{"Name":"llm"}]}`, read.Body.String())
 	require.Contains(t, do(n, http.MethodGet, "/-/status", "").Body.String(), `"Revision":3`)
 }
+
+// Guards against an acknowledgement of a PATCH whose lists change nothing, as of one that seems to take all keys away.
+func TestPatchWithAListBesideUpsertAndRemoveIsRejected(t *testing.T) {
+	n := newSingleNode(t, 0, 0)
+	for _, list := range []string{"Routes", "Backends", "Tenants"} {
+		rejected := doIfMatch(n, http.MethodPatch, "/-/config", fmt.Sprintf(`{"Revision":3,"%s":[]}`, list), "1")
+		require.Equal(t, http.StatusBadRequest, rejected.Code)
+		require.Contains(t, rejected.Body.String(), "field "+list)
+	}
+	require.Equal(t, http.StatusOK, submitOrder(n, 1, `{"Revision":3,"Other":[]}`), "other fields may be replaced")
+}
