Decide in one place which responses of a backend are discarded

A failure was dropped in send where another attempt may replace it, and in forward where it would follow the events of another backend. mustDiscard has both. go test ./internal/fleet/proxy passes.

--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -107,13 +107,25 @@
 		return attemptRetryable, errkind.New(errkind.Rejected, "")
 	}
 	e.mayHaveRun = true
-	if response.Status >= http.StatusInternalServerError && e.route.Idempotent() && e.attempts < e.route.MaxAttempts {
-		e.reportDone(attempt, decide.Failed, response.Load)
+	if e.mustDiscard(response) {
+		e.reportDone(attempt, responseResult(response.Status), response.Load)
 		return attemptRetryable, errkind.New(errkind.BackendLost, "")
 	}
 	return e.forward(ctx, attempt, response)
 }
 
+// mustDiscard reports whether nothing of a response may be written to the client: a failure that another attempt may
+// replace, or one that would follow the header and the first events of another backend's success.
+func (e *exchange) mustDiscard(response *backend.Response) bool {
+	switch {
+	case e.stream.headerWritten:
+		return response.Status >= http.StatusMultipleChoices
+	case response.Status >= http.StatusInternalServerError:
+		return e.route.Idempotent() && e.attempts < e.route.MaxAttempts
+	}
+	return false
+}
+
 // handleError decides what follows an attempt that received no response. The decision depends on whether the
 // request may have run according to the error.
 func (e *exchange) handleError(ctx context.Context, attempt *routing.Attempt, err error) (attemptResult, *errkind.Error) {
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -77,11 +77,6 @@
 		e.reportDone(attempt, decide.Failed, response.Load)
 		return attemptRetryable, errkind.New(errkind.MalformedResponse, "successful response without a Response-Seal header")
 	}
-	if e.stream.headerWritten && response.Status >= http.StatusMultipleChoices {
-		// The client has the header of a success and its first events: nothing of this response may follow them.
-		e.reportDone(attempt, responseResult(response.Status), response.Load)
-		return attemptRetryable, errkind.New(errkind.BackendLost, "")
-	}
 	var err error
 	switch {
 	case e.route.Type != operator.Streaming:
