Reset an HTTP/1.0 client's connection where its response ends early

What callers saw: an HTTP/1.0 client whose stream was broken off, and could not be continued, took it for complete.

Cause: to such a client the end of the connection is the end of a response without a length, and the connection was closed in an orderly way.

Why this works: a reset makes the client's read fail. Clients of HTTP/1.1 miss the last chunk and see it as before.

Evidence: TestTruncatedStreamIsVisibleToAnHTTP10Client failed before, with an orderly end, and passes now, five times under the race detector.

--- a/internal/fleet/proxy/handler_test.go
+++ b/internal/fleet/proxy/handler_test.go
@@ -478,8 +478,8 @@
 }
 
 // exchangeRaw writes text to the handler's server and returns all bytes received until the server closes the
-// connection.
-func (f *fixture) exchangeRaw(t *testing.T, text string) string {
+// connection, and the error with which it ends, if any.
+func (f *fixture) exchangeRaw(t *testing.T, text string) (received string, readErr error) {
 	t.Helper()
 	connection, err := net.Dial("tcp4", f.server.Listener.Addr().String())
 	require.NoError(t, err)
@@ -487,8 +487,8 @@
 	require.NoError(t, connection.SetDeadline(time.Now().Add(5*time.Second)))
 	_, err = io.WriteString(connection, text)
 	require.NoError(t, err)
-	all, _ := io.ReadAll(connection)
-	return string(all)
+	all, readErr := io.ReadAll(connection)
+	return string(all), readErr
 }
 
 func TestSmuggledRequestsDoNotRun(t *testing.T) {
@@ -498,7 +498,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 1)
-			f.exchangeRaw(t, text)
+			_, _ = f.exchangeRaw(t, text)
 			require.Zero(t, f.runs("a2"))
 		})
 	}
@@ -509,7 +509,7 @@
 	request := func(id, last string) string {
 		return "POST /unsafe/" + id + " HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + id + "\r\nApi-Key: key\r\nContent-Length: 2\r\n" + last + "\r\nab"
 	}
-	received := f.exchangeRaw(t, request("p1", "")+request("p2", "")+request("p3", "Connection: close\r\n"))
+	received, _ := f.exchangeRaw(t, request("p1", "")+request("p2", "")+request("p3", "Connection: close\r\n"))
 	reader := bufio.NewReader(strings.NewReader(received))
 	for _, id := range []string{"p1", "p2", "p3"} {
 		response, err := http.ReadResponse(reader, nil)
--- a/internal/fleet/proxy/reject.go
+++ b/internal/fleet/proxy/reject.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,12 +19,12 @@
 )
 
 // reject ends a request without a complete response from a backend. If a response has begun, it panics with
-// http.ErrAbortHandler, so that the client does not mistake the response for a complete one.
+// http.ErrAbortHandler.
 func (e *exchange) reject(err error) {
 	kind := errkind.KindOf(err)
 	e.handler.Metrics.CountRejected(kind)
 	if e.stream.headerWritten {
-		panic(http.ErrAbortHandler)
+		e.abort()
 	}
 	e.refundQuota()
 	response := kind.Response()
@@ -42,6 +43,26 @@
 	_, _ = io.WriteString(e.writer, response.Text+"\n")
 }
 
+// abort closes the client's connection so that the client does not mistake a response that has begun for a complete
+// one, and panics with http.ErrAbortHandler. To an HTTP/1.0 client the end of the connection is the end of a response
+// without a length, so its connection is reset.
+func (e *exchange) abort() {
+	if !e.request.ProtoAtLeast(1, 1) {
+		if connection, _, err := http.NewResponseController(e.writer).Hijack(); err == nil {
+			resetConnection(connection)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes a TCP connection with a reset in place of an orderly end.
+func resetConnection(connection net.Conn) {
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 // retryDelay returns after how long a rejected client should retry: soon enough to meet the latency target, with a
 // random factor of 0.5 to 1.5 so that clients do not all retry at the same time.
 func (e *exchange) retryDelay() time.Duration {
--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -132,6 +133,18 @@
 	}
 }
 
+// Guards against a truncated stream that looks complete to an HTTP/1.0 client, for which the connection's end ends it.
+func TestTruncatedStreamIsVisibleToAnHTTP10Client(t *testing.T) {
+	request := "POST /stream/resumed/6 HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n"
+	f := newFixture(t, 1)
+	received, err := f.exchangeRaw(t, request)
+	require.NoError(t, err)
+	require.True(t, strings.HasSuffix(received, events(1, 6)), "a complete stream ends with the connection")
+	f.backends[0].SetFault(engine.BreaksOff)
+	_, err = f.exchangeRaw(t, request)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 // Guards against giving a stream up, where attempts are left, because one later attempt did not continue it.
 func TestStreamIsContinuedAfterAnAttemptThatDidNotContinueIt(t *testing.T) {
 	for name, response := range map[string]string{
@@ -224,6 +237,7 @@
 		"last one has none": {events(1, 2) + "data: b\n\n", false},
 		"comment at last":   {events(1, 2) + ": alive\n\n", true},
 		"one in between":    {"data: a\n\n" + events(1, 2), true},
+		"lines end in CRLF": {"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, 0)
