--- a/internal/fleet/proxy/handler_test.go
+++ b/internal/fleet/proxy/handler_test.go
@@ -393,7 +393,9 @@
 // Guards against requests that run with a key that was taken away, or with any other, once the last tenant is removed.
 func TestEmptyListOfTenantsAcceptsNoKeyAndAnAbsentOneRequiresNone(t *testing.T) {
 	empty := tableAfter(t, http.MethodPatch, `{"Revision":2,"Remove":{"Tenants":["t1"]}}`)
-	absent := tableAfter(t, http.MethodPut, strings.Replace(document[:strings.Index(document, ",\n\"Tenants\"")]+"}", `"Revision":1`, `"Revision":2`, 1))
+	withoutTenants, _, found := strings.Cut(strings.Replace(document, `"Revision":1`, `"Revision":2`, 1), ",\n\"Tenants\"")
+	require.True(t, found)
+	absent := tableAfter(t, http.MethodPut, withoutTenants+"}")
 	for name, test := range map[string]struct {
 		table  *operator.Table
 		path   string
