Begin the continuation of a stream with its first new event

What callers saw: where the second backend of a resumed stream answered with a success whose events have no id, such as an error in an event or text with blank lines, these were written after the events of the first one, and an event with data completed the answer.

Cause: every event was taken for a new one unless its id was known.

Why this works: until the first event with a number above the last one written, an attempt that continues a stream writes nothing; without one it counts as not continued. What follows that event is forwarded as it is.

--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -79,8 +79,10 @@
 		"no content":               {"HTTP/1.1 204 -\r\nAttempt-Id: a1\r\n" + sealLine + "\r\n", ""},
 		"empty success":            {framed(200, success, ""), ""},
 		"empty success, unframed":  {unframed, ""},
-		"success with a comment":   {framed(200, success, ": alive\n\n"), ": alive\n\n"},
+		"success with a comment":   {framed(200, success, ": alive\n\n"), ""},
 		"success with text":        {framed(200, sealLine+textLine, "yours"), ""},
+		"success with paragraphs":  {framed(200, success, "yours\n\nor not\n\n"), ""},
+		"success with an error":    {framed(200, success, "data: overloaded\n\n"), ""},
 		"success with old events":  {framed(200, success, events(1, 2)), ""},
 		"success without a seal":   {framed(200, streamLine, events(3, 6)), ""},
 		"cut in its first event":   {framed(200, success, "id: 3\ndata: pie"), ""},
@@ -145,6 +147,16 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
+// Guards against forwarding what precedes the first event that follows those the client has.
+func TestContinuationBeginsWithItsFirstNewEvent(t *testing.T) {
+	f := newFixture(t, 1)
+	f.backends[0].SetFault(engine.BreaksOff)
+	f.addRaw(t, framed(200, sealLine+streamLine, ": alive\n\ndata: welcome\n\n"+events(1, 4)+": alive\n\n"+events(5, 6)+"data: [DONE]\n\n"))
+	got := f.send(t, "/stream/resumed/6", nil)
+	require.Equal(t, events(1, 4)+": alive\n\n"+events(5, 6)+"data: [DONE]\n\n", got.body)
+	require.True(t, got.complete)
+}
+
 // Guards against giving a stream up, where attempts are left, because one later attempt did not continue it.
 func TestStreamIsContinuedAfterAnAttemptThatDidNotContinueIt(t *testing.T) {
 	for name, response := range map[string]string{
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -33,7 +33,7 @@
 	started         bool   // the first part of a body has been received
 	lastEventID     string // of the last event written to the client, "" = none was written, or the last one has no number as its id
 	lastEventNumber int64  // lastEventID as a number
-	eventsWritten   int    // number of events written to the client, comments excluded
+	awaitsNewEvent  bool   // the current attempt continues a stream and has not sent an event that follows lastEventID
 
 	lastChunkAt      time.Time        // when the latest part of a body was received
 	lastChunkAttempt *routing.Attempt // whose body that part belongs to
@@ -206,7 +206,7 @@
 // forwardEvents forwards complete server-sent events, each exactly once. A response that is truncated within an
 // event is continued by another backend after the last complete event.
 func (e *exchange) forwardEvents(attempt *routing.Attempt, response *backend.Response) error {
-	continuing, writtenBefore := e.stream.headerWritten, e.stream.eventsWritten
+	e.stream.awaitsNewEvent = e.stream.headerWritten
 	var buffered []byte
 	chunk := make([]byte, chunkSize)
 	for {
@@ -221,7 +221,7 @@
 			buffered = append(buffered[:0], buffered[complete:]...)
 		}
 		if errors.Is(err, io.EOF) {
-			return e.finishEvents(response, buffered, continuing, e.stream.eventsWritten > writtenBefore)
+			return e.finishEvents(response, buffered)
 		}
 		if err != nil {
 			return err
@@ -229,30 +229,30 @@
 	}
 }
 
-// finishEvents ends the client's response after a body that was received whole. rest are the bytes after the last
-// event; continuing means that the header of an earlier attempt's response had been written before, progressed that
-// the body had new events.
-func (e *exchange) finishEvents(response *backend.Response, rest []byte, continuing, progressed bool) error {
+// finishEvents ends the client's response after a body that was received up to its end. rest are the bytes after the
+// last event.
+func (e *exchange) finishEvents(response *backend.Response, rest []byte) error {
 	switch {
-	case continuing && !progressed:
+	case e.stream.awaitsNewEvent:
 		// The stream may have been complete before, but nothing distinguishes that from a backend that does not
 		// resume it. The client may ask itself, with Last-Event-Id.
 		return errNoNewEvents
 	case len(bytes.TrimSpace(rest)) == 0:
 		return e.finishBody(response, rest)
-	case !progressed && !e.isEventStream(response):
+	case !e.stream.headerWritten && !e.isEventStream(response):
 		return e.finishBody(response, rest)
 	}
 	return errTruncatedEvent
 }
 
-// writeNewEvents writes the events that have not been written to the client yet.
+// writeNewEvents writes the events that have not been written to the client yet. Where a stream is continued, what
+// precedes the first new event with a number is dropped: it is not known to belong there.
 func (e *exchange) writeNewEvents(response *backend.Response, events []byte) error {
 	var fresh, event []byte
 	for len(events) > 0 {
 		event, events = cutEvent(events)
 		fields := parseEvent(event)
-		if fields.numbered && e.stream.lastEventID != "" && fields.number <= e.stream.lastEventNumber {
+		if e.stream.isKnown(fields) || e.stream.awaitsNewEvent && !fields.numbered {
 			continue
 		}
 		fresh = append(fresh, event...)
@@ -269,11 +269,13 @@
 func (s *streamState) recordEvent(fields eventFields) {
 	switch {
 	case fields.numbered:
-		s.lastEventID, s.lastEventNumber = fields.id, fields.number
+		s.lastEventID, s.lastEventNumber, s.awaitsNewEvent = fields.id, fields.number, false
 	case fields.hasData:
 		s.lastEventID = ""
-	default:
-		return
 	}
-	s.eventsWritten++
+}
+
+// isKnown reports whether an event with this number, or a later one, has been written to the client.
+func (s *streamState) isKnown(fields eventFields) bool {
+	return fields.numbered && s.lastEventID != "" && fields.number <= s.lastEventNumber
 }
