--- a/internal/fleet/operator/state.go
+++ b/internal/fleet/operator/state.go
@@ -25,25 +25,6 @@
 	Body   []byte
 }
 
-// CheckFields returns an error of kind InvalidConfig if a PATCH has a list of routes, backends or tenants beside Upsert
-// and Remove, where it would change nothing. It is for the process that receives an order. Apply does not call it, as
-// replicas of earlier versions have accepted such orders. A body that cannot be parsed is left to Apply.
-func (o *Order) CheckFields() error {
-	if o.Method != http.MethodPatch {
-		return nil
-	}
-	fields, err := readObject(o.Body)
-	if err != nil {
-		return nil //nolint:nilerr // Apply reports it, or that another version is current
-	}
-	for _, list := range []string{fieldRoutes, fieldBackends, fieldTenants} {
-		if _, present := fields[list]; present {
-			return invalid("field %s: a PATCH changes this list by %s and %s", list, fieldUpsert, fieldRemove)
-		}
-	}
-	return nil
-}
-
 // Digest identifies an order by its content: a retry of an order has the same digest.
 type Digest string
 
