--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -31,7 +31,7 @@
 type streamState struct {
 	headerWritten   bool
 	started         bool   // the first part of a body has been received
-	lastEventID     string // of the last event written to the client, "" = none was written, or the last one has no number as its id
+	lastEventID     string // of the last event written to the client, a number; "" = none, or the last one has no such id
 	lastEventNumber int64  // lastEventID as a number
 	awaitsNewEvent  bool   // the current attempt continues a stream and has not sent an event that follows lastEventID
 
