--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -1,8 +1,6 @@
 package engine
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -43,10 +41,11 @@
 	delay   atomic.Int64 // before an answer that is spoiled
 	server  *http.Server
 
+	registration *Registration
+
 	mu       sync.Mutex
 	runs     map[string]int // by Attempt-Id
 	requests []http.Header
-	sequence int64
 }
 
 // Start starts a server on loopback.
@@ -55,7 +54,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ID: id, Service: service, Address: listener.Addr().String(), engine: New(model), runs: map[string]int{}}
+	address := listener.Addr().String()
+	s := &Server{ID: id, Service: service, Address: address, engine: New(model), runs: map[string]int{},
+		registration: &Registration{ID: id, Backend: service, Address: address, Slots: model.Slots}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -88,35 +89,10 @@
 }
 
 // Heartbeat is the body of the server's next heartbeat.
-func (s *Server) Heartbeat(state string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sequence++
-	body, err := json.Marshal(map[string]any{"Backend": s.Service, "Address": s.Address, "Zone": s.Zone, "Revision": "v1",
-		"Slots": s.engine.model.Slots, "State": state, "Sequence": s.sequence})
-	if err != nil {
-		panic(err)
-	}
-	return body
-}
+func (s *Server) Heartbeat(state string) []byte { return s.registration.Next(state) }
 
 // Beat sends a heartbeat to a control address.
-func (s *Server) Beat(control, state string) error {
-	request, err := http.NewRequest(http.MethodPut, "http://"+control+"/-/instances/"+s.ID, bytes.NewReader(s.Heartbeat(state)))
-	if err != nil {
-		return err
-	}
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("heartbeat: status %d", response.StatusCode)
-	}
-	return nil
-}
+func (s *Server) Beat(control, state string) error { return s.registration.Send(control, state) }
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
