Log how the end of a response is marked, and each that only its connection ended

Neither logs nor metrics could tell the hypotheses of docs/incidents/order-on-real-processes.md apart: 'response truncated' didn't say how the body was delimited nor whether the client itself resumed, and a body that ends with its connection and counts as whole left no trace. The line has 'framing' and 'client_resumes' now, 'response ended with its connection' (debug) is new, and the status counts these responses under the new key EndedWithConnection.

--- a/internal/fleet/backend/exchange.go
+++ b/internal/fleet/backend/exchange.go
@@ -24,7 +24,7 @@
 		if err != nil {
 			return nil, err
 		}
-		switch state.attribute(response.Status, response.Header.Get(HeaderAttempt), response.selfDelimited) {
+		switch state.attribute(response.Status, response.Header.Get(HeaderAttempt), response.Framing != ByConnection) {
 		case ownResponse:
 			return response, nil
 		case unattributableResponse:
@@ -53,8 +53,19 @@
 		return nil, &Error{Malformed, fmt.Errorf("informational status %d", received.StatusCode)}
 	}
 	response := &Response{Status: received.StatusCode, Header: received.Header, Load: parseLoad(received.Header.Get(HeaderLoad)),
-		Length: received.ContentLength, connection: c, body: received.Body, keepAlive: received.Header.Get("Keep-Alive")}
-	response.selfDelimited = received.ContentLength >= 0 || slices.Contains(received.TransferEncoding, "chunked")
-	response.reusable = response.selfDelimited && !received.Close
+		Length: received.ContentLength, Framing: framingOf(received), connection: c, body: received.Body,
+		keepAlive: received.Header.Get("Keep-Alive")}
+	response.reusable = response.Framing != ByConnection && !received.Close
 	return response, nil
 }
+
+// framingOf returns how the end of a received body is marked.
+func framingOf(received *http.Response) Framing {
+	switch {
+	case slices.Contains(received.TransferEncoding, "chunked"):
+		return ByChunks
+	case received.ContentLength >= 0:
+		return ByLength
+	}
+	return ByConnection
+}
--- a/internal/fleet/backend/response.go
+++ b/internal/fleet/backend/response.go
@@ -10,6 +10,27 @@
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
+// Framing is how the end of a response's body is marked.
+type Framing uint8
+
+// The framings.
+const (
+	ByLength     Framing = iota // by a stated length, which may be 0
+	ByChunks                    // by the last chunk
+	ByConnection                // by the end of the connection, in order
+)
+
+// String returns the framing as it is logged.
+func (f Framing) String() string {
+	switch f {
+	case ByLength:
+		return "length"
+	case ByChunks:
+		return "chunks"
+	}
+	return "connection"
+}
+
 // Response is a backend's response, whose body has not been read yet. It must be closed, and is not safe for
 // concurrent use.
 type Response struct {
@@ -18,14 +39,15 @@
 	Load   routing.Load // as stated by the backend
 	Length int64        // of the body in bytes, -1 = not stated
 
-	client        *Client
-	connection    *connection
-	body          io.ReadCloser
-	selfDelimited bool // the body is delimited by other means than the end of the connection
-	reusable      bool // the connection may be reused once the body has been read
-	keepAlive     string
-	complete      bool        // the body was read to its end
-	stopWatching  func() bool // keeps the end of the context from closing the connection; false if it has already done so
+	Framing Framing
+
+	client       *Client
+	connection   *connection
+	body         io.ReadCloser
+	reusable     bool // the connection may be reused once the body has been read
+	keepAlive    string
+	complete     bool        // the body was read to its end
+	stopWatching func() bool // keeps the end of the context from closing the connection; false if it has already done so
 }
 
 // NotExecuted reports whether the backend states that it has not run the request and will not run it.
--- a/internal/fleet/dataplane/status.go
+++ b/internal/fleet/dataplane/status.go
@@ -58,6 +58,9 @@
 	Rejected       map[string]int             `json:"Refused"` // without a complete response of a backend, by kind of error
 	Forwarded      map[int]int                `json:"Passed"`  // forwarded responses of backends, by status
 	Services       map[string][]backendStatus `json:"Services"`
+
+	// EndedWithConnection counts forwarded responses that were delimited by the end of the backend's connection only.
+	EndedWithConnection int `json:"EndedWithConnection"`
 }
 
 // serveStatus responds with the node's statusBody.
@@ -73,6 +76,7 @@
 	}
 	body.Epoch, _ = n.watcher.members()
 	body.Rejected, body.Forwarded = n.metrics.Counts()
+	body.EndedWithConnection = n.metrics.EndedWithConnection()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
 }
--- a/internal/fleet/proxy/metrics.go
+++ b/internal/fleet/proxy/metrics.go
@@ -9,9 +9,10 @@
 
 // Metrics counts how requests ended. It is safe for concurrent use.
 type Metrics struct {
-	mu        sync.Mutex
-	rejected  map[errkind.Kind]int
-	forwarded map[int]int // by status
+	mu                  sync.Mutex
+	rejected            map[errkind.Kind]int
+	forwarded           map[int]int // by status
+	endedWithConnection int
 }
 
 // NewMetrics returns Metrics with all counters at 0.
@@ -33,6 +34,20 @@
 	m.mu.Unlock()
 }
 
+// CountEndedWithConnection counts a forwarded response whose body was delimited by the end of its connection only.
+func (m *Metrics) CountEndedWithConnection() {
+	m.mu.Lock()
+	m.endedWithConnection++
+	m.mu.Unlock()
+}
+
+// EndedWithConnection returns the number of forwarded responses that were delimited by the end of their connection only.
+func (m *Metrics) EndedWithConnection() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.endedWithConnection
+}
+
 // Counts returns the numbers of rejected requests by kind of error and of forwarded responses by status.
 func (m *Metrics) Counts() (rejected map[string]int, forwarded map[int]int) {
 	m.mu.Lock()
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -94,6 +94,7 @@
 	var clientFailed *clientError
 	switch {
 	case err == nil:
+		e.recordComplete(attempt, response)
 		e.reportDone(attempt, responseResult(response.Status), response.Load)
 		e.handler.Metrics.CountForwarded(response.Status)
 		return attemptDone, nil
@@ -105,7 +106,8 @@
 		return attemptFailed, errkind.New(errkind.DeadlineExceededInFlight, "")
 	}
 	e.handler.Log.Debug("response truncated", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
-		"header_written", e.stream.headerWritten, "last_event", e.stream.lastEventID, "err", err)
+		"framing", response.Framing, "client_resumes", e.clientResumes(), "header_written", e.stream.headerWritten,
+		"last_event", e.stream.lastEventID, "err", err)
 	e.reportDone(attempt, decide.Reset, response.Load)
 	if e.mayContinue() {
 		return attemptRetryable, errkind.New(errkind.BackendLost, "")
@@ -113,6 +115,20 @@
 	return attemptFailed, errkind.New(errkind.BackendLost, "")
 }
 
+// recordComplete records a response that is forwarded as complete although nothing but the end of its connection shows that
+// it is.
+func (e *exchange) recordComplete(attempt *routing.Attempt, response *backend.Response) {
+	if response.Framing != backend.ByConnection {
+		return
+	}
+	e.handler.Metrics.CountEndedWithConnection()
+	e.handler.Log.Debug("response ended with its connection", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
+		"client_resumes", e.clientResumes(), "last_event", e.stream.lastEventID)
+}
+
+// clientResumes reports whether the client states the last event that it has received of an earlier response.
+func (e *exchange) clientResumes() bool { return e.request.Header.Get(backend.HeaderLastID) != "" }
+
 // recordFirstToken reports the first part of the first response's body to the picker.
 func (e *exchange) recordFirstToken(attempt *routing.Attempt) {
 	if !e.stream.started {
