--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -27,6 +27,7 @@
 	callWithin     = 2 * time.Second
 	retryPause     = 50 * time.Millisecond
 	graceSeconds   = 4
+	hostsForOthers = 100 // the hosts of the network up to this number are for machines
 )
 
 // Options describe a fleet.
@@ -37,6 +38,7 @@
 	Binaries  string        // folder of linenwheel-control and linenwheel-data
 	Folder    string        // for settings, disks and logs
 	Heartbeat time.Duration // of raters; 0 = a short one
+	Settings  []string      // further lines of all settings files
 }
 
 // Machine is one process on an address of its own.
@@ -152,6 +154,9 @@
 	if strings.HasSuffix(m.program, "control") {
 		line("DataDir", filepath.Join(m.folder, "disk"))
 	}
+	for _, further := range f.options.Settings {
+		text.WriteString(further + "\n")
+	}
 	return text.String()
 }
 
@@ -166,6 +171,12 @@
 // Process is the process id of a machine's program.
 func (m *Machine) Process() int { return m.command.Process.Pid }
 
+// Use has the machine's process started from the programs in a folder, from its next start on.
+func (m *Machine) Use(binaries string) { m.program = filepath.Join(binaries, filepath.Base(m.program)) }
+
+// Signal sends a signal to a machine's process.
+func (m *Machine) Signal(signal os.Signal) error { return m.command.Process.Signal(signal) }
+
 // Front is the address of a machine for clients.
 func (f *Fleet) Front(m *Machine) string { return f.address(m, f.ports.front) }
 
@@ -177,6 +188,9 @@
 	}
 }
 
+// Host returns an IP address of the fleet's network that no machine has, by a number from 1 to 100.
+func (f *Fleet) Host(number int) string { return f.network.Host(hostsForOthers + number) }
+
 // Terminate asks a machine's process to end, and waits until it has.
 func (m *Machine) Terminate() {
 	if m.command != nil {
