Join a stream only at the event that its client has

What callers saw: a client that resumes with Last-Event-Id got events again that it had ("a number went back"), or parts of events, where the backend starts the stream over; so did a client whose stream the proxy itself continued at a backend that divides it into other events.

Cause: the proxy passed the client's Last-Event-Id on and compared nothing with it, and took any event with a greater number for a new one. A backend that starts over and divides the stream differently sends such events with tokens that the client has.

Change: the client's last event counts like one that this response has written. A backend that sends an earlier event has started over; its events follow only after the very event that the client has. If that doesn't come, the response is not joined: another backend is tried, or the client gets 502, or sees the cut.

TestWholeBodiesOnStreamingRoutesAreForwarded sent Last-Event-Id 7 with every case; a body of events 1 to 3 for a client that has 7 is no whole body. These cases send none now; the others keep it, three cases are new, and a table of resuming clients holds what may come instead.

--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -55,6 +55,9 @@
 		return err
 	}
 	e.setDeadline()
+	if e.resumable() {
+		e.stream.setClientsLast(e.request.Header.Get(backend.HeaderLastID))
+	}
 	if e.mayOutliveProcess() {
 		return errkind.New(errkind.ShuttingDown, "")
 	}
--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -219,20 +219,24 @@
 	for name, test := range map[string]struct {
 		status       int
 		header, body string
+		last         string // Last-Event-Id that the client sends
 	}{
-		"events":              {200, sealLine + streamLine, events(1, 3)},
-		"events without type": {200, sealLine, events(1, 3)},
-		"CRLF events":         {200, sealLine + streamLine, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"},
-		"no event":            {200, sealLine + streamLine, ""},
-		"text":                {200, sealLine + textLine, "no stream"},
-		"failure":             {404, sealLine, "no stream"},
-		"resumed at its end":  {200, sealLine + streamLine, ": alive\n\n"},
+		"events":              {200, sealLine + streamLine, events(1, 3), ""},
+		"events without type": {200, sealLine, events(1, 3), ""},
+		"CRLF events":         {200, sealLine + streamLine, "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", ""},
+		"no event":            {200, sealLine + streamLine, "", "7"},
+		"text":                {200, sealLine + textLine, "no stream", "7"},
+		"failure":             {404, sealLine, "no stream", "7"},
+		"resumed":             {200, sealLine + streamLine, ": alive\n\n" + events(8, 9), "7"},
+		"resumed in steps":    {200, sealLine + streamLine, "id: 9\ndata: a\n\nid: 12\ndata: b\n\n", "7"},
+		"resumed at its end":  {200, sealLine + streamLine, ": alive\n\n", "7"},
+		"only an end mark":    {200, sealLine + streamLine, "data: [DONE]\n\n", "7"},
 	} {
 		for _, path := range []string{"/stream/plain/", "/stream/resumed/"} {
 			t.Run(name+path, func(t *testing.T) {
 				f := newFixture(t, 0)
 				f.addRaw(t, framed(test.status, test.header, test.body))
-				got := f.send(t, path, func(r *http.Request) { r.Header.Set("Last-Event-Id", "7") })
+				got := f.send(t, path, func(r *http.Request) { r.Header.Set("Last-Event-Id", test.last) })
 				require.Equal(t, test.status, got.status)
 				require.Equal(t, test.body, got.body)
 				require.True(t, got.complete)
@@ -282,3 +286,52 @@
 	require.False(t, got.complete)
 	require.Zero(t, next.requests.Load())
 }
+
+// Guards against events, or parts of them, that come twice where a client resumes at a backend that starts the stream over.
+func TestClientThatResumesReceivesNoEventTwice(t *testing.T) {
+	for name, test := range map[string]struct {
+		last, sent, body string
+		status           int
+	}{
+		"starts over":                       {"3", events(1, 6), events(4, 6), 200},
+		"repeats the last event":            {"3", events(3, 6), events(4, 6), 200},
+		"starts over, end mark":             {"3", events(1, 4) + "data: [DONE]\n\n", events(4, 4) + "data: [DONE]\n\n", 200},
+		"starts over, nothing is missing":   {"6", events(1, 6), "", 200},
+		"starts over with a greeting":       {"3", "data: hello\n\n" + events(1, 6), "data: hello\n\n" + events(4, 6), 200},
+		"starts over in other events":       {"3", "id: 2\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\n", "", 502},
+		"starts over, in steps that fit":    {"4", "id: 2\ndata: a\n\nid: 4\ndata: b\n\nid: 6\ndata: c\n\n", "id: 6\ndata: c\n\n", 200},
+		"starts over, ends before the last": {"5", events(1, 3), "", 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.addRaw(t, framed(200, sealLine+streamLine, test.sent))
+			got := f.send(t, "/stream/resumed/6", func(r *http.Request) { r.Header.Set("Last-Event-Id", test.last) })
+			require.Equal(t, test.status, got.status)
+			require.True(t, got.complete)
+			if test.status == http.StatusOK {
+				require.Equal(t, test.body, got.body)
+			}
+		})
+	}
+}
+
+// Guards against parts of events that come twice where the proxy continues a stream at a backend that divides it differently.
+func TestContinuationInOtherEventsIsNotJoined(t *testing.T) {
+	f := newFixture(t, 1)
+	f.backends[0].SetFault(engine.BreaksOff)
+	f.addRaw(t, framed(200, sealLine+streamLine, "id: 1\ndata: piece-1\n\nid: 3\ndata: piece-2 piece-3\n\n"))
+	f.requireTruncated(t, f.send(t, "/stream/resumed/6", nil), events(1, 2))
+}
+
+// Guards against a resumed stream that is given up although another backend goes on with it.
+func TestClientsLastEventIsToldToEachBackend(t *testing.T) {
+	f := newFixture(t, 0)
+	f.addRaw(t, framed(200, sealLine+streamLine, "id: 2\ndata: a\n\nid: 4\ndata: b\n\n"))
+	sound, err := engine.Start("r1", "llm", engine.DefaultModel())
+	require.NoError(t, err)
+	t.Cleanup(sound.Close)
+	f.backends = append(f.backends, sound)
+	got := f.send(t, "/stream/resumed/6", func(r *http.Request) { r.Header.Set("Last-Event-Id", "3") })
+	require.Equal(t, events(4, 6), got.body)
+	require.Equal(t, "3", sound.Requests()[0].Get("Last-Event-Id"))
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -18,22 +17,19 @@
 // chunkSize is the maximum size of a read from a backend, in bytes.
 const chunkSize = 16 << 10
 
-// Reasons for which a response that was received up to its end does not complete the client's response.
-var (
-	errTruncatedEvent = errors.New("response ends within an event")
-	errNoNewEvents    = errors.New("response continues a stream without a new event")
-)
+// errTruncatedEvent is the reason for which a response that was received up to its end does not complete the client's
+// response.
+var errTruncatedEvent = errors.New("response ends within an event")
 
 // streamState is the progress of forwarding a response, over all attempts.
 //
 // Once the header of one attempt's response has been written, the only bytes that later attempts may add are the
-// events that follow lastEventID, and only a later attempt that adds some may complete the client's response.
+// events that follow those that the client has, and only a later attempt that adds some may complete the client's
+// response.
 type streamState struct {
-	headerWritten   bool
-	started         bool   // the first part of a body has been received
-	lastEventID     string // of the last event written to the client, a number; "" = none, or the last one has no such id
-	lastEventNumber int64  // lastEventID as a number
-	awaitsNewEvent  bool   // the current attempt continues a stream and has not sent an event that follows lastEventID
+	resumption
+	headerWritten bool
+	started       bool // the first part of a body has been received
 
 	lastChunkAt      time.Time        // when the latest part of a body was received
 	lastChunkAttempt *routing.Attempt // whose body that part belongs to
@@ -46,23 +42,12 @@
 
 func (e *clientError) Unwrap() error { return e.err }
 
-// resumable reports whether a truncated response may be continued by another backend.
-func (e *exchange) resumable() bool {
-	return e.route.Type == operator.Streaming && e.route.Resume
-}
-
 // isEventStream reports whether a response is taken for a stream of events: a success on a streaming route, unless
 // it states another content type.
 func (e *exchange) isEventStream(response *backend.Response) bool {
 	return e.route.Type == operator.Streaming && response.Status < http.StatusMultipleChoices && !statesOtherType(response)
 }
 
-// mayContinue reports whether another attempt may follow one whose response was truncated: nothing has been
-// written to the client, or the stream can be resumed after the last event that was written.
-func (e *exchange) mayContinue() bool {
-	return e.resumable() && (!e.stream.headerWritten || e.stream.lastEventID != "")
-}
-
 // responseResult returns the result of an attempt whose response was received whole, by its status.
 func responseResult(status int) routing.Result {
 	if status >= http.StatusInternalServerError {
@@ -126,9 +111,6 @@
 		"client_resumes", e.clientResumes(), "last_event", e.stream.lastEventID)
 }
 
-// clientResumes reports whether the client states the last event that it has received of an earlier response.
-func (e *exchange) clientResumes() bool { return e.request.Header.Get(backend.HeaderLastID) != "" }
-
 // recordFirstToken reports the first part of the first response's body to the picker.
 func (e *exchange) recordFirstToken(attempt *routing.Attempt) {
 	if !e.stream.started {
@@ -220,80 +202,3 @@
 	}
 	return nil
 }
-
-// forwardEvents forwards complete server-sent events, each exactly once. A response that is truncated within an
-// event is continued by another backend after the last complete event.
-func (e *exchange) forwardEvents(attempt *routing.Attempt, response *backend.Response) error {
-	e.stream.awaitsNewEvent = e.stream.headerWritten
-	var buffered []byte
-	chunk := make([]byte, chunkSize)
-	for {
-		n, err := response.Read(chunk)
-		buffered = append(buffered, chunk[:n]...)
-		if complete := completeEvents(buffered); complete > 0 {
-			e.recordFirstToken(attempt)
-			e.recordChunk(attempt)
-			if err := e.writeNewEvents(response, buffered[:complete]); err != nil {
-				return err
-			}
-			buffered = append(buffered[:0], buffered[complete:]...)
-		}
-		if errors.Is(err, io.EOF) {
-			return e.finishEvents(response, buffered)
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-// finishEvents ends the client's response after a body that was received up to its end. rest are the bytes after the
-// last event.
-func (e *exchange) finishEvents(response *backend.Response, rest []byte) error {
-	switch {
-	case e.stream.awaitsNewEvent:
-		// The stream may have been complete before, but nothing distinguishes that from a backend that does not
-		// resume it. The client may ask itself, with Last-Event-Id.
-		return errNoNewEvents
-	case len(bytes.TrimSpace(rest)) == 0:
-		return e.finishBody(response, rest)
-	case !e.stream.headerWritten && !e.isEventStream(response):
-		return e.finishBody(response, rest)
-	}
-	return errTruncatedEvent
-}
-
-// writeNewEvents writes the events that have not been written to the client yet. Where a stream is continued, what
-// precedes the first new event with a number is dropped: it is not known to belong there.
-func (e *exchange) writeNewEvents(response *backend.Response, events []byte) error {
-	var fresh, event []byte
-	for len(events) > 0 {
-		event, events = cutEvent(events)
-		fields := parseEvent(event)
-		if e.stream.isKnown(fields) || e.stream.awaitsNewEvent && !fields.numbered {
-			continue
-		}
-		fresh = append(fresh, event...)
-		e.stream.recordEvent(fields)
-	}
-	if len(fresh) == 0 {
-		return nil
-	}
-	return e.writeBody(response, fresh)
-}
-
-// recordEvent records an event that is written to the client. After one with data and without a number as its id, a
-// stream cannot be resumed: another backend would repeat that event.
-func (s *streamState) recordEvent(fields eventFields) {
-	switch {
-	case fields.numbered:
-		s.lastEventID, s.lastEventNumber, s.awaitsNewEvent = fields.id, fields.number, false
-	case fields.hasData:
-		s.lastEventID = ""
-	}
-}
-
-// isKnown reports whether an event with this number, or a later one, has been written to the client.
-func (s *streamState) isKnown(fields eventFields) bool {
-	return fields.numbered && s.lastEventID != "" && fields.number <= s.lastEventNumber
-}
