Take a body that ends with its backend's process for a truncated one

What callers saw: status 200 and a body framed as complete that ends early, between two events of a stream or anywhere in another body, where the backend sends neither length nor chunks and its process is killed or exits. On all routes.

Cause: such a body is delimited by the end of its connection, and the kernel closes the sockets of a process that ends in the same order as a backend that has sent all.

Change: while a successful body without length or chunks is received, a second connection to the same address is kept open on which nothing is sent. If it ends with the body, or is refused, the process has ended, and the body counts as truncated: another attempt where the route allows it, else a cut or 502. A process that goes on keeps the connection open; its bodies count as whole after 100 ms. An end of the second connection long before that of the body, as of an idle one, shows nothing; then the address is tried once more.

Evidence: TestBodyThatEndsWithItsProcessIsTruncated failed before.

--- a/internal/fleet/backend/client.go
+++ b/internal/fleet/backend/client.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 		return nil, err
 	}
 	response.client, response.stopWatching = c, stopWatching
+	if response.Framing == ByConnection && response.Status < http.StatusMultipleChoices {
+		response.liveness = watchLiveness(address)
+	}
 	return response, nil
 }
 
--- a/internal/fleet/backend/response.go
+++ b/internal/fleet/backend/response.go
@@ -46,8 +46,9 @@
 	body         io.ReadCloser
 	reusable     bool // the connection may be reused once the body has been read
 	keepAlive    string
-	complete     bool        // the body was read to its end
-	stopWatching func() bool // keeps the end of the context from closing the connection; false if it has already done so
+	complete     bool           // the body was read to its end
+	liveness     *livenessWatch // of a successful response that is framed ByConnection, else nil
+	stopWatching func() bool    // keeps the end of the context from closing the connection; false if it has already done so
 }
 
 // NotExecuted reports whether the backend states that it has not run the request and will not run it.
@@ -55,18 +56,39 @@
 	return r.Status == http.StatusMisdirectedRequest || r.Header.Get(HeaderNotExecuted) != ""
 }
 
-// Read reads the body. A truncated body ends with an error other than io.EOF.
+// Read reads the body. A truncated body ends with an error other than io.EOF. The end of a successful body that is framed
+// ByConnection is io.EOF only if the backend's process has not ended with it, for which Read may wait.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.body.Read(buffer)
+	if r.liveness != nil {
+		return r.checkLiveness(n, err)
+	}
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 	}
 	return n, err
 }
 
+// checkLiveness returns the result of a read from a body that is framed ByConnection.
+func (r *Response) checkLiveness(n int, err error) (int, error) {
+	switch {
+	case n > 0:
+		r.liveness.recordData()
+		if errors.Is(err, io.EOF) {
+			err = nil // the next read returns it
+		}
+	case errors.Is(err, io.EOF) && r.liveness.processEnded():
+		err = errProcessEnded
+	}
+	return n, err
+}
+
 // Close releases the response. Its connection is kept for reuse if the response allows it, the body was read to
 // its end and no bytes were received after it.
 func (r *Response) Close() {
+	if r.liveness != nil {
+		r.liveness.stop()
+	}
 	open := r.stopWatching()
 	if open && r.complete && r.reusable && r.connection.reader.Buffered() == 0 {
 		r.client.pool.put(r.connection, r.keepAlive)
