--- a/lab/streams/judge.go
+++ b/lab/streams/judge.go
@@ -37,7 +37,7 @@
 	case !complete:
 		return Judgement{}
 	case body != "":
-		return Judgement{Broken: fmt.Sprintf("framed as complete, ends within an event: %q", body)}
+		return Judgement{TooEarly: true, Broken: fmt.Sprintf("framed as complete, ends within an event: %q", body)}
 	case r.Next <= tokens:
 		return Judgement{TooEarly: true, Broken: fmt.Sprintf("framed as complete, ends before token %d of %d", r.Next, tokens)}
 	}
