Ask what follows a stream that only its connection ended

What callers saw: on a route with StreamResume, an event stream without length or chunks that its backend closes in order between two events, and whose process goes on, was framed as complete.

Cause: on the wire such an end is that of a whole body, and nothing but a backend that can resume the stream knows what follows. The proxy never asked.

Change: on routes with StreamResume and two attempts or more, such a stream is not complete yet. Another backend, or the same where there is no other, is asked with Last-Event-Id, as by any retry within attempts and budget. Events that follow are forwarded; a success without events shows that there are none; without either the client sees a cut, and may ask itself. The first backend isn't blamed. A client that itself resumes is answered at once where nothing follows. On other routes, and where the events have no numbers, nobody can be asked: the end counts as that of a whole body, as the connection's end says. The price: one more run for each whole stream of this kind.

--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -30,7 +31,7 @@
 	e.handler.Retries.Deposit(e.service)
 	lastErr := errkind.New(errkind.NoBackend, "")
 	for unsent := 0; unsent < maxUnsentAttempts; {
-		attempt := e.pick()
+		attempt := e.pickNext()
 		if attempt == nil {
 			break
 		}
@@ -59,13 +60,24 @@
 	e.reject(lastErr)
 }
 
-// pick returns the next attempt. It returns nil if no backend can be picked, the deadline has passed or the client
-// has disconnected.
-func (e *exchange) pick() *routing.Attempt {
+// pickNext returns the next attempt, at a backend that has not had the request. A backend whose stream may be whole is
+// asked again, for what follows, if there is no other.
+func (e *exchange) pickNext() *routing.Attempt {
+	attempt := e.pick(e.excluded)
+	if attempt != nil || e.unconfirmed == "" {
+		return attempt
+	}
+	others := slices.DeleteFunc(slices.Clone(e.excluded), func(id string) bool { return id == e.unconfirmed })
+	return e.pick(others)
+}
+
+// pick returns an attempt at a backend that is not excluded. It returns nil if none can be picked, the deadline has
+// passed or the client has disconnected.
+func (e *exchange) pick(excluded []string) *routing.Attempt {
 	if time.Until(e.deadline) <= 0 || e.clientDisconnected() {
 		return nil
 	}
-	request := &routing.Request{Cost: e.prompt.cost(), Deadline: time.Until(e.deadline), Exclude: e.excluded, OwnTokens: e.prompt.ownTokens,
+	request := &routing.Request{Cost: e.prompt.cost(), Deadline: time.Until(e.deadline), Exclude: excluded, OwnTokens: e.prompt.ownTokens,
 		SharedTokens: max(0, e.prompt.inputTokens-e.prompt.ownTokens), Target: e.route.Target,
 		Long: e.prompt.long(), Route: e.route.Name}
 	if e.route.Affinity {
--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -33,11 +33,12 @@
 	acquired float64 // units of the tenant's quota, not refunded
 
 	// Set by the attempts.
-	pickedAt   time.Time // when the latest backend was picked
-	excluded   []string  // ids of the backends of earlier attempts
-	attempts   int       // number that reached a backend
-	mayHaveRun bool      // at least one of them may have run the request
-	stream     streamState
+	pickedAt    time.Time // when the latest backend was picked
+	excluded    []string  // ids of the backends of earlier attempts
+	attempts    int       // number that reached a backend
+	mayHaveRun  bool      // at least one of them may have run the request
+	unconfirmed string    // id of the backend of the last attempt that ended with errUnconfirmedEnd, "" = none
+	stream      streamState
 }
 
 // prepare finds route and tenant, reads the body, chooses the service at random and acquires quota, which reject
--- a/internal/fleet/proxy/resume.go
+++ b/internal/fleet/proxy/resume.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"linenwheel.dev/linenwheel/internal/fleet/backend"
+	"linenwheel.dev/linenwheel/internal/fleet/errkind"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
@@ -15,6 +16,8 @@
 var (
 	errNoNewEvents = errors.New("response continues a stream without a new event")
 	errNotJoined   = errors.New("response starts a stream over and does not have the last event of the client")
+	// errUnconfirmedEnd is that of a stream which may be whole: nothing but the end of its connection ended it.
+	errUnconfirmedEnd = errors.New("stream ends with its connection")
 )
 
 // joint is how the events of the current attempt relate to the last event that the client has.
@@ -36,6 +39,11 @@
 	endsUnnumbered  bool   // an event with data and without a number has been written after that one
 	joint           joint
 	awaitsNewEvent  bool // the current attempt continues a response and has not sent an event that follows lastEventID
+	mayBeWhole      bool // no attempt has sent an event since one that ended with errUnconfirmedEnd
+
+	// What the current attempt has sent.
+	hasNumber      bool // an event with a number
+	hasUnknownData bool // data that is not known to belong to the stream
 }
 
 // setClientsLast records the last event that the client states to have received. Other text than a number is ignored.
@@ -48,15 +56,20 @@
 // begin begins the next attempt. continues is whether the client has a part of this response.
 func (r *resumption) begin(continues bool) {
 	r.joint, r.awaitsNewEvent = undecided, continues
+	r.hasNumber, r.hasUnknownData = false, false
 }
 
 // accept reports whether an event is to be written to the client. The error is errNotJoined if no event of the attempt
 // can be.
 func (r *resumption) accept(fields eventFields) (bool, error) {
+	r.hasNumber = r.hasNumber || fields.numbered
 	switch {
-	case !fields.numbered:
+	case !fields.numbered && (r.joint == repeating || r.awaitsNewEvent):
 		// What precedes the first event that follows a part of this response is not known to belong there.
-		return r.joint != repeating && !r.awaitsNewEvent, nil
+		r.hasUnknownData = r.hasUnknownData || fields.hasData
+		return false, nil
+	case !fields.numbered:
+		return true, nil
 	case r.lastEventID == "":
 		return true, nil
 	case fields.number == r.lastEventNumber:
@@ -79,7 +92,7 @@
 	switch {
 	case fields.numbered:
 		r.lastEventID, r.lastEventNumber, r.endsUnnumbered = fields.id, fields.number, false
-		r.joint, r.awaitsNewEvent = joined, false
+		r.joint, r.awaitsNewEvent, r.mayBeWhole = joined, false, false
 	case fields.hasData:
 		r.endsUnnumbered = true
 	}
@@ -93,6 +106,8 @@
 	switch {
 	case r.joint == repeating:
 		return errNotJoined
+	case r.awaitsNewEvent && r.mayBeWhole && !r.hasUnknownData:
+		return nil
 	case r.awaitsNewEvent:
 		// The stream may have been complete before, but nothing distinguishes that from a backend that does not
 		// resume it. The client may ask itself, with Last-Event-Id.
@@ -101,6 +116,11 @@
 	return nil
 }
 
+// endsUnconfirmed reports whether nothing shows that a body which was received up to its end, and is delimited by the end
+// of its connection, is the rest of the stream. A backend that was told the last event and sends none shows that there are
+// no more.
+func (r *resumption) endsUnconfirmed() bool { return r.hasNumber || r.lastEventID == "" }
+
 // resumable reports whether a truncated response may be continued by another backend.
 func (e *exchange) resumable() bool {
 	return e.route.Type == operator.Streaming && e.route.Resume
@@ -147,13 +167,24 @@
 	if err := e.stream.endError(); err != nil {
 		return err
 	}
-	isText := !e.stream.headerWritten && !e.isEventStream(response)
-	if len(bytes.TrimSpace(rest)) == 0 || isText {
+	switch {
+	case !e.isEventStream(response) && e.stream.awaitsNewEvent:
+		return errNoNewEvents
+	case !e.isEventStream(response) && !e.stream.headerWritten:
 		return e.finishBody(response, rest)
+	case len(bytes.TrimSpace(rest)) > 0:
+		return errTruncatedEvent
+	case response.Framing == backend.ByConnection && e.mayAskForRest() && e.stream.endsUnconfirmed():
+		e.stream.mayBeWhole = true
+		return errUnconfirmedEnd
 	}
-	return errTruncatedEvent
+	return e.finishBody(response, rest)
 }
 
+// mayAskForRest reports whether the route allows another attempt to be asked for what follows the events that have been
+// written, and whether it could be told which these are.
+func (e *exchange) mayAskForRest() bool { return e.route.MaxAttempts > 1 && e.mayContinue() }
+
 // writeNewEvents writes the events that follow those that the client has.
 func (e *exchange) writeNewEvents(response *backend.Response, events []byte) error {
 	var fresh, event []byte
@@ -175,3 +206,13 @@
 	}
 	return e.writeBody(response, fresh)
 }
+
+// askForRest ends an attempt whose stream ended with errUnconfirmedEnd. Another backend is asked what follows: only then
+// is the client's response complete.
+func (e *exchange) askForRest(attempt *routing.Attempt, response *backend.Response) (attemptResult, *errkind.Error) {
+	e.handler.Log.Debug("end of response unconfirmed", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
+		"client_resumes", e.clientResumes(), "last_event", e.stream.lastEventID)
+	e.reportDone(attempt, responseResult(response.Status), response.Load)
+	e.unconfirmed = attempt.Backend.ID
+	return attemptRetryable, errkind.New(errkind.BackendLost, "")
+}
--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/lab/engine"
 )
 
@@ -21,11 +23,15 @@
 // rawBackend is a backend that sends the same bytes to each request and then closes the connection.
 type rawBackend struct {
 	response string
+	later    string // sent to requests after the first, if it is set
 	requests atomic.Int32
 }
 
 func (b *rawBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	b.requests.Add(1)
+	response := b.response
+	if b.requests.Add(1) > 1 {
+		response = cmp.Or(b.later, response)
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	if b.response == silence {
 		<-r.Context().Done()
@@ -35,7 +41,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(connection, b.response)
+	_, _ = io.WriteString(connection, response)
 	_ = connection.Close()
 }
 
@@ -335,3 +341,64 @@
 	require.Equal(t, events(4, 6), got.body)
 	require.Equal(t, "3", sound.Requests()[0].Get("Last-Event-Id"))
 }
+
+// Guards against a stream that ends as complete because its backend, which goes on, closed a connection between two events.
+func TestStreamThatEndsWithItsConnectionIsConfirmed(t *testing.T) {
+	success := sealLine + streamLine
+	unframed := "HTTP/1.1 200 -\r\nAttempt-Id: a1\r\n" + success + "\r\n"
+	for name, test := range map[string]struct {
+		next     string // response of the backend that is asked what follows
+		body     string // events that the client receives after the first three
+		complete bool
+	}{
+		"events follow":                {framed(200, success, events(4, 6)), events(4, 6), true},
+		"nothing follows":              {framed(200, success, ""), "", true},
+		"nothing follows, unframed":    {unframed, "", true},
+		"nothing follows, a comment":   {framed(200, success, ": alive\n\n"), "", true},
+		"nothing follows, no content":  {"HTTP/1.1 204 -\r\nAttempt-Id: a1\r\n" + sealLine + "\r\n", "", true},
+		"nothing follows, starts over": {framed(200, success, events(1, 3)), "", true},
+		"starts over, ends earlier":    {framed(200, success, events(1, 2)), "", false},
+		"unconfirmed too":              {unframed + events(4, 5), events(4, 5), false},
+		"starts over, unconfirmed":     {unframed + events(1, 3), "", false},
+		"own failure":                  {framed(500, sealLine, "error\n"), "", false},
+		"text":                         {framed(200, sealLine+textLine, "a\n\nb\n\n"), "", false},
+		"an error as an event":         {framed(200, success, "data: overloaded\n\n"), "", false},
+		"not executed":                 {framed(503, "Not-Executed: 1\r\n", ""), "", false},
+		"connection closed":            {"", "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			f.addRaw(t, unframed+events(1, 3))
+			asked := f.addRaw(t, test.next)
+			got := f.send(t, "/stream/resumed/6", nil)
+			require.Equal(t, events(1, 3)+test.body, got.body)
+			require.Equal(t, test.complete, got.complete)
+			require.EqualValues(t, 1, asked.requests.Load())
+			require.Equal(t, decide.Succeeded, f.results[0], "the first backend is not to blame")
+		})
+	}
+}
+
+// Guards against whole streams that are cut where nobody can be asked, or nobody needs to be.
+func TestStreamThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	unframed := "HTTP/1.1 200 -\r\nAttempt-Id: a1\r\n" + sealLine + streamLine + "\r\n"
+	for name, test := range map[string]struct {
+		path, last, body string
+		requests         int
+	}{
+		"not resumable":             {"/stream/plain/3", "", events(1, 3), 1},
+		"not numbered":              {"/stream/resumed/3", "", "data: a\n\ndata: b\n\n", 1},
+		"the only backend":          {"/stream/resumed/3", "", events(1, 3), 2},
+		"nothing follows at resume": {"/stream/resumed/3", "3", "", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 0)
+			raw := f.addRaw(t, unframed+test.body)
+			raw.later = unframed
+			got := f.send(t, test.path, func(r *http.Request) { r.Header.Set("Last-Event-Id", test.last) })
+			require.Equal(t, test.body, got.body)
+			require.True(t, got.complete)
+			require.EqualValues(t, test.requests, raw.requests.Load())
+		})
+	}
+}
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -90,6 +90,9 @@
 		e.reportDone(attempt, decide.Cancelled, response.Load)
 		return attemptFailed, errkind.New(errkind.DeadlineExceededInFlight, "")
 	}
+	if errors.Is(err, errUnconfirmedEnd) {
+		return e.askForRest(attempt, response)
+	}
 	e.handler.Log.Debug("response truncated", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
 		"framing", response.Framing, "client_resumes", e.clientResumes(), "header_written", e.stream.headerWritten,
 		"last_event", e.stream.lastEventID, "err", err)
