Let only a connection that is made and stays open show that a backend's process goes on

Traced with a log of each decision: the second connection failed with 'connection reset by peer', as one does that is being made while the process closes its listener, and only 'connection refused' counted.

Now the decision waits until the connection is made, takes any failure to make it for an ended process, and asks the kernel what has arrived. The tests read the results of attempts under the fixture's lock, as the race detector asked.

--- a/internal/fleet/backend/connection.go
+++ b/internal/fleet/backend/connection.go
@@ -36,7 +36,7 @@
 }
 
 // hasNoPendingInput reports whether nothing has been received on an idle connection: neither the end of the stream
-// nor bytes that belong to no request.
+// nor bytes that belong to no request. It may be called while a read waits.
 func (c *connection) hasNoPendingInput() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -47,10 +47,9 @@
 	}
 	empty := false
 	var peeked [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
 	})
 	return err == nil && empty
 }
--- a/internal/fleet/backend/liveness.go
+++ b/internal/fleet/backend/liveness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 )
 
@@ -23,57 +22,55 @@
 	address  string
 	stop     context.CancelFunc // closes the connection; it must be called
 	latestAt time.Time          // when the latest part of the body was received
-	ended    chan struct{}      // closed when the connection has ended or could not be made
+	dialed   chan struct{}      // closed when the connection has been made, or could not be
+	ended    chan struct{}      // closed when the connection has ended
 
-	// Valid once ended is closed.
-	endedAt time.Time
-	dialErr error // nil = the connection was made
+	// Valid once dialed is closed.
+	connection *connection
+	dialErr    error
+
+	endedAt time.Time // valid once ended is closed
 }
 
 // watchLiveness starts to observe the process that listens on an address. The caller must call stop.
 func watchLiveness(address string) *livenessWatch {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &livenessWatch{address: address, stop: cancel, latestAt: time.Now(), ended: make(chan struct{})}
+	w := &livenessWatch{address: address, stop: cancel, latestAt: time.Now(), dialed: make(chan struct{}), ended: make(chan struct{})}
 	go w.run(ctx)
 	return w
 }
 
-// run waits for the end of the connection.
+// run makes the connection and waits until it ends.
 func (w *livenessWatch) run(ctx context.Context) {
-	defer close(w.ended)
-	w.dialErr = w.awaitEnd(ctx)
-	w.endedAt = time.Now()
-}
-
-// awaitEnd makes the connection and waits until it ends. The error is that of making it.
-func (w *livenessWatch) awaitEnd(ctx context.Context) error {
-	conn, err := dial(w.address, dialTimeout)
-	if err != nil {
-		return err
+	w.connection, w.dialErr = dial(w.address, dialTimeout)
+	close(w.dialed)
+	if w.dialErr != nil {
+		return
 	}
-	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
-	_, _ = conn.Read(make([]byte, 1))
-	_ = conn.Close()
-	return nil
+	defer context.AfterFunc(ctx, func() { _ = w.connection.Close() })()
+	_, _ = w.connection.Read(make([]byte, 1))
+	w.endedAt = time.Now()
+	close(w.ended)
+	_ = w.connection.Close()
 }
 
 // recordData records that a part of the body was received.
 func (w *livenessWatch) recordData() { w.latestAt = time.Now() }
 
 // processEnded reports whether the process ended with the body, which has just been received up to its end. It waits
-// for at most exitWindow.
+// for the connection to be made, and then for at most exitWindow.
 func (w *livenessWatch) processEnded() bool {
+	<-w.dialed
+	if w.dialErr != nil {
+		return true // refused, or reset while the process closes its listener: nothing shows that it goes on
+	}
 	select {
 	case <-w.ended:
 	case <-time.After(exitWindow):
-		return false
+		// This process may have been held up: what has arrived counts, not what has been read.
+		return !w.connection.hasNoPendingInput()
 	}
-	switch {
-	case errors.Is(w.dialErr, syscall.ECONNREFUSED):
-		return true
-	case w.dialErr != nil:
-		return false
-	case w.latestAt.Sub(w.endedAt) > exitWindow:
+	if w.latestAt.Sub(w.endedAt) > exitWindow {
 		return !w.listens()
 	}
 	return true
--- a/internal/fleet/backend/liveness_test.go
+++ b/internal/fleet/backend/liveness_test.go
@@ -132,7 +132,7 @@
 	ended := make(chan struct{})
 	close(ended)
 	endedAt := time.Now()
-	w := &livenessWatch{address: address, ended: ended, endedAt: endedAt, latestAt: endedAt.Add(time.Second)}
+	w := &livenessWatch{address: address, dialed: ended, ended: ended, endedAt: endedAt, latestAt: endedAt.Add(time.Second)}
 	require.False(t, w.processEnded(), "the address is listened on")
 	require.NoError(t, listener.Close())
 	require.True(t, w.processEnded(), "it is not")
--- a/internal/fleet/proxy/resume_test.go
+++ b/internal/fleet/proxy/resume_test.go
@@ -374,6 +374,8 @@
 			require.Equal(t, events(1, 3)+test.body, got.body)
 			require.Equal(t, test.complete, got.complete)
 			require.EqualValues(t, 1, asked.requests.Load())
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			require.Equal(t, decide.Succeeded, f.results[0], "the first backend is not to blame")
 		})
 	}
