Take a response to HEAD for one whose body is over

A response to HEAD without a length has no body, but counted as one whose body ends with its connection: it would now wait for 100 ms and open a second connection. Its end is that of its header.

--- a/internal/fleet/backend/exchange.go
+++ b/internal/fleet/backend/exchange.go
@@ -64,7 +64,7 @@
 	switch {
 	case slices.Contains(received.TransferEncoding, "chunked"):
 		return ByChunks
-	case received.ContentLength >= 0:
+	case received.ContentLength >= 0 || received.Body == http.NoBody: // none follows a response to HEAD, whatever it states
 		return ByLength
 	}
 	return ByConnection
--- a/internal/fleet/backend/exchange_test.go
+++ b/internal/fleet/backend/exchange_test.go
@@ -270,6 +270,24 @@
 	require.True(t, strings.HasSuffix(sent, body), "no bytes other than the rest of the body are sent")
 }
 
+// Guards against a response to HEAD, which has no body, that is taken for one whose body ends with the connection.
+func TestResponseToHeadHasNoBodyToWaitFor(t *testing.T) {
+	address := listen(t, func(_ *testing.T, conn net.Conn, next func() *http.Request) {
+		next()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 X\r\nAttempt-Id: a\r\n\r\n")
+		next()
+	})
+	request := requestOf("a")
+	request.Method = http.MethodHead
+	response, err := NewClient().Do(context.Background(), address, request)
+	require.NoError(t, err)
+	defer response.Close()
+	require.Equal(t, ByLength, response.Framing)
+	body, err := io.ReadAll(response)
+	require.NoError(t, err)
+	require.Empty(t, body)
+}
+
 func TestErrorUnwrapsItsCause(t *testing.T) {
 	cause := errors.New("cause")
 	require.ErrorIs(t, &Error{MayHaveRun, cause}, cause)
--- a/lab/streams/main.go
+++ b/lab/streams/main.go
@@ -45,7 +45,7 @@
 	case len(arguments) > 0 && arguments[0] == "backend":
 		return false, runBackend(arguments[1:])
 	}
-	return false, errors.New("streams play ... or streams backend ...")
+	return false, errors.New("the command is missing: play or backend")
 }
 
 // runBackend runs one backend until its process ends.
