End the observation of a backend's process with its request

No other change of behaviour: the response is closed before its context ends, but where the client leaves.

--- a/internal/fleet/backend/client.go
+++ b/internal/fleet/backend/client.go
@@ -39,7 +39,7 @@
 	}
 	response.client, response.stopWatching = c, stopWatching
 	if response.Framing == ByConnection && response.Status < http.StatusMultipleChoices {
-		response.liveness = watchLiveness(address)
+		response.liveness = watchLiveness(ctx, address)
 	}
 	return response, nil
 }
--- a/internal/fleet/backend/liveness.go
+++ b/internal/fleet/backend/liveness.go
@@ -19,11 +19,11 @@
 //
 // Only the goroutine that reads the body may call its methods.
 type livenessWatch struct {
-	address  string
-	stop     context.CancelFunc // closes the connection; it must be called
-	latestAt time.Time          // when the latest part of the body was received
-	dialed   chan struct{}      // closed when the connection has been made, or could not be
-	ended    chan struct{}      // closed when the connection has ended
+	stop     context.CancelFunc    // closes the connection; it must be called
+	again    func() *livenessWatch // starts to observe the process that listens on the address now
+	latestAt time.Time             // when the latest part of the body was received
+	dialed   chan struct{}         // closed when the connection has been made, or could not be
+	ended    chan struct{}         // closed when the connection has ended
 
 	// Valid once dialed is closed.
 	connection *connection
@@ -32,17 +32,18 @@
 	endedAt time.Time // valid once ended is closed
 }
 
-// watchLiveness starts to observe the process that listens on an address. The caller must call stop.
-func watchLiveness(address string) *livenessWatch {
-	ctx, cancel := context.WithCancel(context.Background())
-	w := &livenessWatch{address: address, stop: cancel, latestAt: time.Now(), dialed: make(chan struct{}), ended: make(chan struct{})}
-	go w.run(ctx)
+// watchLiveness starts to observe the process that listens on an address, until the context ends or stop is called.
+func watchLiveness(ctx context.Context, address string) *livenessWatch {
+	watched, cancel := context.WithCancel(ctx)
+	w := &livenessWatch{stop: cancel, latestAt: time.Now(), dialed: make(chan struct{}), ended: make(chan struct{})}
+	w.again = func() *livenessWatch { return watchLiveness(ctx, address) }
+	go w.run(watched, address)
 	return w
 }
 
 // run makes the connection and waits until it ends.
-func (w *livenessWatch) run(ctx context.Context) {
-	w.connection, w.dialErr = dial(w.address, dialTimeout)
+func (w *livenessWatch) run(ctx context.Context, address string) {
+	w.connection, w.dialErr = dial(address, dialTimeout)
 	close(w.dialed)
 	if w.dialErr != nil {
 		return
@@ -78,7 +79,7 @@
 
 // listens reports whether a process that listens on the address goes on for exitWindow.
 func (w *livenessWatch) listens() bool {
-	again := watchLiveness(w.address)
+	again := w.again()
 	defer again.stop()
 	return !again.processEnded()
 }
--- a/internal/fleet/backend/liveness_test.go
+++ b/internal/fleet/backend/liveness_test.go
@@ -132,7 +132,8 @@
 	ended := make(chan struct{})
 	close(ended)
 	endedAt := time.Now()
-	w := &livenessWatch{address: address, dialed: ended, ended: ended, endedAt: endedAt, latestAt: endedAt.Add(time.Second)}
+	again := func() *livenessWatch { return watchLiveness(t.Context(), address) }
+	w := &livenessWatch{again: again, dialed: ended, ended: ended, endedAt: endedAt, latestAt: endedAt.Add(time.Second)}
 	require.False(t, w.processEnded(), "the address is listened on")
 	require.NoError(t, listener.Close())
 	require.True(t, w.processEnded(), "it is not")
