Build the programs of lab/fleet and lab/streams in the lab's own way

Both tests built their programs by a copy of the same lines. built.Main does it, now also for a command outside cmd, and built.Look tells the go command which sources the result is of: without it a cached result of lab/fleet could be of older programs.

--- a/lab/circle/built/built.go
+++ b/lab/circle/built/built.go
@@ -8,10 +8,11 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 )
 
-// Programs builds commands of this module into a folder, under the race detector where raced, and gives the folder. Whoever
-// calls it removes it.
+// Programs builds commands of this module into a folder, under the race detector where raced, and gives the folder. A name is
+// that of a folder in cmd, or the path of a folder from the module's root. Whoever calls it removes the folder.
 func Programs(raced bool, names ...string) (dir string, err error) {
 	if dir, err = os.MkdirTemp("", "built"); err != nil {
 		return "", err
@@ -21,7 +22,10 @@
 		args = append(args, "-race")
 	}
 	for _, n := range names {
-		args = append(args, "./cmd/"+n)
+		if !strings.Contains(n, "/") {
+			n = "cmd/" + n
+		}
+		args = append(args, "./"+n)
 	}
 	c := exec.Command("go", args...)
 	c.Dir = root()
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -4,32 +4,20 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
+// binaries is the folder of the programs, built once.
 var binaries string
 
-// TestMain builds the two programs once.
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "fleet")
-	if err == nil {
-		binaries = folder
-		build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "../../cmd/linenwheel-control", "../../cmd/linenwheel-data")
-		build.Stderr = os.Stderr
-		err = build.Run()
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(code)
+	built.Main(m.Run, &binaries, false, "linenwheel-control", "linenwheel-data")
 }
 
 const configuration = `{"Revision":1,
@@ -43,6 +31,7 @@
 
 func startFleet(t *testing.T) *Fleet {
 	t.Helper()
+	require.NoError(t, built.Look())
 	f, err := Start(Options{Control: 3, Data: 2, Raters: 3, Binaries: binaries, Folder: t.TempDir()})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.Stop() })
--- a/lab/streams/streams_test.go
+++ b/lab/streams/streams_test.go
@@ -2,37 +2,25 @@
 
 import (
 	"fmt"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/lab/circle/built"
 )
 
+// binaries is the folder of the programs, built once.
 var binaries string
 
-// TestMain builds the programs of the fleet and this one once.
 func TestMain(m *testing.M) {
-	folder, err := os.MkdirTemp("", "streams")
-	if err == nil {
-		binaries = folder
-		build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "../../cmd/linenwheel-control", "../../cmd/linenwheel-data", ".")
-		build.Stderr = os.Stderr
-		err = build.Run()
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(code)
+	built.Main(m.Run, &binaries, false, "linenwheel-control", "linenwheel-data", "lab/streams")
 }
 
 // Guards against streams that end as complete too early, and against tokens that come twice, in the wrong order or not at all.
 func TestStreamsAreWholeOrVisiblyCut(t *testing.T) {
+	require.NoError(t, built.Look())
 	for _, test := range []struct {
 		seed    uint64
 		trouble bool
