--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -4,8 +4,8 @@
 //
 // Handler is the entry point. An exchange is the state of one request. Its methods are grouped in files:
 // exchange.go (reading the request), quota.go, attempt.go (attempts and retries), headers.go, stream.go
-// (forwarding the response), resume.go (continuing a stream at another backend) and reject.go. events.go parses server-sent events, prompt.go the headers that describe a
-// request's prompt, and metrics.go counts requests.
+// (forwarding the response), resume.go (continuing a stream at another backend) and reject.go. events.go parses
+// server-sent events, prompt.go the headers that describe a request's prompt, and metrics.go counts requests.
 package proxy
 
 import (
