Bound the memory for what clients, backends and peers send

A backend's bytes without an end were held whole: the first line and the header of a response, a body that is read whole, an event of a stream on a route with StreamResume.

Headers of responses are limited to 64 KiB. They, buffered bodies, unfinished events and the bodies of requests are reserved from half of the process's memory (package memory); no holder gets more than it leaves free. A response that does not fit is a malformed one and ends its attempt alone; a request's body that does not fit gets a 503. Orders of the operator and messages of peers are bounded too. A request's body is no longer copied to be sent. Numbers in headers are bounded: NaN as Token-Usage made a tenant's balance at a node unlimited, an infinite Deadline-Ms overflowed, as did a backend's Keep-Alive.

--- a/internal/fleet/backend/client.go
+++ b/internal/fleet/backend/client.go
@@ -7,13 +7,20 @@
 	"context"
 	"net/http"
 	"time"
+
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 )
 
 // Client sends requests to backends and reuses connections to them. It is safe for concurrent use.
-type Client struct{ pool pool }
+type Client struct {
+	pool   pool
+	memory *memory.Budget
+}
 
-// NewClient returns a client without connections.
-func NewClient() *Client { return &Client{pool: pool{idle: map[string][]*connection{}}} }
+// NewClient returns a client without connections. The headers and bodies that it holds are reserved from the budget.
+func NewClient(budget *memory.Budget) *Client {
+	return &Client{pool: pool{idle: map[string][]*connection{}}, memory: budget}
+}
 
 // CloseIdle closes the idle connections to an address.
 func (c *Client) CloseIdle(address string) { c.pool.closeIdle(address) }
@@ -31,13 +38,15 @@
 		conn = dialed
 	}
 	stopWatching := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	response, err := conn.exchange(request)
+	reservation := c.memory.Reserve()
+	response, err := conn.exchange(request, reservation)
 	if err != nil {
 		stopWatching()
+		reservation.Release()
 		_ = conn.Close()
 		return nil, err
 	}
-	response.client, response.stopWatching = c, stopWatching
+	response.client, response.stopWatching, response.reservation = c, stopWatching, reservation
 	if response.Framing == ByConnection && response.Status < http.StatusMultipleChoices {
 		response.liveness = watchLiveness(ctx, address)
 	}
--- a/internal/fleet/backend/connection.go
+++ b/internal/fleet/backend/connection.go
@@ -20,7 +20,8 @@
 // connection is a connection to a backend. It carries one exchange at a time.
 type connection struct {
 	net.Conn
-	reader    *bufio.Reader
+	received  *headerLimiter
+	reader    *bufio.Reader // of received
 	address   string
 	used      bool      // a request has been sent on the connection
 	expiresAt time.Time // of an idle connection: the backend may close it after this time
@@ -32,7 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize), address: address}, nil
+	received := &headerLimiter{source: conn}
+	return &connection{Conn: conn, received: received, reader: bufio.NewReaderSize(received, readBufferSize), address: address}, nil
 }
 
 // hasNoPendingInput reports whether nothing has been received on an idle connection: neither the end of the stream
--- a/internal/fleet/backend/exchange.go
+++ b/internal/fleet/backend/exchange.go
@@ -7,20 +7,25 @@
 	"net"
 	"net/http"
 	"slices"
+
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 )
 
 // exchange sends a request and reads the header of its response. Stale responses received before it are skipped.
-func (c *connection) exchange(request *Request) (*Response, error) {
-	message := request.encode()
-	state := exchangeState{fresh: !c.used, id: request.Header.Get(HeaderAttempt), size: len(message)}
+// What is held of them is reserved, and the caller releases it.
+func (c *connection) exchange(request *Request, reservation *memory.Reservation) (*Response, error) {
+	message := net.Buffers{request.encodeHeader(), request.Body}
+	state := exchangeState{fresh: !c.used, id: request.Header.Get(HeaderAttempt), size: len(message[0]) + len(message[1])}
 	c.used = true
-	written, err := c.Write(message)
-	state.recordWrite(written)
+	written, err := message.WriteTo(c.Conn)
+	state.recordWrite(int(written))
 	if err != nil {
 		return nil, state.errorFor(err)
 	}
 	for {
+		c.received.limit(reservation)
 		response, err := c.readHeader(request.Method, &state)
+		c.received.unlimit()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/fleet/backend/exchange_test.go
+++ b/internal/fleet/backend/exchange_test.go
@@ -99,7 +99,7 @@
 		<-between
 	})
 	defer close(between)
-	client := NewClient()
+	client := NewClient(nil)
 	status, body, _, err := doRequest(client, address, "a")
 	require.NoError(t, err)
 	require.Equal(t, 200, status)
@@ -114,7 +114,7 @@
 		_, _ = io.WriteString(conn, responseText("", 400, "Not-Executed: 1\r\n", ""))
 		next()
 	})
-	status, _, notExecuted, err := doRequest(NewClient(), address, "a")
+	status, _, notExecuted, err := doRequest(NewClient(nil), address, "a")
 	require.NoError(t, err)
 	require.Equal(t, 400, status)
 	require.True(t, notExecuted)
@@ -129,7 +129,7 @@
 			responseText("b", 200, "", "for b"))
 		next()
 	})
-	client := NewClient()
+	client := NewClient(nil)
 	_, _, _, err := doRequest(client, address, "a")
 	require.NoError(t, err)
 	status, body, notExecuted, err := doRequest(client, address, "b")
@@ -149,7 +149,7 @@
 		_, _ = io.WriteString(conn, responseText("b", 200, "", "for b"))
 		next()
 	})
-	client := NewClient()
+	client := NewClient(nil)
 	_, _, _, err := doRequest(client, address, "a")
 	require.NoError(t, err)
 	_, body, _, err := doRequest(client, address, "b")
@@ -185,13 +185,13 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, _, _, err := doRequest(NewClient(), listen(t, run), "a")
+			_, _, _, err := doRequest(NewClient(nil), listen(t, run), "a")
 			require.NotEqual(t, NotSent, outcomeOf(t, err))
 		})
 	}
 	closed, err := loopback.FreeAddress()
 	require.NoError(t, err)
-	_, _, _, err = doRequest(NewClient(), closed, "a")
+	_, _, _, err = doRequest(NewClient(nil), closed, "a")
 	require.Equal(t, NotSent, outcomeOf(t, err), "refused")
 }
 
@@ -207,7 +207,7 @@
 			time.Sleep(30 * time.Millisecond)
 			resetConnection(conn)
 		})
-		_, _, _, err := doRequest(NewClient(), address, "a")
+		_, _, _, err := doRequest(NewClient(nil), address, "a")
 		require.Error(t, err, name)
 	}
 }
@@ -223,7 +223,7 @@
 		_, _ = io.WriteString(conn, responseText("b", 200, "", "for b"))
 		next()
 	})
-	client := NewClient()
+	client := NewClient(nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-arrived
@@ -261,7 +261,7 @@
 	request.Body = []byte(body)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	response, err := NewClient().Do(ctx, address, request)
+	response, err := NewClient(nil).Do(ctx, address, request)
 	require.NoError(t, err)
 	require.True(t, response.NotExecuted())
 	_, _ = io.Copy(io.Discard, response)
@@ -279,7 +279,7 @@
 	})
 	request := requestOf("a")
 	request.Method = http.MethodHead
-	response, err := NewClient().Do(context.Background(), address, request)
+	response, err := NewClient(nil).Do(context.Background(), address, request)
 	require.NoError(t, err)
 	defer response.Close()
 	require.Equal(t, ByLength, response.Framing)
--- a/internal/fleet/backend/liveness_test.go
+++ b/internal/fleet/backend/liveness_test.go
@@ -57,7 +57,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	response, err := NewClient().Do(ctx, address, requestOf("a"))
+	response, err := NewClient(nil).Do(ctx, address, requestOf("a"))
 	require.NoError(t, err)
 	require.Equal(t, ByConnection, response.Framing)
 	body, err := io.ReadAll(response)
--- a/internal/fleet/backend/pool.go
+++ b/internal/fleet/backend/pool.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,7 +13,9 @@
 	defaultIdleTimeout = 10 * time.Second        // for which a connection is kept if the backend states no timeout
 	idleMargin         = 1200 * time.Millisecond // a connection expires this long before the timeout that the backend states
 	maxIdlePerBackend  = 32
-	sweepInterval      = 5 * time.Second // least time between two sweeps, which put runs
+	// maxKeepAliveSeconds bounds the timeout that a backend states.
+	maxKeepAliveSeconds = 24 * 60 * 60
+	sweepInterval       = 5 * time.Second // least time between two sweeps, which put runs
 )
 
 // pool keeps idle connections. The one that was used last is reused first. It is safe for concurrent use.
@@ -109,9 +112,9 @@
 		if !found || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second, true
+		seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 64)
+		if err == nil || errors.Is(err, strconv.ErrRange) {
+			return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second, true
 		}
 	}
 	return 0, false
--- a/internal/fleet/backend/request.go
+++ b/internal/fleet/backend/request.go
@@ -32,10 +32,11 @@
 	Body   []byte
 }
 
-// encode returns the request in wire format. Content-Length is omitted from a GET or HEAD request without a body.
-func (r *Request) encode() []byte {
+// encodeHeader returns the request line and the header in wire format; the body follows. Content-Length is omitted from a GET
+// or HEAD request without a body.
+func (r *Request) encodeHeader() []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(headerSizeHint + len(r.Body))
+	buffer.Grow(headerSizeHint)
 	buffer.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -46,6 +47,5 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(r.Body)
 	return buffer.Bytes()
 }
--- a/internal/fleet/backend/response.go
+++ b/internal/fleet/backend/response.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
 
@@ -42,6 +43,7 @@
 	Framing Framing
 
 	client       *Client
+	reservation  *memory.Reservation // of what is held of the response
 	connection   *connection
 	body         io.ReadCloser
 	reusable     bool // the connection may be reused once the body has been read
@@ -83,9 +85,18 @@
 	return n, err
 }
 
-// Close releases the response. Its connection is kept for reuse if the response allows it, the body was read to
+// ReadAll reads the rest of the body into memory that is reserved until Close. The error is memory.ErrExhausted if the body is
+// larger than the client's budget allows.
+func (r *Response) ReadAll() ([]byte, error) { return memory.ReadAll(r, r.reservation, r.Length) }
+
+// Reserve reserves memory for bytes of the body that the caller holds, until Close. It returns memory.ErrExhausted if the
+// client's budget does not allow it.
+func (r *Response) Reserve(bytes int) error { return r.reservation.Grow(int64(bytes)) }
+
+// Close releases the response and the memory that is reserved for it. Its connection is kept for reuse if the response allows it, the body was read to
 // its end and no bytes were received after it.
 func (r *Response) Close() {
+	r.reservation.Release()
 	if r.liveness != nil {
 		r.liveness.stop()
 	}
@@ -106,13 +117,22 @@
 	if len(fields) != loadFields {
 		return routing.Load{}
 	}
-	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
+	running, err := parseCount(fields[0])
 	if err != nil {
 		return routing.Load{}
 	}
-	waiting, err := strconv.Atoi(strings.TrimSpace(fields[1]))
+	waiting, err := parseCount(fields[1])
 	if err != nil {
 		return routing.Load{}
 	}
 	return routing.Load{Known: true, Running: running, Waiting: waiting}
 }
+
+// countBits is the size of the largest number of requests that a backend may state, in bits.
+const countBits = 20
+
+// parseCount parses a number of requests, which has no sign.
+func parseCount(text string) (int, error) {
+	count, err := strconv.ParseUint(strings.TrimSpace(text), 10, countBits)
+	return int(count), err
+}
--- a/internal/fleet/controlplane/node.go
+++ b/internal/fleet/controlplane/node.go
@@ -22,6 +22,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/quota"
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
@@ -34,6 +35,10 @@
 const (
 	readHeaderTimeout = 3 * time.Second
 	idleTimeout       = 30 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// bodyMemoryFraction is the part of the process's memory in which the bodies of calls must fit. A configuration takes several
+	// times the size of its body.
+	bodyMemoryFraction = 0.125
 )
 
 // Node is one control process. Everywhere else in this package, "node" means a data plane process.
@@ -47,6 +52,7 @@
 	gossip        *gossiper
 	forwarder     forwarder
 	updates       updateCache
+	memory        *memory.Budget           // for the bodies of calls
 	registryOwner uint64                   // random, identifies this process's replica of the registry
 	seeds         atomic.Pointer[[]string] // internal addresses of the seeds in the current settings
 
@@ -69,6 +75,7 @@
 		started:       time.Now(),
 		pool:          transport.NewPool(),
 		forwarder:     forwarder{queues: map[string]*forwardQueue{}},
+		memory:        memory.NewShare(set.MemoryMB, bodyMemoryFraction),
 		registryOwner: randomID(),
 		registry:      registry.New(set.Heartbeat),
 		changed:       make(chan struct{}),
@@ -116,7 +123,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- transport.Serve(internal, n.services()) }()
-	server := &http.Server{Handler: n.router(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+	server := &http.Server{Handler: n.router(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: n.log.StandardLog()}
 	go func() { failed <- server.Serve(external) }()
 	// Stop ends the replicator, but nothing waits for it to end: a hung disk write must not keep the process from
--- a/internal/fleet/controlplane/operatorapi.go
+++ b/internal/fleet/controlplane/operatorapi.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/errkind"
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
 )
@@ -22,9 +24,11 @@
 
 // handleOrder serves an order: a call that changes the configuration.
 func (n *Node) handleOrder(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
-	if err != nil || len(body) > maxBodyBytes {
-		writeError(w, errkind.New(errkind.BadRequest, "the body could not be read whole"))
+	reservation := n.memory.Reserve()
+	defer reservation.Release()
+	body, err := n.readOrder(r, reservation)
+	if err != nil {
+		writeError(w, err)
 		return
 	}
 	base, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
@@ -42,6 +46,30 @@
 	writeJSON(w, http.StatusOK, struct{ Revision int64 }{revision})
 }
 
+// readOrder reads the body of an order into reserved memory. It must fit into half of the memory for bodies, and into
+// maxBodyBytes.
+func (n *Node) readOrder(r *http.Request, reservation *memory.Reservation) ([]byte, error) {
+	longest := int64(maxBodyBytes)
+	if limit, limited := n.memory.Limit(); limited {
+		longest = min(longest, limit)
+	}
+	if r.ContentLength > longest {
+		return nil, errkind.New(errkind.TooLarge, "more than %d bytes", longest)
+	}
+	body, err := memory.ReadAll(io.LimitReader(r.Body, longest+1), reservation, r.ContentLength)
+	switch {
+	case errors.Is(err, memory.ErrExhausted) && r.ContentLength < 0:
+		return nil, &errkind.Error{Kind: errkind.TooLarge, Err: err}
+	case errors.Is(err, memory.ErrExhausted):
+		return nil, &errkind.Error{Kind: errkind.OutOfMemory, Err: err}
+	case err != nil:
+		return nil, errkind.New(errkind.BadRequest, "the body could not be read whole")
+	case int64(len(body)) > longest:
+		return nil, errkind.New(errkind.TooLarge, "more than %d bytes", longest)
+	}
+	return body, nil
+}
+
 // commitOrder checks an order, has it committed and returns the revision that it created.
 func (n *Node) commitOrder(order operator.Order) (int64, error) {
 	if err := order.CheckFields(); err != nil {
--- a/internal/fleet/controlplane/operatorapi_test.go
+++ b/internal/fleet/controlplane/operatorapi_test.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 )
 
 func submitOrder(n *Node, base int, body string) int {
@@ -44,3 +47,18 @@
 	}
 	require.Equal(t, http.StatusOK, submitOrder(n, 1, `{"Revision":3,"Other":[]}`), "other fields may be replaced")
 }
+
+func TestAnOrderThatDoesNotFitIntoMemoryIsRejected(t *testing.T) {
+	n := newSingleNode(t, 0, 0)
+	n.memory = memory.NewBudget(4 << 10)
+	long := `{"Revision":5,"Note":"` + strings.Repeat("x", 3<<10) + `"}`
+	require.Equal(t, http.StatusRequestEntityTooLarge, doIfMatch(n, http.MethodPut, "/-/config", long, "0").Code)
+	require.Zero(t, n.memory.Used())
+	other := n.memory.Reserve()
+	require.NoError(t, other.Grow(2<<10))
+	fitting := `{"Revision":5,"Note":"` + strings.Repeat("x", 1500) + `"}`
+	require.Equal(t, http.StatusServiceUnavailable, doIfMatch(n, http.MethodPut, "/-/config", fitting, "0").Code, "beside others: it may be sent again")
+	other.Release()
+	require.Equal(t, http.StatusOK, doIfMatch(n, http.MethodPut, "/-/config", fitting, "0").Code)
+	require.Zero(t, n.memory.Used())
+}
--- a/internal/fleet/dataplane/listener.go
+++ b/internal/fleet/dataplane/listener.go
@@ -49,8 +49,8 @@
 
 // newServer returns the server for clients. It requires a configuration.
 func (n *Node) newServer(idle *idleConnections) *http.Server {
-	handler := &proxy.Handler{Config: n, Picker: n.picker, Quotas: n.quotas, Retries: n.retries, Backends: backend.NewClient(),
-		Metrics: n.metrics, Log: n.log, ShouldCloseConnections: n.shouldCloseConnections, TimeUntilAbort: n.timeUntilAbort}
+	handler := &proxy.Handler{Config: n, Picker: n.picker, Quotas: n.quotas, Retries: n.retries, Backends: backend.NewClient(n.memory),
+		Memory: n.memory, Metrics: n.metrics, Log: n.log, ShouldCloseConnections: n.shouldCloseConnections, TimeUntilAbort: n.timeUntilAbort}
 	limits := n.Table().Limits
 	return &http.Server{Handler: n.countInFlight(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout, IdleTimeout: -1,
 		ConnState: idle.recordState, MaxHeaderBytes: limits.HeaderBytes, ErrorLog: n.log.StandardLog()}
--- a/internal/fleet/dataplane/node.go
+++ b/internal/fleet/dataplane/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/proxy"
 	"linenwheel.dev/linenwheel/internal/fleet/settings"
@@ -33,6 +34,7 @@
 	reporter *loadReporter
 	retries  *retryBudget
 	metrics  *proxy.Metrics
+	memory   *memory.Budget // for what clients and backends send
 
 	startedAt          time.Time
 	inFlight           atomic.Int64 // clients' requests
@@ -44,7 +46,7 @@
 // New returns a data plane node with the given settings.
 func New(loaded *settings.Settings, logger *log.Logger) *Node {
 	n := &Node{settings: loaded, log: logger, startedAt: time.Now(), session: rand.Uint64()>>1 + 1, pool: transport.NewPool(),
-		metrics: proxy.NewMetrics()}
+		metrics: proxy.NewMetrics(), memory: memory.NewShare(loaded.MemoryMB, bodyMemoryFraction)}
 	n.pool.SetEager(true) // until there is a configuration
 	n.reporter = newLoadReporter(n)
 	n.picker = newPicker(n.now, nodeNumber(loaded.NodeName), n.reporter.enqueue)
@@ -57,6 +59,12 @@
 // now returns the time on the node's monotonic clock. The clock starts above 0, as 0 stands for "never".
 func (n *Node) now() time.Duration { return time.Since(n.startedAt) + time.Millisecond }
 
+// bodyMemoryFraction is the part of the process's memory in which the bodies of requests, and what is held of responses, must fit.
+const bodyMemoryFraction = 0.5
+
+// statusHeaderBytes bounds the header of a request to the readiness address.
+const statusHeaderBytes = 16 << 10
+
 // nodeNumberRange is the number of different node numbers.
 const nodeNumberRange = 1 << 12
 
@@ -89,7 +97,7 @@
 	if err != nil {
 		return fmt.Errorf("readiness address: %w", err)
 	}
-	statusServer := &http.Server{Handler: n.readinessHandler(), ErrorLog: n.log.StandardLog()}
+	statusServer := &http.Server{Handler: n.readinessHandler(), MaxHeaderBytes: statusHeaderBytes, ErrorLog: n.log.StandardLog()}
 	defer func() { _ = statusServer.Close() }()
 	go func() { serveErrors <- statusServer.Serve(statusListener) }()
 	go n.watcher.run(background)
--- a/internal/fleet/errkind/errkind.go
+++ b/internal/fleet/errkind/errkind.go
@@ -32,6 +32,7 @@
 	DeadlineExceeded                     // the deadline passed before the request was forwarded
 	DeadlineExceededInFlight             // the deadline passed while an attempt was in flight
 	ShuttingDown                         // the process is about to exit
+	OutOfMemory                          // the bodies in progress leave no memory for this one
 	kindCount
 )
 
@@ -62,6 +63,7 @@
 	DeadlineExceeded:         {http.StatusServiceUnavailable, true, "out of time"},
 	DeadlineExceededInFlight: {http.StatusGatewayTimeout, false, "out of time; the request may have run"},
 	ShuttingDown:             {http.StatusServiceUnavailable, true, "shutting down"},
+	OutOfMemory:              {http.StatusServiceUnavailable, true, "too many bytes in progress"},
 }
 
 // Response returns the HTTP response for the kind; an unknown kind has the response of Internal.
--- a/internal/fleet/errkind/errkind_test.go
+++ b/internal/fleet/errkind/errkind_test.go
@@ -28,6 +28,7 @@
 		DeadlineExceeded:         16,
 		DeadlineExceededInFlight: 17,
 		ShuttingDown:             18,
+		OutOfMemory:              19,
 	}
 	require.Len(t, kinds, int(kindCount), "each kind is listed, with a number of its own")
 	for kind, number := range kinds {
--- a/internal/fleet/proxy/exchange.go
+++ b/internal/fleet/proxy/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"linenwheel.dev/linenwheel/internal/fleet/backend"
 	"linenwheel.dev/linenwheel/internal/fleet/errkind"
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 )
 
@@ -29,6 +29,7 @@
 	service  string
 	deadline time.Time
 	body     []byte
+	memory   *memory.Reservation // of the body
 	prompt   prompt
 	acquired float64 // units of the tenant's quota, not refunded
 
@@ -115,8 +116,8 @@
 func (e *exchange) setDeadline() {
 	timeout := e.route.Timeout
 	stated, err := strconv.ParseFloat(e.request.Header.Get(backend.HeaderDeadline), 64)
-	if err == nil && stated > 0 {
-		timeout = min(timeout, time.Duration(stated*float64(time.Millisecond)))
+	if err == nil && stated > 0 && stated < milliseconds(timeout) {
+		timeout = time.Duration(stated * float64(time.Millisecond))
 	}
 	e.deadline = e.receivedAt.Add(timeout)
 }
@@ -127,10 +128,13 @@
 	if e.request.ContentLength > limit {
 		return errkind.New(errkind.TooLarge, "")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit))
-	if err == nil {
+	body, err := memory.ReadAll(http.MaxBytesReader(e.writer, e.request.Body, limit), e.memory, e.request.ContentLength)
+	switch {
+	case err == nil:
 		e.body = body
 		return nil
+	case errors.Is(err, memory.ErrExhausted):
+		return &errkind.Error{Kind: errkind.OutOfMemory, Err: err}
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -143,3 +147,8 @@
 func (e *exchange) clientDisconnected() bool {
 	return errors.Is(e.request.Context().Err(), context.Canceled)
 }
+
+// milliseconds returns a duration as a number of milliseconds.
+func milliseconds(duration time.Duration) float64 {
+	return float64(duration) / float64(time.Millisecond)
+}
--- a/internal/fleet/proxy/fixture_test.go
+++ b/internal/fleet/proxy/fixture_test.go
@@ -136,7 +136,7 @@
 		t.Cleanup(emulated.Close)
 		f.backends = append(f.backends, emulated)
 	}
-	handler := &Handler{Config: f, Picker: f, Quotas: f, Retries: f, Backends: backend.NewClient(), Metrics: NewMetrics(),
+	handler := &Handler{Config: f, Picker: f, Quotas: f, Retries: f, Backends: backend.NewClient(nil), Metrics: NewMetrics(),
 		Log: log.New(io.Discard), ShouldCloseConnections: func() bool { return false }, TimeUntilAbort: f.timeUntilAbort}
 	f.handler = handler
 	f.server = httptest.NewServer(handler)
--- a/internal/fleet/proxy/handler.go
+++ b/internal/fleet/proxy/handler.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"linenwheel.dev/linenwheel/internal/fleet/backend"
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
@@ -63,7 +64,7 @@
 	TryWithdraw(service string) bool
 }
 
-// Handler is the http.Handler for the clients of a node. All fields are required and must not change while it
+// Handler is the http.Handler for the clients of a node. All fields but Memory are required, and none may change while it
 // serves requests.
 type Handler struct {
 	Config   Configuration
@@ -71,6 +72,7 @@
 	Quotas   Quotas
 	Retries  RetryBudget
 	Backends *backend.Client
+	Memory   *memory.Budget // for the bodies of requests; nil = no limit
 	Metrics  *Metrics
 	Log      *log.Logger
 	// ShouldCloseConnections reports whether clients should be asked to close their connections, as the node will
@@ -84,7 +86,8 @@
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler if a response that has begun cannot be
 // completed.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e := &exchange{handler: h, writer: w, request: r, receivedAt: time.Now()}
+	e := &exchange{handler: h, writer: w, request: r, receivedAt: time.Now(), memory: h.Memory.Reserve()}
+	defer e.memory.Release()
 	if h.ShouldCloseConnections() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/fleet/proxy/prompt.go
+++ b/internal/fleet/proxy/prompt.go
@@ -65,7 +65,7 @@
 // parseTokens parses a number of tokens. It returns 0 if the text is not a valid number.
 func parseTokens(text string) float64 {
 	tokens, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || tokens < 0 || tokens > maxTokens {
+	if err != nil || !(tokens >= 0 && tokens <= maxTokens) { // NaN is neither
 		return 0
 	}
 	return tokens
--- a/internal/fleet/proxy/resume.go
+++ b/internal/fleet/proxy/resume.go
@@ -140,9 +140,16 @@
 func (e *exchange) forwardEvents(attempt *routing.Attempt, response *backend.Response) error {
 	e.stream.begin(e.stream.headerWritten)
 	var buffered []byte
+	reserved := chunkSize
 	chunk := make([]byte, chunkSize)
 	for {
 		n, err := response.Read(chunk)
+		if required := len(buffered) + n; required > reserved {
+			if err := response.Reserve(required - reserved); err != nil {
+				return err
+			}
+			reserved = required
+		}
 		buffered = append(buffered, chunk[:n]...)
 		if complete := completeEvents(buffered); complete > 0 {
 			e.recordFirstToken(attempt)
--- a/internal/fleet/proxy/stream.go
+++ b/internal/fleet/proxy/stream.go
@@ -10,6 +10,7 @@
 	"linenwheel.dev/linenwheel/decide"
 	"linenwheel.dev/linenwheel/internal/fleet/backend"
 	"linenwheel.dev/linenwheel/internal/fleet/errkind"
+	"linenwheel.dev/linenwheel/internal/fleet/memory"
 	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/routing"
 )
@@ -90,8 +91,11 @@
 		e.reportDone(attempt, decide.Cancelled, response.Load)
 		return attemptFailed, errkind.New(errkind.DeadlineExceededInFlight, "")
 	}
-	if errors.Is(err, errUnconfirmedEnd) {
+	switch {
+	case errors.Is(err, errUnconfirmedEnd):
 		return e.askForRest(attempt, response)
+	case errors.Is(err, memory.ErrExhausted):
+		return e.endOversized(attempt, response)
 	}
 	e.handler.Log.Debug("response truncated", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
 		"framing", response.Framing, "client_resumes", e.clientResumes(), "header_written", e.stream.headerWritten,
@@ -103,6 +107,17 @@
 	return attemptFailed, errkind.New(errkind.BackendLost, "")
 }
 
+// endOversized ends an attempt whose response does not fit into the memory for responses, which makes it a malformed one.
+func (e *exchange) endOversized(attempt *routing.Attempt, response *backend.Response) (attemptResult, *errkind.Error) {
+	e.handler.Log.Warn("response too large", "route", e.route.Name, "backend", attempt.Backend.ID, "attempts", e.attempts,
+		"framing", response.Framing, "header_written", e.stream.headerWritten)
+	e.reportDone(attempt, decide.Failed, response.Load)
+	if !e.stream.headerWritten || e.mayContinue() {
+		return attemptRetryable, errkind.New(errkind.MalformedResponse, "")
+	}
+	return attemptFailed, errkind.New(errkind.MalformedResponse, "")
+}
+
 // recordComplete records a response that is forwarded as complete although nothing but the end of its connection shows that
 // it is.
 func (e *exchange) recordComplete(attempt *routing.Attempt, response *backend.Response) {
@@ -140,7 +155,7 @@
 // forwardBuffered reads the complete response before any of it is written to the client, so that a truncated
 // response can be replaced by that of another attempt.
 func (e *exchange) forwardBuffered(attempt *routing.Attempt, response *backend.Response) error {
-	body, err := io.ReadAll(response)
+	body, err := response.ReadAll()
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/transport/pool.go
+++ b/internal/fleet/transport/pool.go
@@ -106,7 +106,7 @@
 		if wrap != nil {
 			connection = wrap(connection)
 		}
-		client = rpc.NewClient(timedConn{connection, &c.receivedAt})
+		client = rpc.NewClient(timedConn{&limitedConn{Conn: connection}, &c.receivedAt})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -72,6 +72,6 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go server.ServeConn(connection)
+		go server.ServeConn(&limitedConn{Conn: connection})
 	}
 }
