--- a/internal/fleet/operator/table.go
+++ b/internal/fleet/operator/table.go
@@ -163,12 +163,12 @@
 	}
 	sum := 0.0
 	for _, split := range route.TrafficSplit {
-		sum += split.Weight
+		sum += bounded(split.Weight)
 	}
 	upTo := 0.0
 	for _, split := range route.TrafficSplit {
 		if split.Weight > 0 {
-			upTo += split.Weight / sum
+			upTo += bounded(split.Weight) / sum
 			compiled.Splits = append(compiled.Splits, Split{Service: split.Backend, UpTo: upTo})
 		}
 	}
@@ -178,14 +178,14 @@
 func compileBackend(backend *operatorpb.Backend) *Service {
 	compiled := &Service{Name: backend.Name, MaxConnections: int(backend.MaxConnections)}
 	if engine := backend.Engine; engine != nil {
-		compiled.Engine, compiled.Slots, compiled.KvTokens = true, int(engine.Slots), engine.KvTokens
+		compiled.Engine, compiled.Slots, compiled.KvTokens = true, int(engine.Slots), bounded(engine.KvTokens)
 	}
 	return compiled
 }
 
 func compileTenant(tenant *operatorpb.Tenant) *Tenant {
-	compiled := &Tenant{Name: tenant.Name, ByTokens: tenant.Unit == unitTokens, PlainTokens: tenant.PlainTokens,
-		Rate: tenant.RatePerS, Burst: tenant.Burst}
+	compiled := &Tenant{Name: tenant.Name, ByTokens: tenant.Unit == unitTokens, PlainTokens: bounded(tenant.PlainTokens),
+		Rate: bounded(tenant.RatePerS), Burst: bounded(tenant.Burst)}
 	if tenant.Priority != nil {
 		compiled.HasPriority, compiled.Priority = true, int(*tenant.Priority)
 	}
@@ -193,7 +193,7 @@
 }
 
 func compileLimits(limits *operatorpb.Limits) Limits {
-	compiled := Limits{HeaderBytes: int(limits.MaxHeaderBytes), BodyBytes: limits.MaxBodyBytes,
+	compiled := Limits{HeaderBytes: int(max(0, limits.MaxHeaderBytes)), BodyBytes: max(0, limits.MaxBodyBytes),
 		HeaderTimeout: milliseconds(limits.HeaderTimeoutMs), IdleTimeout: milliseconds(limits.IdleTimeoutMs)}
 	compiled.HeaderBytes = cmp.Or(compiled.HeaderBytes, defaultHeaderBytes)
 	compiled.BodyBytes = cmp.Or(compiled.BodyBytes, defaultBodyBytes)
@@ -203,7 +203,7 @@
 }
 
 func milliseconds(value float64) time.Duration {
-	return time.Duration(value * float64(time.Millisecond))
+	return time.Duration(bounded(value) * float64(time.Millisecond))
 }
 
 // Route returns the route for a host, as in a Host header, and a path: the matching one with the longest prefix,
--- a/internal/fleet/operator/validate.go
+++ b/internal/fleet/operator/validate.go
@@ -57,17 +57,17 @@
 		return nil
 	}
 	sum := 0.0
-	for _, split := range route.TrafficSplit {
+	for i, split := range route.TrafficSplit {
 		if !backends[split.Backend] {
 			return invalid("route %s: TrafficSplit names unknown backend %q", route.Name, split.Backend)
 		}
 		if split.Weight < 0 {
-			return invalid("route %s: TrafficSplit has weight %v", route.Name, split.Weight)
+			return invalid("route %s: TrafficSplit[%d].Weight is %v", route.Name, i, split.Weight)
 		}
 		sum += split.Weight
 	}
 	if !(sum > 0) {
-		return invalid("route %s: the weights of TrafficSplit sum to %v", route.Name, sum)
+		return invalid("route %s: the Weights of TrafficSplit sum to %v", route.Name, sum)
 	}
 	return nil
 }
--- a/internal/fleet/operator/wire.go
+++ b/internal/fleet/operator/wire.go
@@ -46,10 +46,13 @@
 	if packed[0] == 0 {
 		return packed[1:], nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed[1:])), maxDecompressed))
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed[1:])), maxDecompressed+1))
 	if err != nil {
 		return nil, fmt.Errorf("operator: compressed bytes: %w", err)
 	}
+	if len(plain) > maxDecompressed {
+		return nil, errBadEncoding
+	}
 	return plain, nil
 }
 
--- a/internal/fleet/replica/chain.go
+++ b/internal/fleet/replica/chain.go
@@ -43,7 +43,7 @@
 			out.Replies = append(out.Replies, Reply{ID: next.id, Revision: revision})
 			continue
 		}
-		state, err := m.log.state.Apply(next.order)
+		state, err := m.log.state.Admit(next.order)
 		if err != nil {
 			m.queue = m.queue[1:]
 			out.Replies = append(out.Replies, Reply{ID: next.id, Err: err, Unconfirmed: true, Epoch: m.view.Epoch})
