Bound the numbers in settings, heartbeats and messages about quotas

NaN and infinities were accepted in a settings file, where durations then overflowed; a heartbeat's WarmupLeftMs overflowed; a NaN in a message about a quota made a balance NaN, which is never too low. A negative age in a message of a peer moved a lease or a heartbeat into the future.

They are refused with an error that names the field, ages are at least 0. Measured: go test of settings, quota, controlplane, registry, distribution passes; the new cases are those named above.

--- a/internal/fleet/controlplane/instanceapi.go
+++ b/internal/fleet/controlplane/instanceapi.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -14,7 +16,11 @@
 	"linenwheel.dev/linenwheel/internal/fleet/registry"
 )
 
-const maxHeartbeatBytes = 64 << 10
+// Bounds of a heartbeat.
+const (
+	maxHeartbeatBytes = 64 << 10
+	maxWarmupMs       = 24 * 60 * 60 * 1000
+)
 
 // errIncompleteHeartbeat means that a heartbeat lacks fields that are required to register a backend.
 var errIncompleteHeartbeat = errors.New("heartbeat without Backend or Address")
@@ -70,6 +76,22 @@
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+// checkHeartbeat returns an error that names the first field of a heartbeat which cannot be used.
+func checkHeartbeat(heartbeat *operatorpb.Rater) error {
+	if _, _, err := net.SplitHostPort(heartbeat.Address); err != nil {
+		return fmt.Errorf("field Address: %w", err)
+	}
+	switch {
+	case heartbeat.Slots < 0:
+		return fmt.Errorf("field Slots is %d", heartbeat.Slots)
+	case heartbeat.Sequence < 0:
+		return fmt.Errorf("field Sequence is %d", heartbeat.Sequence)
+	case !(heartbeat.WarmupLeftMs >= 0 && heartbeat.WarmupLeftMs <= maxWarmupMs): // NaN is neither
+		return fmt.Errorf("field WarmupLeftMs is %v", heartbeat.WarmupLeftMs)
+	}
+	return nil
+}
+
 // parseHeartbeat returns the record that a heartbeat's body describes. Errors are of kind BadRequest.
 func parseHeartbeat(id string, body io.Reader) (registry.Record, error) {
 	content, err := io.ReadAll(body)
@@ -83,6 +105,9 @@
 	if heartbeat.Backend == "" || heartbeat.Address == "" {
 		return registry.Record{}, &errkind.Error{Kind: errkind.BadRequest, Err: errIncompleteHeartbeat}
 	}
+	if err := checkHeartbeat(&heartbeat); err != nil {
+		return registry.Record{}, &errkind.Error{Kind: errkind.BadRequest, Detail: "heartbeat", Err: err}
+	}
 	record := registry.Record{
 		ID:         id,
 		Backend:    heartbeat.Backend,
--- a/internal/fleet/controlplane/instanceapi_test.go
+++ b/internal/fleet/controlplane/instanceapi_test.go
@@ -25,6 +25,26 @@
 	require.Equal(t, version, n.registry.Version())
 }
 
+func TestFieldsOfAHeartbeatAreChecked(t *testing.T) {
+	n := newSingleNode(t, 0, 1)
+	version := n.registry.Version()
+	for text, body := range map[string]string{
+		"field Address":      `{"Backend":"llm","Address":"10.0.0.1"}`,
+		"field Slots":        `{"Backend":"llm","Address":"10.0.0.1:1","Slots":-1}`,
+		"field Sequence":     `{"Backend":"llm","Address":"10.0.0.1:1","Sequence":-1}`,
+		"Sequence":           `{"Backend":"llm","Address":"10.0.0.1:1","Sequence":9223372036854775808}`,
+		"field WarmupLeftMs": `{"Backend":"llm","Address":"10.0.0.1:1","WarmupLeftMs":"NaN"}`,
+		"WarmupLeftMs is +I": `{"Backend":"llm","Address":"10.0.0.1:1","WarmupLeftMs":"Infinity"}`,
+		"WarmupLeftMs is -1": `{"Backend":"llm","Address":"10.0.0.1:1","WarmupLeftMs":-1}`,
+		"WarmupLeftMs is 1e": `{"Backend":"llm","Address":"10.0.0.1:1","WarmupLeftMs":1e300}`,
+	} {
+		response := do(n, http.MethodPut, "/-/instances/x", body)
+		require.Equal(t, http.StatusBadRequest, response.Code, text)
+		require.Contains(t, response.Body.String(), text)
+	}
+	require.Equal(t, version, n.registry.Version())
+}
+
 func TestPollReturnsDrainingAndDeregisteredBackends(t *testing.T) {
 	n := newSingleNode(t, 0, 2)
 	draining := `{"Backend":"llm","Address":"10.0.0.1:1","State":"draining","Sequence":7}`
--- a/internal/fleet/controlplane/quotaservice.go
+++ b/internal/fleet/controlplane/quotaservice.go
@@ -9,6 +9,9 @@
 // Take serves a node's request for quota. If this process neither owns the tenant's bucket nor may act as its
 // deputy, the reply stays empty and the node tries another process.
 func (s *quotaService) Take(request *quota.AcquireRequest, reply *quota.AcquireReply) error {
+	if err := request.Validate(); err != nil {
+		return err
+	}
 	n := s.node
 	published, _ := n.replicator.Published()
 	now := n.now()
@@ -29,6 +32,11 @@
 	published, _ := n.replicator.Published()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for i := range mirrors.Buckets {
+		if err := mirrors.Buckets[i].Validate(); err != nil {
+			return err
+		}
+	}
 	if mirrors.Epoch >= published.View.Epoch {
 		n.buckets.UpdateMirrors(n.now(), mirrors.Buckets)
 	}
@@ -38,6 +46,9 @@
 // HandOver accepts a bucket from its previous owner. A bucket from a later view is accepted too, because this
 // process will learn of that view.
 func (s *quotaService) HandOver(transfer *quota.BucketState, _ *struct{}) error {
+	if err := transfer.Validate(); err != nil {
+		return err
+	}
 	n := s.node
 	published, _ := n.replicator.Published()
 	n.mu.Lock()
--- a/internal/fleet/dataplane/quotaclient.go
+++ b/internal/fleet/dataplane/quotaclient.go
@@ -153,12 +153,16 @@
 	}
 	var reply quota.AcquireReply
 	err := c.node.pool.Call(address, quota.MethodAcquire, request, &reply, c.callTimeout)
+	if err == nil {
+		err = reply.Validate()
+	}
 	if err != nil {
 		c.mu.Lock()
 		c.unresponsiveUntil[address] = c.node.now() + unresponsiveTimeout
 		c.mu.Unlock()
+		return quota.AcquireReply{}, err
 	}
-	return reply, err
+	return reply, nil
 }
 
 // acquireFallback takes an amount from this node's even share of the limit while no owner responds.
--- a/internal/fleet/distribution/clientstate.go
+++ b/internal/fleet/distribution/clientstate.go
@@ -78,7 +78,7 @@
 	if c.confirmed {
 		// The reply was written after the poll was sent, so the configuration was the newest one at this time or
 		// later.
-		newestAt := sent - reply.ConfirmedAgo
+		newestAt := sent - max(0, reply.ConfirmedAgo)
 		c.leaseEnd = max(c.leaseEnd, newestAt+c.leaseDuration)
 	}
 	if reply.Epoch >= c.epoch && len(reply.Members) > 0 {
--- a/internal/fleet/quota/messages.go
+++ b/internal/fleet/quota/messages.go
@@ -1,6 +1,11 @@
 package quota
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"time"
+)
 
 // The methods of the internal calls. Their names and the field names of the messages below are on the wire and
 // must not change: processes of other versions use the same names.
@@ -27,6 +32,12 @@
 	Revision int64   // of the configuration that contains the limit
 }
 
+// Validate returns an error that names the first field which is not a finite number of units of at least 0.
+func (r *AcquireRequest) Validate() error {
+	return cmp.Or(validateUnits("Rate", r.Rate), validateUnits("Burst", r.Burst), validateUnits("Need", r.Need),
+		validateUnits("Ahead", r.Ahead), validateUnits("Returned", r.Returned))
+}
+
 // AcquireReply is the reply to an AcquireRequest.
 type AcquireReply struct {
 	Granted float64
@@ -34,6 +45,9 @@
 	Wait    time.Duration // until the need can be met, if nothing was granted
 }
 
+// Validate returns an error if what was granted is not a finite number of units of at least 0.
+func (r *AcquireReply) Validate() error { return validateUnits("Granted", r.Granted) }
+
 // Mirrors holds copies of all buckets of an owner.
 type Mirrors struct {
 	Epoch   uint64 // the view in which the sender is the owner
@@ -49,3 +63,19 @@
 	Burst    float64
 	Revision int64
 }
+
+// Validate returns an error that names the first field which is not a finite number of units. A level may be below 0.
+func (s *BucketState) Validate() error {
+	return cmp.Or(validateUnits("Level", math.Abs(s.Level)), validateUnits("Rate", s.Rate), validateUnits("Burst", s.Burst))
+}
+
+// maxUnits bounds every number of units in a message.
+const maxUnits = 1e15
+
+// validateUnits returns an error that names the field unless its value is a number from 0 to maxUnits.
+func validateUnits(field string, units float64) error {
+	if !(units >= 0 && units <= maxUnits) { // NaN is neither
+		return fmt.Errorf("quota: field %s is %v", field, units)
+	}
+	return nil
+}
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -92,7 +92,7 @@
 func (r *Registry) Merge(now time.Duration, records []Record) bool {
 	changed := false
 	for _, record := range records {
-		lastHeartbeat := now - record.HeardAgo
+		lastHeartbeat := now - max(0, record.HeardAgo)
 		record.HeardAgo = 0
 		changed = r.upsert(lastHeartbeat, record) || changed
 	}
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -139,14 +139,14 @@
 		Seeds:           r.addresses("Seeds"),
 		Bootstrap:       r.flag("Bootstrap", false),
 		CountsForQuorum: r.flag("CountsForQuorum", false),
-		MemoryMB:        int(r.number("Limits.MemoryMb", 0)),
-		MaxFds:          int(r.number("Limits.MaxFds", 1024)),
+		MemoryMB:        r.count("Limits.MemoryMb", 0),
+		MaxFds:          r.count("Limits.MaxFds", 1024),
 		DataDir:         r.text("DataDir"),
 		Heartbeat:       r.milliseconds("HeartbeatMs", 1000),
 		LinkMbps:        r.number("Limits.LinkMbps", 0),
-		MachinesLost:    int(r.number("FaultTolerance.Machines", 0)),
-		ZonesLost:       int(r.number("FaultTolerance.Zones", 0)),
-		RegionsLost:     int(r.number("FaultTolerance.Regions", 0)),
+		MachinesLost:    r.count("FaultTolerance.Machines", 0),
+		ZonesLost:       r.count("FaultTolerance.Zones", 0),
+		RegionsLost:     r.count("FaultTolerance.Regions", 0),
 		Bounds: Bounds{
 			Contact:          r.milliseconds("Bounds.ContactMs", 3000),
 			Ack:              r.milliseconds("Bounds.AckMs", 4000),
@@ -188,6 +188,9 @@
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.InternalPort))
 }
 
+// maxNumber bounds every number of a settings file, whatever its unit. As seconds it is about 30 years.
+const maxNumber = 1e9
+
 // reader parses values of different types and keeps the first error.
 type reader struct {
 	path string
@@ -211,13 +214,16 @@
 		return fallback
 	}
 	value, err := strconv.ParseFloat(text, 64)
-	if err != nil || value < 0 {
-		r.fail(key, fmt.Errorf("%q is not a non-negative number", text))
+	if err != nil || !(value >= 0 && value <= maxNumber) { // NaN is neither
+		r.fail(key, fmt.Errorf("%q is not a number from 0 to %g", text, float64(maxNumber)))
 		return fallback
 	}
 	return value
 }
 
+// count returns a number without its fraction.
+func (r *reader) count(key string, fallback float64) int { return int(r.number(key, fallback)) }
+
 func (r *reader) seconds(key string, fallback float64) time.Duration {
 	return time.Duration(r.number(key, fallback) * float64(time.Second))
 }
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -75,3 +75,21 @@
 	require.ErrorAs(t, err, &invalid)
 	require.True(t, errors.Is(err, os.ErrNotExist))
 }
+
+func TestNumbersAreBounded(t *testing.T) {
+	for _, key := range []string{"Limits.MemoryMb", "Limits.MaxFds", "HeartbeatMs", "Limits.LinkMbps", "FaultTolerance.Machines", "FaultTolerance.Zones",
+		"FaultTolerance.Regions", "Bounds.ContactMs", "Bounds.AckMs", "Bounds.CatchUpS", "Bounds.DrainMs", "Bounds.GraceS", "Bounds.ConfigMs",
+		"Bounds.RevokeMs", "Bounds.RetryBudgetRatio", "Bounds.BudgetWindowS", "Bounds.BudgetSlack", "Bounds.QuotaWindowS", "Bounds.QuotaOver",
+		"Bounds.QuotaSlack", "Bounds.pass_ms", "Bounds.again_s"} {
+		for _, value := range []string{"NaN", "Inf", "-Inf", "+Infinity", "-1", "-0.001", "1e10", "1e400", "9223372036854775808", "1,5"} {
+			_, err := Parse("boot.conf", example+key+"="+value+"\n")
+			var invalid *Error
+			require.ErrorAs(t, err, &invalid, "%s=%s", key, value)
+			require.Equal(t, key, invalid.Key)
+		}
+	}
+	for _, value := range []string{"0", "70000", "-1", "NaN", "1e3", "99999999999999999999"} {
+		_, err := Parse("boot.conf", example+"InternalPorts="+value+"\n")
+		require.ErrorContains(t, err, "InternalPorts", value)
+	}
+}
