--- a/internal/fleet/controlplane/operatorapi_test.go
+++ b/internal/fleet/controlplane/operatorapi_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestAnOrderThatDoesNotFitIntoMemoryIsRejected(t *testing.T) {
-	n := newSingleNode(t, 0, 0)
+	n := newUnconfiguredNode(t)
 	n.memory = memory.NewBudget(4 << 10)
 	long := `{"Revision":5,"Note":"` + strings.Repeat("x", 3<<10) + `"}`
 	require.Equal(t, http.StatusRequestEntityTooLarge, doIfMatch(n, http.MethodPut, "/-/config", long, "0").Code)
