Keep the rater that was heard from last where two starts have one address

The start that was heard from last now keeps the address, in whichever order they become known. Measured: TestPredecessorThatBecomesKnownLaterIsRemoved fails without the change in one of the two orders.

--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -119,8 +119,9 @@
 	e := r.entries[record.ID]
 	if e == nil {
 		record.Late, record.Silent = false, false
-		r.entries[record.ID] = &entry{record: record, lastHeartbeat: lastHeartbeat, version: r.nextVersion(record.ID)}
-		r.removePredecessors(&record)
+		added := &entry{record: record, lastHeartbeat: lastHeartbeat, version: r.nextVersion(record.ID)}
+		r.entries[record.ID] = added
+		r.removePredecessors(added)
 		return true
 	}
 	if e.record.State == Removed || record.Sequence < e.record.Sequence && record.State <= e.record.State {
@@ -148,14 +149,19 @@
 	return true
 }
 
-// removePredecessors marks as removed the other backends with a new backend's address, because an address belongs
-// to only one process at a time.
-func (r *Registry) removePredecessors(successor *Record) {
-	if successor.State != Ready {
+// removePredecessors marks as removed all backends but one with the address of a backend that has just become known, because an
+// address belongs to only one process at a time. The one that was heard from last keeps it: another replica may tell of a
+// predecessor after its successor.
+func (r *Registry) removePredecessors(added *entry) {
+	if added.record.State != Ready || added.record.Address == "" {
 		return
 	}
 	for _, e := range r.entries {
-		if e.record.Address == successor.Address && e.record.ID != successor.ID && e.record.State != Removed && successor.Address != "" {
+		switch {
+		case e == added || e.record.Address != added.record.Address || e.record.State == Removed:
+		case e.lastHeartbeat > added.lastHeartbeat:
+			added.record.State = Removed
+		default:
 			e.record.State, e.version = Removed, r.nextVersion(e.record.ID)
 		}
 	}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -54,6 +54,22 @@
 	require.Len(t, r.ChangedSince(0, version), 2)
 }
 
+// A replica may hear of a backend's newer start first, and then from another replica of the older one at the same address.
+func TestPredecessorThatBecomesKnownLaterIsRemoved(t *testing.T) {
+	older, newer := record("older", 9, Ready), record("newer", 1, Ready)
+	now := 100 * heartbeatInterval
+	older.HeardAgo, newer.HeardAgo = 3*heartbeatInterval, heartbeatInterval
+	for _, order := range [][]Record{{newer, older}, {older, newer}} {
+		r := New(heartbeatInterval)
+		for _, merged := range order {
+			r.Merge(now, []Record{merged})
+		}
+		require.Equal(t, Removed, getRecord(t, r, "older").State)
+		require.Equal(t, Ready, getRecord(t, r, "newer").State)
+		require.Len(t, r.ChangedSince(now, 0), 2, "the data processes are told of both")
+	}
+}
+
 func TestBackendBecomesOverdueThenLostAndRecoversByHeartbeat(t *testing.T) {
 	r := New(heartbeatInterval)
 	r.Heartbeat(0, record("a", 1, Ready))
