Take no reply to a heartbeat of an earlier start for a confirmation

Stamps of heartbeats are readings of a clock that starts anew with the process. Stamps now have an origin that is drawn at each start, and only those between the start and now count. The wire is unchanged: peers return stamps as they are. Measured: TestReplyToAHeartbeatOfAnEarlierStartConfirmsNothing.

--- a/internal/fleet/controlplane/bootstrap.go
+++ b/internal/fleet/controlplane/bootstrap.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
 	"linenwheel.dev/linenwheel/internal/fleet/settings"
@@ -38,6 +39,7 @@
 	config := replica.DefaultConfig()
 	config.MaxFailures = set.MaxFailures()
 	config.Seeds = seeds
+	config.StampOrigin = time.Duration(randomID() % replica.MaxStampOrigin)
 	config.CanVote = set.CountsForQuorum || set.DataDir != ""
 	if set.LinkMbps > 0 {
 		config.TransferRate = int(set.LinkMbps * snapshotLinkShare * bytesPerMegabit)
--- a/internal/fleet/replica/config.go
+++ b/internal/fleet/replica/config.go
@@ -16,8 +16,15 @@
 	BootstrapPause    time.Duration // time for which founders wait for further members once there are enough candidates
 	BootstrapTimeout  time.Duration // time for which founders wait for all others before a majority bootstraps without the rest
 	TransferRate      int           // rate at which a snapshot is fetched, in bytes per second
+	// StampOrigin is added to the stamps of heartbeats. It is drawn at random at each start of the process, from 0 to
+	// MaxStampOrigin: the clock starts anew with the process, and a reply to a heartbeat of an earlier start must not be taken for
+	// one of this start.
+	StampOrigin time.Duration
 }
 
+// MaxStampOrigin is the largest value of Config.StampOrigin.
+const MaxStampOrigin = 1 << 61
+
 // DefaultConfig returns the default parameters. The caller sets MaxFailures and Seeds.
 func DefaultConfig() Config {
 	return Config{CanVote: true, HeartbeatInterval: 100 * time.Millisecond, FailureTimeout: 500 * time.Millisecond,
--- a/internal/fleet/replica/failuredetector.go
+++ b/internal/fleet/replica/failuredetector.go
@@ -14,7 +14,7 @@
 	m.now = max(now, m.now)
 	m.heartbeatSentAt = m.now
 	var out Ready
-	body := Heartbeat{Stamp: m.now, Status: m.Status(), Learned: m.knownAddresses()}
+	body := Heartbeat{Stamp: m.config.StampOrigin + m.now, Status: m.Status(), Learned: m.knownAddresses()}
 	for _, address := range m.peerAddresses() {
 		out.Messages = append(out.Messages, m.envelope(Member{Address: address}, body))
 	}
@@ -47,8 +47,8 @@
 	if p.reachableSince == 0 {
 		p.reachableSince = m.now
 	}
-	if body.Status.Epoch == m.view.Epoch && !body.Status.Sealed {
-		p.confirmedAt = max(p.confirmedAt, body.Stamp)
+	if sentAt, valid := m.sendTime(body.Stamp); valid && body.Status.Epoch == m.view.Epoch && !body.Status.Sealed {
+		p.confirmedAt = max(p.confirmedAt, sentAt)
 	}
 	m.inferCommitted()
 	out := m.sendViewIfBehind(from, body.Status.Epoch)
@@ -56,6 +56,12 @@
 	return out
 }
 
+// sendTime returns when the heartbeat with a stamp was sent, and false if this start of the process has not sent it.
+func (m *Machine) sendTime(stamp time.Duration) (time.Duration, bool) {
+	sentAt := stamp - m.config.StampOrigin
+	return sentAt, sentAt >= m.startedAt && sentAt <= m.now
+}
+
 // sendViewIfBehind sends the current view to a member that is in an earlier epoch.
 func (m *Machine) sendViewIfBehind(to Member, epoch uint64) Ready {
 	if m.view.Epoch == 0 || epoch >= m.view.Epoch {
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -455,3 +456,36 @@
 		require.Equal(t, m.Status().Seq, restarted.Status().Seq, "epoch %d: the log must be the same after a restart", test.epoch)
 	}
 }
+
+// Guards against a confirmation by a reply to a heartbeat that an earlier start of the process has sent: the reply of a peer that
+// stood still may arrive after a restart. The clock starts anew with the process.
+func TestReplyToAHeartbeatOfAnEarlierStartConfirmsNothing(t *testing.T) {
+	const origin = 1 << 40
+	sim := newBootstrapped(t, 1)
+	stored := sim.nodeFor(sim.view().Chain[0]).disk
+	for name, stamp := range map[string]time.Duration{
+		"later on the new clock":          origin + 90*time.Second,
+		"earlier on the new clock":        5 * time.Second,
+		"of a process without an origin":  20 * time.Second,
+		"before the start":                origin - time.Second,
+		"the largest":                     math.MaxInt64,
+		"sent by this start of a process": origin + 15*time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			config := sim.config()
+			config.StampOrigin = origin
+			restarted, err := New(config, stored, 10*time.Second)
+			require.NoError(t, err)
+			restarted.Tick(20 * time.Second)
+			for _, member := range sim.view().Voters[1:] {
+				status := sim.nodeFor(member).machine.Status()
+				restarted.Step(20*time.Second, Envelope{From: member, To: restarted.Self(), Body: HeartbeatReply{Stamp: stamp, Status: status}})
+			}
+			confirmed := time.Duration(0)
+			if name == "sent by this start of a process" {
+				confirmed = 15 * time.Second
+			}
+			require.Equal(t, confirmed, restarted.ViewConfirmed())
+		})
+	}
+}
