Follow a control plane that was started anew on empty disks

A confirmed reply now says which configuration it confirms, in the field that it had. One that confirms an older configuration for a time at which the process's own had been committed cannot come from the same control plane: the process then asks for the whole document, and its lease runs out if there is none. An older data process ignores such replies, as it does others that are not its own number.

--- a/internal/fleet/dataplane/configwatcher.go
+++ b/internal/fleet/dataplane/configwatcher.go
@@ -150,7 +150,7 @@
 	w.mu.Lock()
 	timeout := longPollTimeout
 	switch {
-	case w.state.Table() == nil:
+	case w.state.Table() == nil || w.state.Foreign():
 		timeout = startupPollTimeout
 	case !w.state.Confirmed():
 		timeout = 0
--- a/internal/fleet/distribution/clientstate.go
+++ b/internal/fleet/distribution/clientstate.go
@@ -26,7 +26,9 @@
 	failClosed    bool
 	leaseDuration time.Duration
 
-	seq              uint64 // of the configuration
+	seq              uint64        // of the configuration
+	seqKnownBy       time.Duration // when a poll was sent after that configuration had been received; 0 = none yet
+	foreign          bool          // the configuration is not one of the control plane that replies now
 	state            *operator.State
 	table            *operator.Table // state, compiled
 	needFullDocument bool            // an update could not be applied: the next poll requests the full document
@@ -71,10 +73,13 @@
 // poll requests the full document.
 func (c *ClientState) Apply(sent time.Duration, reply *PollReply) (Change, error) {
 	var change Change
+	if c.contradicts(sent, reply) {
+		c.forget()
+	}
 	if err := c.applyConfig(reply, &change); err != nil {
 		return change, err
 	}
-	c.confirmed = reply.Confirmed && reply.ConfigSeq == c.seq
+	c.confirmed = reply.Confirmed && reply.ConfigSeq <= c.seq && !c.foreign
 	if c.confirmed {
 		// The reply was written after the poll was sent, so the configuration was the newest one at this time or
 		// later.
@@ -89,9 +94,28 @@
 	return change, nil
 }
 
+// contradicts reports whether a reply to a poll that was sent at the given time cannot come from the control plane that has
+// committed this configuration: it confirms an older one as the newest at a time when this one had already been committed. That
+// is so where a control plane was started anew on empty disks.
+func (c *ClientState) contradicts(sent time.Duration, reply *PollReply) bool {
+	if c.seq > 0 && c.seqKnownBy == 0 {
+		c.seqKnownBy = sent
+	}
+	return reply.Confirmed && reply.ConfigSeq < c.seq && sent-reply.ConfirmedAgo > c.seqKnownBy
+}
+
+// forget has the next poll request the full document, whatever its number. Until one is received, the configuration is used as
+// long as its lease lasts.
+func (c *ClientState) forget() {
+	c.seq, c.seqKnownBy, c.state, c.epoch, c.foreign = 0, 0, nil, 0, true
+}
+
+// Foreign reports whether the configuration is not one of the control plane that replies now, which has none yet.
+func (c *ClientState) Foreign() bool { return c.foreign }
+
 // applyConfig applies the reply's update, unless the current configuration is at least as new.
 func (c *ClientState) applyConfig(reply *PollReply, change *Change) error {
-	if reply.ConfigSeq < c.seq || reply.ConfigSeq == c.seq && !c.needFullDocument {
+	if reply.ConfigSeq < c.seq || reply.ConfigSeq == c.seq && !c.needFullDocument || len(reply.Update) == 0 && c.foreign {
 		return nil
 	}
 	document, patches, err := reply.Update.Read()
@@ -104,7 +128,7 @@
 		return err
 	}
 	c.seq, c.state, c.table = reply.ConfigSeq, state, state.Document.Compile()
-	c.needFullDocument = false
+	c.needFullDocument, c.foreign, c.seqKnownBy = false, false, 0
 	change.Config = true
 	return nil
 }
--- a/internal/fleet/distribution/clientstate_test.go
+++ b/internal/fleet/distribution/clientstate_test.go
@@ -179,3 +179,54 @@
 	require.EqualValues(t, 1, c.Table().Revision)
 	require.Zero(t, c.Request("n", 1, 0).ConfigSeq)
 }
+
+// Guards against a node that goes on with the configuration of a control plane that no longer exists, and takes it for confirmed:
+// the control plane was started anew on empty disks beside running data processes.
+func TestControlPlaneStartedAnewIsFollowed(t *testing.T) {
+	c := NewClientState(true, revokeAfter)
+	old := reply(50, `{"Revision":900}`, 0)
+	old.Epoch = 7
+	mustApply(t, c, 10*time.Second, old)
+	mustApply(t, c, 11*time.Second, reply(50, "", 0))
+	lease := c.LeaseEnd()
+	anew := &Source{State: operator.NewState(), ConfirmedAt: time.Second}
+	answer := func(sent time.Duration) {
+		request := c.Request("n", 1, 0)
+		r := &PollReply{Epoch: 1, Members: []ControlMember{{Address: "b", InChain: true}}}
+		require.NoError(t, anew.Answer(time.Second+100*time.Millisecond, &request, r, anew.Encode))
+		mustApply(t, c, sent, r)
+	}
+	answer(12 * time.Second)
+	require.True(t, c.Foreign())
+	answer(13 * time.Second)
+	require.False(t, c.Confirmed())
+	require.Equal(t, lease, c.LeaseEnd(), "the lease ends, as nothing confirms this configuration")
+	require.EqualValues(t, 900, c.Table().Revision)
+	state, err := operator.NewState().Apply(operator.Order{Method: http.MethodPut, Body: []byte(`{"Revision":3}`)})
+	require.NoError(t, err)
+	anew.Seq, anew.State = 1, state
+	answer(14 * time.Second)
+	require.EqualValues(t, 3, c.Table().Revision)
+	require.False(t, c.Foreign())
+	require.True(t, c.Confirmed())
+	require.Greater(t, c.LeaseEnd(), lease)
+	epoch, members := c.Members()
+	require.EqualValues(t, 1, epoch)
+	require.Equal(t, "b", members[0].Address)
+}
+
+// A member that has not heard of the newest order yet confirms its own configuration for a time before that order.
+func TestControlProcessThatIsBehindIsNotTakenForAnother(t *testing.T) {
+	c := NewClientState(true, revokeAfter)
+	mustApply(t, c, 10*time.Second, reply(50, `{"Revision":900}`, 0))
+	mustApply(t, c, 11*time.Second, reply(49, "", 100*time.Millisecond))
+	require.False(t, c.Foreign())
+	require.True(t, c.Confirmed())
+	mustApply(t, c, 12*time.Second, reply(49, "", 1001*time.Millisecond))
+	require.False(t, c.Foreign())
+	require.EqualValues(t, 900, c.Table().Revision)
+	unconfirmed := reply(0, "", 0)
+	unconfirmed.Confirmed = false
+	mustApply(t, c, 13*time.Second, unconfirmed)
+	require.False(t, c.Foreign(), "an unconfirmed reply proves nothing")
+}
--- a/internal/fleet/distribution/messages.go
+++ b/internal/fleet/distribution/messages.go
@@ -42,7 +42,7 @@
 	Confirmed    bool
 	ConfirmedAgo time.Duration
 
-	ConfigSeq uint64 // of the configuration after Update
+	ConfigSeq uint64 // of the configuration after Update, or of the older one that is Confirmed
 	Update    Update // from the requested configuration
 
 	// ListConfirmed means that the registry had every acknowledged change ListConfirmedAgo before this reply was
--- a/internal/fleet/distribution/source.go
+++ b/internal/fleet/distribution/source.go
@@ -21,13 +21,17 @@
 }
 
 // Answer writes to the reply when the configuration was last confirmed. If the configuration is confirmed and
-// newer than the node's, it also writes the update that encode returns. If encode fails, Answer returns the error,
-// and the node keeps its configuration.
+// newer than the node's, it also writes the update that encode returns; if it is older, the reply's ConfigSeq says so. If
+// encode fails, Answer returns the error, and the node keeps its configuration.
 func (s *Source) Answer(now time.Duration, request *PollRequest, reply *PollReply, encode func(from uint64) (Update, error)) error {
 	reply.Confirmed = s.ConfirmedAt > 0
 	reply.ConfirmedAgo = now - s.ConfirmedAt
 	reply.ConfigSeq = request.ConfigSeq
-	if !reply.Confirmed || s.Seq <= request.ConfigSeq {
+	if !reply.Confirmed {
+		return nil
+	}
+	if s.Seq <= request.ConfigSeq {
+		reply.ConfigSeq = s.Seq
 		return nil
 	}
 	update, err := encode(request.ConfigSeq)
