Apply the limits of a later configuration at processes that already serve

When they change, a new server takes the further connections and the old one closes its own as soon as nothing is in flight on them.

--- a/internal/fleet/dataplane/listener.go
+++ b/internal/fleet/dataplane/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"linenwheel.dev/linenwheel/internal/fleet/backend"
+	"linenwheel.dev/linenwheel/internal/fleet/operator"
 	"linenwheel.dev/linenwheel/internal/fleet/proxy"
 )
 
@@ -48,12 +49,17 @@
 }
 
 // newServer returns the server for clients. It requires a configuration.
-func (n *Node) newServer(idle *idleConnections) *http.Server {
+func (n *Node) newServer(idle *idleConnections) *clientServer {
 	handler := &proxy.Handler{Config: n, Picker: n.picker, Quotas: n.quotas, Retries: n.retries, Backends: backend.NewClient(n.memory),
 		Memory: n.memory, Metrics: n.metrics, Log: n.log, ShouldCloseConnections: n.shouldCloseConnections, TimeUntilAbort: n.timeUntilAbort}
-	limits := n.Table().Limits
-	return &http.Server{Handler: n.countInFlight(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout, IdleTimeout: -1,
-		ConnState: idle.recordState, MaxHeaderBytes: limits.HeaderBytes, ErrorLog: n.log.StandardLog()}
+	limits := func() operator.Limits {
+		current := n.Table().Limits
+		return operator.Limits{HeaderBytes: current.HeaderBytes, HeaderTimeout: current.HeaderTimeout} // the others are looked up when they apply
+	}
+	return newClientServer(limits, func(limits operator.Limits) *http.Server {
+		return &http.Server{Handler: n.countInFlight(handler), ReadHeaderTimeout: 2 * limits.HeaderTimeout, IdleTimeout: -1,
+			ConnState: idle.recordState, MaxHeaderBytes: limits.HeaderBytes, ErrorLog: n.log.StandardLog()}
+	})
 }
 
 // countInFlight wraps a handler to count the requests in flight.
--- a/internal/fleet/dataplane/shutdown.go
+++ b/internal/fleet/dataplane/shutdown.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 )
 
@@ -23,7 +22,7 @@
 }
 
 // shutdown stops the server gracefully. The context has ended and is used for its values only.
-func (n *Node) shutdown(ctx context.Context, server *http.Server) error {
+func (n *Node) shutdown(ctx context.Context, server *clientServer) error {
 	begin := time.Now()
 	n.abortAt.Store(int64(n.now() + n.settings.Bounds.Grace - killMargin))
 	n.stopping.Store(true)
