Answer an order that the other process can no longer obey, as it has ended

The order was written to a connection whose end had not been read yet: the write failed, and the operator was told that the order was not in force in a process that no longer was. A write that fails so now waits for the end to be noticed.

Measured: TestOrderIsNotHeldUpByAProcessThatHasEnded fails without the change.

--- a/internal/node/control/orders.go
+++ b/internal/node/control/orders.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 	limit := time.NewTimer(orderLimit)
 	defer limit.Stop()
 	err := w.write(message{Type: typeOrder, Seq: seq, Order: order}, orderLimit)
-	if err == nil {
+	if err == nil || connectionEnded(err) { // in the latter case, end follows as soon as the reader has noticed
 		select {
 		case err = <-answer:
 		case <-limit.C:
@@ -63,6 +64,11 @@
 	return err
 }
 
+// connectionEnded reports whether a write failed because the other process has closed the connection, or has ended.
+func connectionEnded(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // told takes an order of the other process, or its answer to one.
 func (e *exchange) told(w wire, m message, obey func(json.RawMessage) error) {
 	if m.Type == typeOrder {
