--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. Everything is kept inside the repository's folder.
 
-.PHONY: clean-build histories demo-fleet circle life build test race lint fuzz run sim demo survey holiday fleet scale bench bench-check long clean
+.PHONY: soak soak-long clean-build histories demo-fleet circle life build test race lint fuzz run sim demo survey holiday fleet scale bench bench-check long clean
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -45,6 +45,17 @@
 demo-fleet: build
 	go run ./lab/fleetdemo
 
+# The fleet's programs as real processes under drawn troubles, judged: docs/design/soak.md. A minute or so; soak-long takes a
+# quarter of an hour and writes what it played to found/soak.json.
+soak:
+	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/linenwheel-lab ./cmd/linenwheel-data ./cmd/linenwheel-control
+	bin/linenwheel-lab soak -seeds 1-4 -for 6s -jobs 2
+
+SOAK_SEEDS ?= 1-50
+
+soak-long: build
+	mkdir -p found && bin/linenwheel-lab soak -seeds $(SOAK_SEEDS) -for 12s -jobs 3 -report found/soak.json
+
 # The drawn worst days of the control plane, twice HISTORIES of them: among the first 900 are those that noticed a fault.
 HISTORIES ?= 450
 
--- a/cmd/linenwheel-lab/main.go
+++ b/cmd/linenwheel-lab/main.go
@@ -46,7 +46,7 @@
 	circleCommand,
 	policiesCommand,
 	pointsCommand, roomsCommand, lifeCommand, newcomerCommand,
-	daysCommand,
+	daysCommand, soakCommand,
 }
 
 // The ways in which a command can end badly, beside those that have no status of their own.
--- /dev/null
+++ b/lab/soak/platform.go
@@ -0,0 +1,414 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"linenwheel.dev/linenwheel/lab/fleet"
+	"linenwheel.dev/linenwheel/lab/soak/record"
+	"linenwheel.dev/linenwheel/lab/soak/schedule"
+)
+
+// Times of the platform.
+const (
+	restartDelay   = 300 * time.Millisecond
+	memoryInterval = 25 * time.Millisecond
+	graceMargin    = time.Second           // beyond the grace, before a process counts as hung
+	signalAfter    = 20 * time.Millisecond // after a start, as no program can handle a signal before its first instructions
+)
+
+// Roles of processes.
+const (
+	roleControl = "control"
+	roleData    = "data"
+	roleRater   = "rater"
+)
+
+// slot is a machine with its process, which the platform starts again whenever it has ended.
+type slot struct {
+	*fleet.Machine
+	role     string
+	mu       sync.Mutex // held while the process is started, stopped or signalled
+	expected bool       // the platform ends the process
+
+	startedAt time.Time
+}
+
+// platform keeps the processes of a fleet running and makes troubles.
+type platform struct {
+	fleet   *fleet.Fleet
+	records *record.Writer
+	control []*slot
+	data    []*slot
+	raters  []*raterSlot
+	builds  []string // folders of programs, from which processes are started in turn
+	starts  int
+	stopped chan struct{}
+	work    sync.WaitGroup
+}
+
+func newPlatform(f *fleet.Fleet, records *record.Writer, builds []string) *platform {
+	p := &platform{fleet: f, records: records, builds: builds, stopped: make(chan struct{})}
+	for _, m := range f.Control {
+		p.control = append(p.control, &slot{Machine: m, role: roleControl})
+	}
+	for _, m := range f.Data {
+		p.data = append(p.data, &slot{Machine: m, role: roleData})
+	}
+	for _, s := range p.all() {
+		p.change(s, record.Started, "")
+		p.work.Go(func() { p.watch(s) })
+		p.work.Go(func() { p.watchMemory(s) })
+	}
+	return p
+}
+
+// all returns the control and data processes.
+func (p *platform) all() []*slot { return append(append([]*slot(nil), p.control...), p.data...) }
+
+// change records what happened to a process.
+func (p *platform) change(s *slot, what record.What, detail string) {
+	p.records.Write(record.Entry{At: time.Now().UnixNano(), Change: &record.Change{Machine: s.Name, Role: s.role, What: what, Detail: detail}})
+}
+
+// ending reports whether the play ends.
+func (p *platform) ending() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// watch starts a process again that has ended by itself.
+func (p *platform) watch(s *slot) {
+	for {
+		s.mu.Lock()
+		ended := s.Ended()
+		s.mu.Unlock()
+		select {
+		case <-ended:
+		case <-p.stopped:
+			return
+		}
+		s.mu.Lock()
+		if s.Ended() == ended && !s.expected && !p.ending() { // no trouble has started another one
+			p.change(s, record.OwnEnd, s.ExitState())
+			time.Sleep(restartDelay)
+			p.start(s)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// start starts a process, from the next build. The caller holds the lock.
+func (p *platform) start(s *slot) {
+	if p.ending() {
+		return
+	}
+	p.starts++
+	s.Use(p.builds[p.starts%len(p.builds)])
+	if err := p.fleet.Boot(s.Machine, false); err != nil {
+		p.change(s, record.OwnEnd, err.Error())
+	}
+	s.startedAt = time.Now()
+	p.change(s, record.Started, "")
+}
+
+// watchMemory ends a process that is over its memory, as the platform does.
+func (p *platform) watchMemory(s *slot) {
+	for !p.ending() {
+		time.Sleep(memoryInterval)
+		s.mu.Lock()
+		if used := memoryOf(s.Process()); used > memoryMB && !s.expected {
+			p.change(s, record.OverMemory, fmt.Sprintf("%d MB of %d", used, memoryMB))
+			p.kill(s)
+			p.start(s)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// memoryOf returns the memory of a process that is its own, in MB; 0 if it has ended.
+func memoryOf(pid int) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, found := strings.CutPrefix(line, "RssAnon:"); found {
+			kilobytes, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB"))
+			return kilobytes >> 10
+		}
+	}
+	return 0
+}
+
+// kill ends a process at once. The caller holds the lock.
+func (p *platform) kill(s *slot) {
+	p.change(s, record.Killed, "")
+	s.expected = true
+	s.Kill()
+	s.expected = false
+	time.Sleep(restartDelay)
+}
+
+// killAndStart is a kill and a start after it, with an empty disk if wiped.
+func (p *platform) killAndStart(s *slot, wiped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.kill(s)
+	if wiped && s.Wipe() == nil {
+		p.change(s, record.Wiped, "")
+	}
+	p.start(s)
+}
+
+// terminate stops a process in order, ends it if it runs after its grace, and starts it again.
+func (p *platform) terminate(s *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.change(s, record.Terminated, "")
+	s.expected = true
+	defer func() { s.expected = false }()
+	_ = s.Signal(syscall.SIGTERM)
+	select {
+	case <-s.Ended():
+		p.change(s, record.Ended, "")
+	case <-time.After(bounds.Grace + graceMargin):
+		p.change(s, record.Hung, fmt.Sprint(bounds.Grace+graceMargin))
+		s.Kill()
+	}
+	time.Sleep(restartDelay)
+	p.start(s)
+}
+
+// freeze stops a process for a time without its knowledge.
+func (p *platform) freeze(s *slot, length time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.change(s, record.Frozen, length.String())
+	_ = s.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = s.Signal(syscall.SIGCONT)
+	p.change(s, record.Thawed, "")
+}
+
+// reload tells a process that its settings file has changed.
+func (p *platform) reload(s *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	time.Sleep(time.Until(s.startedAt.Add(signalAfter)))
+	p.change(s, record.Reloaded, "")
+	_ = s.Signal(syscall.SIGHUP)
+}
+
+// trouble makes one trouble of the plan and returns when it is over.
+func (p *platform) trouble(t schedule.Trouble) {
+	control, data := p.control[t.Target%len(p.control)], p.data[t.Target%len(p.data)]
+	switch t.Kind {
+	case schedule.KillData:
+		p.killAndStart(data, false)
+	case schedule.TermData:
+		p.terminate(data)
+	case schedule.FreezeData:
+		p.freeze(data, t.For)
+	case schedule.ReloadData:
+		p.reload(data)
+	case schedule.RollData:
+		for _, s := range p.data[:min(len(p.data), rolled)] {
+			p.terminate(s)
+		}
+	case schedule.KillControl:
+		p.killAndStart(control, false)
+	case schedule.TermControl:
+		p.terminate(control)
+	case schedule.FreezeControl:
+		p.freeze(control, t.For)
+	case schedule.ReloadControl:
+		p.reload(control)
+	case schedule.WipeControl:
+		p.killAndStart(control, true)
+	case schedule.KillAll:
+		var kills sync.WaitGroup
+		for _, s := range p.all() {
+			kills.Go(func() { p.killAndStart(s, false) })
+		}
+		kills.Wait()
+	default:
+		p.troubleRater(t)
+	}
+}
+
+// rolled is the largest number of data processes that one roll restarts: each takes seconds.
+const rolled = 3
+
+// troubleRater makes a trouble of raters.
+func (p *platform) troubleRater(t schedule.Trouble) {
+	s := p.raters[t.Target%len(p.raters)]
+	linked := p.raters[t.Target%len(p.raters)/linkEvery*linkEvery]
+	switch t.Kind {
+	case schedule.KillRater:
+		s.kill()
+	case schedule.KillRaters:
+		for _, one := range p.raters[:len(p.raters)/2] {
+			one.kill()
+		}
+	case schedule.DrainRater:
+		s.leave(leaveByDraining)
+	case schedule.DeleteRater:
+		s.leave(leaveByDeleting)
+	case schedule.FreezeRater:
+		s.freeze(t.For)
+	case schedule.DelayLink:
+		linked.harm(p, harmDelay, t.For)
+	case schedule.CutLink:
+		linked.harm(p, harmCut, t.For)
+	case schedule.ResetLink:
+		linked.harm(p, harmReset, 0)
+	}
+}
+
+// stop ends all processes.
+func (p *platform) stop() {
+	close(p.stopped)
+	for _, s := range p.raters {
+		s.stop()
+	}
+	for _, s := range p.all() { // a frozen one ends too
+		s.mu.Lock()
+		s.Kill()
+		s.mu.Unlock()
+	}
+	p.work.Wait()
+}
+
+// openLog opens the file of a process's output.
+func openLog(folder, name string) (*os.File, error) {
+	return os.OpenFile(filepath.Join(folder, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+}
+
+// raterSlot keeps a rater running: one that ends is started again as a new instance.
+type raterSlot struct {
+	number  int
+	service string
+	address string // at which it registers
+	own     string // at which it listens; the same, unless a link is between
+	program string
+	control []string
+	seed    uint64
+	folder  string
+	records string         // path of its records
+	events  *record.Writer // the platform's
+	link    *link          // nil = none
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	starts   int
+	stopping bool
+}
+
+// run starts instances until stop is called.
+func (s *raterSlot) run() {
+	for {
+		command := s.start()
+		if command == nil {
+			return
+		}
+		_ = command.Wait()
+		s.ended()
+		time.Sleep(restartDelay)
+	}
+}
+
+// ended records the end of the instance that was started last.
+func (s *raterSlot) ended() {
+	s.events.Write(record.Entry{At: time.Now().UnixNano(), Change: &record.Change{Machine: s.instance(), Role: roleRater, What: record.Ended}})
+}
+
+// instance returns the id of the instance that was started last.
+func (s *raterSlot) instance() string { return fmt.Sprintf("i-%d-%d", s.number, s.starts) }
+
+// start starts an instance, nil if stop was called or it failed.
+func (s *raterSlot) start() *exec.Cmd {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return nil
+	}
+	s.starts++
+	output, err := openLog(s.folder, fmt.Sprintf("rater-%d.log", s.number))
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = output.Close() }()
+	command := exec.Command(s.program, "soak", "rater", "-id", s.instance(), "-service", s.service, "-address", s.address,
+		"-listen", s.own, "-seed", fmt.Sprint(s.seed), "-number", fmt.Sprint(s.number), "-control", strings.Join(s.control, ","), "-records", s.records)
+	command.Stdout, command.Stderr = output, output
+	if command.Start() != nil {
+		return nil
+	}
+	s.command = command
+	return command
+}
+
+// signal sends a signal to the instance that runs.
+func (s *raterSlot) signal(signal os.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.command != nil {
+		_ = s.command.Process.Signal(signal)
+	}
+}
+
+func (s *raterSlot) kill() { s.signal(syscall.SIGKILL) }
+
+// Signals by which a rater leaves.
+const (
+	leaveByDraining = syscall.SIGTERM
+	leaveByDeleting = syscall.SIGUSR1
+)
+
+func (s *raterSlot) leave(how os.Signal) { s.signal(how) }
+
+// freeze stops the rater for a time.
+func (s *raterSlot) freeze(length time.Duration) {
+	s.signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	s.signal(syscall.SIGCONT)
+}
+
+// stop ends the rater for good.
+func (s *raterSlot) stop() {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.kill()
+	if s.link != nil {
+		s.link.close()
+	}
+}
+
+// harm harms the rater's link for a time.
+func (s *raterSlot) harm(p *platform, how harm, length time.Duration) {
+	if s.link == nil {
+		return
+	}
+	change := func(what record.What) {
+		p.records.Write(record.Entry{At: time.Now().UnixNano(), Change: &record.Change{Machine: fmt.Sprintf("rater-%d", s.number), Role: roleRater,
+			What: what, Detail: string(how)}})
+	}
+	change(record.Harmed)
+	s.link.harm(how)
+	time.Sleep(length)
+	s.link.harm(harmNone)
+	change(record.Healed)
+}
--- a/lab/streams/plan.go
+++ b/lab/soak/rater/plan.go
@@ -1,4 +1,4 @@
-package main
+package rater
 
 import (
 	"fmt"
@@ -85,7 +85,7 @@
 
 // streamStride returns the size of the events in a request's first run.
 func streamStride(seed uint64, stream string) int {
-	return 1 + draw(seed, stream, "stride").IntN(maxStride)
+	return 1 + Draw(seed, stream, "stride").IntN(maxStride)
 }
 
 // PlanOf returns what a backend does with a request: stream names the client's request over all its tries, id is that of
@@ -94,7 +94,7 @@
 // A run that starts over has a first event that isn't beyond that event: else nothing in the response would show that it
 // has started over.
 func PlanOf(seed uint64, stream, id string, last, tokens int) Plan {
-	random := draw(seed, id, fmt.Sprint(last))
+	random := Draw(seed, id, fmt.Sprint(last))
 	stride := streamStride(seed, stream)
 	plan := Plan{Framing: Framing(random.IntN(int(framings))), First: 1, Stride: stride}
 	if random.IntN(100) < troubledPercent {
@@ -124,6 +124,30 @@
 	return plan
 }
 
+// Shares of endings that a rater keeps to, in percent, where it has thousands of runs: a process that ended with each of its plans
+// would hardly ever be there.
+const (
+	keptEndings        = 30 // of endings of a connection
+	keptProcessEndings = 2  // of endings of a process
+	keptUnframed       = 20 // of bodies without length or chunks, each of which costs a retry where it can be confirmed
+)
+
+// calmed returns the plan with most of the endings replaced by whole ones, and most of the unframed bodies by chunks.
+func (p Plan) calmed(random *rand.Rand, tokens int) Plan {
+	if p.Framing == ByConnection && random.IntN(100) >= keptUnframed {
+		p.Framing = ByChunks
+	}
+	kept := keptEndings
+	if p.Ending == KilledBetween || p.Ending == ExitsBetween {
+		kept = keptProcessEndings
+	}
+	if p.Ending == Whole || random.IntN(100) < kept {
+		return p
+	}
+	p.Ending, p.Events = Whole, (tokens-p.First+p.Stride)/p.Stride
+	return p
+}
+
 // drawEnding returns an ending other than Whole.
 func drawEnding(random *rand.Rand) Ending {
 	if random.IntN(100) < processPercent {
@@ -132,8 +156,8 @@
 	return connectionEndings[random.IntN(len(connectionEndings))]
 }
 
-// draw returns random numbers that depend on nothing but its arguments.
-func draw(seed uint64, parts ...string) *rand.Rand {
+// Draw returns random numbers that depend on nothing but its arguments.
+func Draw(seed uint64, parts ...string) *rand.Rand {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(strings.Join(parts, " ")))
 	return rand.New(rand.NewPCG(seed, hash.Sum64()))
@@ -149,3 +173,12 @@
 	text.WriteString("\n\n")
 	return text.String()
 }
+
+// LooksWhole reports whether the bytes of a run that ends too early are those of a whole one: no client of the backend can tell,
+// unless it may ask what follows. events is whether the body is known to consist of events.
+func (p Plan) LooksWhole(events bool) bool {
+	if p.Framing != ByConnection {
+		return false
+	}
+	return p.Ending == ClosesBetween || p.Ending == StallsAndCloses || p.Ending == ClosesWithin && !events
+}
--- a/lab/streams/judge.go
+++ b/lab/soak/rater/received.go
@@ -1,4 +1,4 @@
-package main
+package rater
 
 import (
 	"fmt"
--- a/lab/streams/client.go
+++ b/lab/streams/client.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"linenwheel.dev/linenwheel/lab/soak/rater"
 )
 
 // Terms of a client.
@@ -21,14 +23,14 @@
 	name   string
 	route  string
 	tokens int
-	Received
+	rater.Received
 }
 
 // receive receives one stream. The client resumes it, or asks again where nothing has come, as far as the route allows.
 func (p *play) receive(number int) {
-	random := draw(p.Seed, "stream", fmt.Sprint(number))
+	random := rater.Draw(p.Seed, "stream", fmt.Sprint(number))
 	s := &stream{name: fmt.Sprintf("s%d", number), route: routes[random.IntN(len(routes))],
-		tokens: minTokens + random.IntN(maxTokens-minTokens+1), Received: Received{Next: 1}}
+		tokens: minTokens + random.IntN(maxTokens-minTokens+1), Received: rater.Received{Next: 1}}
 	for try := range maxTries {
 		front := p.fleet.Front(p.fleet.Data[random.IntN(len(p.fleet.Data))])
 		if p.try(s, front, fmt.Sprintf("%016x", number*maxTries+try)) {
@@ -38,7 +40,7 @@
 			if s.route != "safe" {
 				break
 			}
-			s.Received = Received{Next: 1}
+			s.Received = rater.Received{Next: 1}
 		}
 		time.Sleep(retryPause)
 	}
@@ -52,7 +54,7 @@
 		return false
 	}
 	request.Host = "h"
-	for name, value := range map[string]string{"Attempt-Id": id, headerStream: s.name, "Api-Key": "key", "Deadline-Ms": "8000",
+	for name, value := range map[string]string{"Attempt-Id": id, rater.HeaderStream: s.name, "Api-Key": "key", "Deadline-Ms": "8000",
 		"Token-Usage": "600,40", "Prompt-Prefix": "aa:400," + s.name + ":200"} {
 		request.Header.Set(name, value)
 	}
@@ -71,13 +73,13 @@
 		return false
 	}
 	judgement := s.Judge(string(body), err == nil, s.tokens)
-	plan := PlanOf(p.Seed, s.name, id, last, s.tokens)
+	plan := rater.PlanOf(p.Seed, s.name, id, last, s.tokens)
 	switch {
 	case judgement.Whole:
 		p.record(func(r *Result) { r.Whole++ })
 	case judgement.Broken == "":
 		return false
-	case judgement.TooEarly && plan.looksWhole(s.route):
+	case judgement.TooEarly && looksWhole(plan, s.route):
 		p.record(func(r *Result) { r.Undecidable++ })
 	default:
 		line := fmt.Sprintf("seed %d, %s of %d tokens on %s, try %s after event %d: %s; first run: %s", p.Seed, s.name, s.tokens, s.route, id, last,
@@ -89,9 +91,6 @@
 
 // looksWhole reports whether the bytes of a run that ends too early are those of a whole one: no client of the backend can tell,
 // unless it may ask what follows. Only on a streaming route is a body known to consist of events.
-func (p Plan) looksWhole(route string) bool {
-	if p.Framing != ByConnection || routesThatGoOn[route] {
-		return false
-	}
-	return p.Ending == ClosesBetween || p.Ending == StallsAndCloses || p.Ending == ClosesWithin && route == "safe"
+func looksWhole(plan rater.Plan, route string) bool {
+	return !routesThatGoOn[route] && plan.LooksWhole(route != "safe")
 }
--- a/lab/streams/main.go
+++ b/lab/streams/main.go
@@ -16,6 +16,7 @@
 	"strings"
 
 	"linenwheel.dev/linenwheel/lab/engine"
+	"linenwheel.dev/linenwheel/lab/soak/rater"
 )
 
 // Exit codes.
@@ -58,8 +59,8 @@
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
-	registration := &engine.Registration{ID: *id, Backend: "llm", Address: *address, Zone: "loopback", Slots: slots}
-	return (&backendProcess{registration: registration, control: strings.Split(*control, ","), seed: *seed}).serve()
+	registration := &engine.Registration{ID: *id, Backend: "llm", Address: *address, Zone: "loopback", Slots: rater.Slots}
+	return (&rater.Process{Registration: registration, Control: strings.Split(*control, ","), Seed: *seed}).Serve()
 }
 
 // runPlays plays one seed after the other.
--- a/lab/streams/play.go
+++ b/lab/streams/play.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"linenwheel.dev/linenwheel/lab/fleet"
+	"linenwheel.dev/linenwheel/lab/soak/rater"
 )
 
 // Sizes and times of a play.
@@ -123,7 +124,7 @@
 
 // trouble makes one series of troubles until stop is closed. Each series has data processes of its own.
 func (p *play) trouble(series int, stop <-chan struct{}) {
-	random := draw(p.Seed, "trouble", fmt.Sprint(series))
+	random := rater.Draw(p.Seed, "trouble", fmt.Sprint(series))
 	m := p.fleet.Data[series%len(p.fleet.Data)]
 	for {
 		select {
