Put tenants back after their removal in the soak, and name keys as the linter asks

After the last tenant was removed nothing but anonymous routes could be served for the rest of a play. It is put back after 0.8 or 7 s now: less and more than RevokeMs.

--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -88,7 +88,7 @@
 	w := &wanted{name: fmt.Sprintf("s%d", c.numbers.Add(1)), route: known.routes[c.random.IntN(len(known.routes))], key: "key-nobody-holds",
 		tokens: minTokens + c.random.IntN(maxTokens-minTokens+1), received: rater.Received{Next: 1}}
 	if len(known.tenants) > 0 {
-		if keys := known.tenants[c.random.IntN(len(known.tenants))].ApiKeys; len(keys) > 0 {
+		if keys := known.tenants[c.random.IntN(len(known.tenants))].APIKeys; len(keys) > 0 {
 			w.key = keys[c.random.IntN(len(keys))]
 		}
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -68,7 +68,7 @@
 // tenant is a tenant of the configuration.
 type tenant struct {
 	Name        string
-	ApiKeys     []string
+	APIKeys     []string `json:"ApiKeys"`
 	Priority    int
 	Unit        string
 	PlainTokens int
@@ -135,7 +135,7 @@
 		if i%5 == 4 {
 			perS = limitedPerS
 		}
-		c.Tenants = append(c.Tenants, tenant{Name: fmt.Sprintf("t%d", i), ApiKeys: []string{fmt.Sprintf("key-%d-a", i), fmt.Sprintf("key-%d-b", i)},
+		c.Tenants = append(c.Tenants, tenant{Name: fmt.Sprintf("t%d", i), APIKeys: []string{fmt.Sprintf("key-%d-a", i), fmt.Sprintf("key-%d-b", i)},
 			Priority: i % 3, Unit: "token_count", PlainTokens: 200, RatePerS: perS, Burst: perS})
 	}
 	return c
--- a/lab/soak/judge/history.go
+++ b/lab/soak/judge/history.go
@@ -34,7 +34,7 @@
 
 type tenantItem struct {
 	Name        string
-	ApiKeys     []string
+	APIKeys     []string `json:"ApiKeys"`
 	PlainTokens float64
 	RatePerS    float64
 	Burst       float64
@@ -96,7 +96,7 @@
 // holder returns the tenant with a key, nil if there is none.
 func (d *document) holder(key string) *tenantItem {
 	for _, item := range d.tenants {
-		if key != "" && slices.Contains(item.ApiKeys, key) {
+		if key != "" && slices.Contains(item.APIKeys, key) {
 			return &item
 		}
 	}
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -73,7 +73,7 @@
 	next := o.current.clone()
 	revoked, removed := slices.Clone(o.known.revoked), slices.Clone(o.known.removed)
 	for _, one := range o.known.tenants {
-		for _, key := range one.ApiKeys {
+		for _, key := range one.APIKeys {
 			if !holds(next.Tenants, key) && !slices.Contains(revoked, key) {
 				revoked = append(revoked, key)
 			}
@@ -89,7 +89,7 @@
 
 // holds reports whether one of the tenants holds a key.
 func holds(tenants []tenant, key string) bool {
-	return slices.ContainsFunc(tenants, func(t tenant) bool { return slices.Contains(t.ApiKeys, key) })
+	return slices.ContainsFunc(tenants, func(t tenant) bool { return slices.Contains(t.APIKeys, key) })
 }
 
 // first has the first configuration taken.
@@ -195,16 +195,16 @@
 	}
 	i := random.IntN(len(next.Tenants))
 	changed := next.Tenants[i]
-	changed.ApiKeys = slices.Clone(changed.ApiKeys)
+	changed.APIKeys = slices.Clone(changed.APIKeys)
 	switch kind {
 	case behaviour.RemovesTenant:
 		p.Remove.Tenants = []string{changed.Name}
 		next.Tenants = slices.Delete(next.Tenants, i, i+1)
 		return
 	case behaviour.AddsKey:
-		changed.ApiKeys = append(changed.ApiKeys, fmt.Sprintf("key-of-revision-%d", next.Revision))
+		changed.APIKeys = append(changed.APIKeys, fmt.Sprintf("key-of-revision-%d", next.Revision))
 	case behaviour.RemovesKey:
-		changed.ApiKeys = changed.ApiKeys[min(1, len(changed.ApiKeys)):]
+		changed.APIKeys = changed.APIKeys[min(1, len(changed.APIKeys)):]
 	case behaviour.LowersLimit:
 		changed.RatePerS = limitedPerS + random.IntN(limitedPerS)
 	}
@@ -308,7 +308,7 @@
 	case 6:
 		p.Revision, order.revision = o.current.Revision, o.current.Revision
 	case 7:
-		p.Upsert.Tenants = []tenant{{Name: "x", ApiKeys: []string{"shared"}}, {Name: "y", ApiKeys: []string{"shared"}}}
+		p.Upsert.Tenants = []tenant{{Name: "x", APIKeys: []string{"shared"}}, {Name: "y", APIKeys: []string{"shared"}}}
 	case 8:
 		p.Upsert.Routes = []route{wrong}
 		order.body = encode(p)[:40]
--- a/lab/soak/schedule/schedule.go
+++ b/lab/soak/schedule/schedule.go
@@ -183,12 +183,19 @@
 	behaviour.LowersLimit, behaviour.WholeDocument, behaviour.SendsAgain, behaviour.TwoAtOnce, behaviour.StaleBase, behaviour.SendsInvalid,
 	behaviour.SendsInvalid, behaviour.Storm, behaviour.ReadsBack, behaviour.ReadsBack, behaviour.ChangesLimits, behaviour.RemovesService}
 
+// absences are how long a tenant that was removed stays away: less and more than the time in which its keys end.
+var absences = []time.Duration{800 * time.Millisecond, 7 * time.Second}
+
 // addOrders adds the steps of the operators.
 func (p *Plan) addOrders(random *rand.Rand, pause time.Duration) {
 	for at := between(random, pause); at < p.For; at += between(random, pause) {
 		kind := orderKinds[random.IntN(len(orderKinds))]
 		if kind != behaviour.Storm {
 			p.Orders = append(p.Orders, Order{At: at, Behaviour: kind, Seed: random.Uint64()})
+			if kind == behaviour.RemovesLast || kind == behaviour.RemovesTenant {
+				back := absences[random.IntN(len(absences))]
+				p.Orders = append(p.Orders, Order{At: at + back, Behaviour: behaviour.PutsBack, Seed: random.Uint64()})
+			}
 			continue
 		}
 		for i := range stormOrders {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -134,7 +134,7 @@
 // awaitServing waits until every data process answers a request with something else than a refusal.
 func (p *play) awaitServing() error {
 	until := time.Now().Add(startWithin)
-	key := p.operators.Known().tenants[0].ApiKeys[0]
+	key := p.operators.Known().tenants[0].APIKeys[0]
 	for i, m := range p.fleet.Data {
 		for number := 0; ; number++ {
 			c := &client{clients: &clients{fleet: p.fleet}}
