Keep processes of raters running by one package for the soak and for streams

lab/streams and the soak each had the logic that starts a rater again; lab/respawn has it now, with a test.

--- a/lab/soak/platform.go
+++ b/lab/soak/platform.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -257,10 +255,10 @@
 	linked := p.raters[t.Target%len(p.raters)/linkEvery*linkEvery]
 	switch t.Kind {
 	case schedule.KillRater:
-		s.kill()
+		s.Kill()
 	case schedule.KillRaters:
 		for _, one := range p.raters[:len(p.raters)/2] {
-			one.kill()
+			one.Kill()
 		}
 	case schedule.DrainRater:
 		s.leave(leaveByDraining)
@@ -269,11 +267,11 @@
 	case schedule.FreezeRater:
 		s.freeze(t.For)
 	case schedule.DelayLink:
-		linked.harm(p, harmDelay, t.For)
+		linked.harm(harmDelay, t.For)
 	case schedule.CutLink:
-		linked.harm(p, harmCut, t.For)
+		linked.harm(harmCut, t.For)
 	case schedule.ResetLink:
-		linked.harm(p, harmReset, 0)
+		linked.harm(harmReset, 0)
 	}
 }
 
@@ -290,125 +288,3 @@
 	}
 	p.work.Wait()
 }
-
-// openLog opens the file of a process's output.
-func openLog(folder, name string) (*os.File, error) {
-	return os.OpenFile(filepath.Join(folder, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-}
-
-// raterSlot keeps a rater running: one that ends is started again as a new instance.
-type raterSlot struct {
-	number  int
-	service string
-	address string // at which it registers
-	own     string // at which it listens; the same, unless a link is between
-	program string
-	control []string
-	seed    uint64
-	folder  string
-	records string         // path of its records
-	events  *record.Writer // the platform's
-	link    *link          // nil = none
-
-	mu       sync.Mutex
-	command  *exec.Cmd
-	starts   int
-	stopping bool
-}
-
-// run starts instances until stop is called.
-func (s *raterSlot) run() {
-	for {
-		command := s.start()
-		if command == nil {
-			return
-		}
-		_ = command.Wait()
-		s.ended()
-		time.Sleep(restartDelay)
-	}
-}
-
-// ended records the end of the instance that was started last.
-func (s *raterSlot) ended() {
-	s.events.Write(record.Entry{At: time.Now().UnixNano(), Change: &record.Change{Machine: s.instance(), Role: roleRater, What: record.Ended}})
-}
-
-// instance returns the id of the instance that was started last.
-func (s *raterSlot) instance() string { return fmt.Sprintf("i-%d-%d", s.number, s.starts) }
-
-// start starts an instance, nil if stop was called or it failed.
-func (s *raterSlot) start() *exec.Cmd {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping {
-		return nil
-	}
-	s.starts++
-	output, err := openLog(s.folder, fmt.Sprintf("rater-%d.log", s.number))
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = output.Close() }()
-	command := exec.Command(s.program, "soak", "rater", "-id", s.instance(), "-service", s.service, "-address", s.address,
-		"-listen", s.own, "-seed", fmt.Sprint(s.seed), "-number", fmt.Sprint(s.number), "-control", strings.Join(s.control, ","), "-records", s.records)
-	command.Stdout, command.Stderr = output, output
-	if command.Start() != nil {
-		return nil
-	}
-	s.command = command
-	return command
-}
-
-// signal sends a signal to the instance that runs.
-func (s *raterSlot) signal(signal os.Signal) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.command != nil {
-		_ = s.command.Process.Signal(signal)
-	}
-}
-
-func (s *raterSlot) kill() { s.signal(syscall.SIGKILL) }
-
-// Signals by which a rater leaves.
-const (
-	leaveByDraining = syscall.SIGTERM
-	leaveByDeleting = syscall.SIGUSR1
-)
-
-func (s *raterSlot) leave(how os.Signal) { s.signal(how) }
-
-// freeze stops the rater for a time.
-func (s *raterSlot) freeze(length time.Duration) {
-	s.signal(syscall.SIGSTOP)
-	time.Sleep(length)
-	s.signal(syscall.SIGCONT)
-}
-
-// stop ends the rater for good.
-func (s *raterSlot) stop() {
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
-	s.kill()
-	if s.link != nil {
-		s.link.close()
-	}
-}
-
-// harm harms the rater's link for a time.
-func (s *raterSlot) harm(p *platform, how harm, length time.Duration) {
-	if s.link == nil {
-		return
-	}
-	change := func(what record.What) {
-		p.records.Write(record.Entry{At: time.Now().UnixNano(), Change: &record.Change{Machine: fmt.Sprintf("rater-%d", s.number), Role: roleRater,
-			What: what, Detail: string(how)}})
-	}
-	change(record.Harmed)
-	s.link.harm(how)
-	time.Sleep(length)
-	s.link.harm(harmNone)
-	change(record.Healed)
-}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -25,8 +25,6 @@
 	afterRecovery = 2 * time.Second        // for which clients go on beyond Bounds.Recover
 	busyInterval  = 20 * time.Millisecond  // between two looks at the clock
 	busyAfter     = 100 * time.Millisecond // a look that is so late shows a busy machine
-	raterPort     = 8304
-	behindLink    = 8305 // port of a rater behind a link
 )
 
 // Options describe a play.
@@ -111,26 +109,6 @@
 	return nil
 }
 
-// startRaters starts the raters, some of them behind links.
-func (p *play) startRaters(control []string) error {
-	for i := range p.Plan.Raters {
-		address := fmt.Sprintf("%s:%d", p.fleet.Host(i+1), raterPort)
-		s := &raterSlot{number: i, service: services[i%2], address: address, own: address, program: p.Program, control: control, seed: p.Plan.Seed, events: p.records,
-			folder: p.Folder, records: filepath.Join(p.Folder, fmt.Sprintf("rater-%d.jsonl", i))}
-		if i%linkEvery == 0 {
-			s.own = fmt.Sprintf("%s:%d", p.fleet.Host(i+1), behindLink)
-			started, err := startLink(s.address, s.own)
-			if err != nil {
-				return err
-			}
-			s.link = started
-		}
-		p.platform.raters = append(p.platform.raters, s)
-		p.platform.work.Go(s.run)
-	}
-	return nil
-}
-
 // awaitServing waits until every data process answers a request with something else than a refusal.
 func (p *play) awaitServing() error {
 	until := time.Now().Add(startWithin)
