--- a/lab/soak/judge/judge_test.go
+++ b/lab/soak/judge/judge_test.go
@@ -153,6 +153,11 @@
 			again, _ := s.served(at+second, "y", "/resumed/4")
 			again.Stream, again.Last = "x", 2
 		}},
+		"rater ends, unframed": {Order, func(s *sheet) {
+			t, r := s.served(at, "x", "/resumed/4")
+			t.Answer, r.Framing = rater.Event(1, 2), uint8(rater.ByConnection)
+			s.change(at+second/20, "i-1", "rater", record.Ended)
+		}},
 		"unframed and asked for": {Order, func(s *sheet) {
 			t, r := s.served(at, "x", "/resumed/4")
 			t.Answer, r.Framing, r.Ending = rater.Event(1, 2), uint8(rater.ByChunks), uint8(rater.ClosesBetween)
@@ -288,6 +293,12 @@
 			t, _ := s.served(at, "x", "/unsafe/4")
 			t.Status, t.Seal, t.Answer, t.Complete = 0, "", "", false
 		},
+		"rater ends unseen on a busy machine": func(s *sheet) {
+			t, r := s.served(at, "x", "/resumed/4")
+			t.Answer, r.Framing = rater.Event(1, 2), uint8(rater.ByConnection)
+			s.change(at+second/20, "i-1", "rater", record.Ended)
+			s.change(at+second/10, "", "", record.Busy)
+		},
 		"hangs on a busy machine": func(s *sheet) {
 			s.change(at-second, "", "", record.Busy)
 			s.change(at, "control-1", "control", record.Hung)
--- a/lab/soak/judge/requests.go
+++ b/lab/soak/judge/requests.go
@@ -206,6 +206,9 @@
 // looksWhole reports whether a rater has ended the stream too early by an end that is also that of a whole body, on a route on
 // which nobody may be asked for the rest.
 func (j *judge) looksWhole(t *try) bool {
+	if slices.ContainsFunc(t.runs, j.endedUnseen) {
+		return true
+	}
 	unframed := slices.ContainsFunc(t.runs, func(one run) bool {
 		return rater.Framing(one.Framing) == rater.ByConnection && rater.Ending(one.Ending) != rater.Whole &&
 			(one.LooksLike || rater.Ending(one.Ending) == rater.ClosesWithin)
@@ -225,6 +228,13 @@
 // the end later.
 const raterEndMargin = 1e9
 
+// endedUnseen reports whether a run without length or chunks ended with its rater's process while the machine was busy. That it
+// did shows only in that other connections end within a moment, which is a bound of time.
+func (j *judge) endedUnseen(one run) bool {
+	at, gone := j.ended[one.Rater]
+	return gone && rater.Framing(one.Framing) == rater.ByConnection && !quiet(j.busy, one.at-raterEndMargin, at+raterEndMargin)
+}
+
 // judgeLost judges requests that were cut although their rater was sound.
 func (j *judge) judgeLost() {
 	cuts := 0
