--- a/lab/soak/schedule/schedule.go
+++ b/lab/soak/schedule/schedule.go
@@ -40,11 +40,17 @@
 	ResetLink     Kind = "reset a rater's connections"
 )
 
-// kinds are the kinds that are drawn, each with its weight.
-var kinds = []struct {
+// weightedKind is a kind that is drawn as often as its weight says.
+type weightedKind struct {
 	kind   Kind
 	weight int
-}{{KillData, 6}, {TermData, 6}, {FreezeData, 6}, {ReloadData, 4}, {RollData, 2}, {KillControl, 6}, {TermControl, 4}, {FreezeControl, 6},
+}
+
+// plannedWork are the kinds that the pages call planned work, and raters that leave.
+var plannedWork = []weightedKind{{TermData, 6}, {ReloadData, 3}, {RollData, 1}, {TermControl, 2}, {ReloadControl, 1}, {DrainRater, 2}}
+
+// kinds are the kinds that are drawn, each with its weight.
+var kinds = []weightedKind{{KillData, 6}, {TermData, 6}, {FreezeData, 6}, {ReloadData, 4}, {RollData, 2}, {KillControl, 6}, {TermControl, 4}, {FreezeControl, 6},
 	{ReloadControl, 2}, {WipeControl, 2}, {KillAll, 1}, {KillRater, 8}, {DrainRater, 5}, {DeleteRater, 4}, {FreezeRater, 4}, {KillRaters, 1},
 	{DelayLink, 3}, {CutLink, 3}, {ResetLink, 4}}
 
@@ -97,7 +103,8 @@
 // Sizes of plans.
 const (
 	largeOneIn    = 8  // plans that have many processes
-	calmOneIn     = 12 // plans with few troubles, in which bounds of time can be judged
+	calmOneIn     = 10 // plans with few troubles, in which bounds of time can be judged
+	plannedOneIn  = 5  // plans with planned work alone, beside which no request may be lost
 	largeData     = 24
 	largeRaters   = 48
 	troublePause  = 900 * time.Millisecond // between two troubles of a series, on average
@@ -124,11 +131,15 @@
 	}
 	p.Clients = 48 + 8*p.Data
 	series, pause, orders := 2+random.IntN(2), troublePause, orderPause
-	if random.IntN(calmOneIn) == 0 {
+	drawn := kinds
+	switch {
+	case random.IntN(calmOneIn) == 0:
 		series, pause, orders = 1, calmPause, calmPause
+	case random.IntN(plannedOneIn) == 0:
+		drawn = plannedWork
 	}
 	for range series {
-		p.addSeries(random, pause)
+		p.addSeries(random, pause, drawn)
 	}
 	p.addOrders(random, orders)
 	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
@@ -142,9 +153,9 @@
 }
 
 // addSeries adds troubles one after the other. Those of other series overlap them.
-func (p *Plan) addSeries(random *rand.Rand, pause time.Duration) {
+func (p *Plan) addSeries(random *rand.Rand, pause time.Duration, drawn []weightedKind) {
 	for at := between(random, pause); at < p.For; at += between(random, pause) {
-		trouble := Trouble{At: at, Kind: drawKind(random), Target: random.IntN(1 << 10), For: time.Duration(random.Int64N(int64(longestFreeze)))}
+		trouble := Trouble{At: at, Kind: drawKind(random, drawn), Target: random.IntN(1 << 10), For: time.Duration(random.Int64N(int64(longestFreeze)))}
 		if trouble.Kind == WipeControl && p.wipes() >= (p.Control-1)/2 {
 			trouble.Kind = KillControl
 		}
@@ -163,13 +174,14 @@
 	return count
 }
 
-func drawKind(random *rand.Rand) Kind {
+// drawKind draws one of several kinds by their weights.
+func drawKind(random *rand.Rand, among []weightedKind) Kind {
 	sum := 0
-	for _, one := range kinds {
+	for _, one := range among {
 		sum += one.weight
 	}
 	drawn := random.IntN(sum)
-	for _, one := range kinds {
+	for _, one := range among {
 		if drawn -= one.weight; drawn < 0 {
 			return one.kind
 		}
--- a/lab/soak/schedule/schedule_test.go
+++ b/lab/soak/schedule/schedule_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,7 +20,7 @@
 // Guards against kinds that no plan meets, and against plans beyond what the pages promise to bear.
 func TestFiftySeedsMeetEveryKindWithinTheBounds(t *testing.T) {
 	kinds, orders := map[Kind]int{}, map[behaviour.Name]int{}
-	large, single := 0, 0
+	large, single, planned := 0, 0, 0
 	for seed := range uint64(50) {
 		p := Draw(seed, length)
 		require.LessOrEqual(t, p.wipes(), (p.Control-1)/2, "seed %d", seed)
@@ -31,6 +32,9 @@
 		if p.Tenants == 1 {
 			single++
 		}
+		if !slices.ContainsFunc(p.Troubles, unplanned) {
+			planned++
+		}
 		for _, trouble := range p.Troubles {
 			kinds[trouble.Kind]++
 			require.Less(t, trouble.At, length)
@@ -49,6 +53,12 @@
 	}
 	require.Positive(t, large)
 	require.Positive(t, single)
+	require.Greater(t, planned, 4)
+}
+
+// unplanned reports whether a trouble is no planned work.
+func unplanned(t Trouble) bool {
+	return !slices.ContainsFunc(plannedWork, func(one weightedKind) bool { return one.kind == t.Kind })
 }
 
 func TestWithoutLeavesTheRestAsItIs(t *testing.T) {
