Count a start after a stop in order as planned work in the soak's judge

Planted records: cut beside a stop while another process is back (found), cut after a crash whose process is back (allowed).

--- a/lab/soak/judge/judge.go
+++ b/lab/soak/judge/judge.go
@@ -93,11 +93,12 @@
 	tries    map[string]*try // by attempt
 	ordered  []*try          // by time
 	history  history
-	troubles []int64          // times of troubles of control and data processes, and of a busy machine
-	unsound  []int64          // those that are not planned work
-	busy     []int64          // times at which the machine was busy: no bound of time can be judged
-	calmAt   int64            // no trouble follows; 0 = never
-	ended    map[string]int64 // when instances of raters ended
+	troubles []int64                // times of troubles of control and data processes, and of a busy machine
+	unsound  []int64                // those that are not planned work
+	busy     []int64                // times at which the machine was busy: no bound of time can be judged
+	calmAt   int64                  // no trouble follows; 0 = never
+	ended    map[string]int64       // when instances of raters ended
+	latest   map[string]record.What // what happened to each control and data process last, while the records are indexed
 }
 
 // try is a request with its runs.
@@ -132,7 +133,7 @@
 func Judge(entries []record.Entry, bounds Bounds) Verdict {
 	entries = slices.Clone(entries)
 	record.Sort(entries)
-	j := &judge{bounds: bounds, entries: entries, tries: map[string]*try{}, ended: map[string]int64{}}
+	j := &judge{bounds: bounds, entries: entries, tries: map[string]*try{}, ended: map[string]int64{}, latest: map[string]record.What{}}
 	j.history = newHistory(entries)
 	j.index()
 	j.judgeRuns()
@@ -154,7 +155,7 @@
 	j.verdict.Findings = append(j.verdict.Findings, Finding{Rule: rule, At: at, Attempts: attempts, Text: fmt.Sprintf(format, args...)})
 }
 
-// plannedWork are the changes that the pages call planned work.
+// plannedWork are the changes that the pages call planned work; so is the start after a stop in order.
 var plannedWork = map[record.What]bool{record.Terminated: true, record.Ended: true, record.Reloaded: true}
 
 // index builds the lookup tables.
@@ -198,9 +199,11 @@
 	case change.Role == "rater" && change.What != record.Harmed && change.What != record.Healed:
 	default:
 		j.troubles = append(j.troubles, entry.At)
-		if !plannedWork[change.What] {
+		startedAgain := change.What == record.Started && j.latest[change.Machine] == record.Ended
+		if !plannedWork[change.What] && !startedAgain {
 			j.unsound = append(j.unsound, entry.At)
 		}
+		j.latest[change.Machine] = change.What
 	}
 }
 
--- a/lab/soak/judge/judge_test.go
+++ b/lab/soak/judge/judge_test.go
@@ -212,6 +212,14 @@
 			t, _ := s.served(at+second, "x", "/unsafe/4")
 			t.Status, t.Seal, t.Answer, t.Complete = 0, "", "", false
 		}},
+		"cut beside a stop, another process back": {Lost, func(s *sheet) {
+			s.change(at-second, "data-2", "data", record.Terminated)
+			s.change(at-second/2, "data-2", "data", record.Ended)
+			s.change(at-second/3, "data-2", "data", record.Started)
+			s.change(at, "data-1", "data", record.Terminated)
+			t, _ := s.served(at+second, "x", "/unsafe/4")
+			t.Status, t.Seal, t.Answer, t.Complete = 0, "", "", false
+		}},
 		"cut without a reason": {Lost, func(s *sheet) {
 			for i := range 4 {
 				t, _ := s.served(at+second, fmt.Sprint("x", i), "/unsafe/4")
@@ -303,6 +311,13 @@
 			s.change(at-second, "", "", record.Busy)
 			s.change(at, "control-1", "control", record.Hung)
 		},
+		"cut after a crash, the process back": func(s *sheet) {
+			s.change(at-2*second, "data-1", "data", record.Killed)
+			s.change(at-second, "data-1", "data", record.Started)
+			s.change(at, "data-2", "data", record.Terminated)
+			t, _ := s.served(at+3*second/2, "x", "/unsafe/4")
+			t.Status, t.Seal, t.Answer, t.Complete = 0, "", "", false
+		},
 		"client left": func(s *sheet) {
 			t, _ := s.served(at, "x", "/unsafe/4")
 			t.Complete, t.Answer, t.Left = false, rater.Event(1, 2), true
