Search each part of an event once

Traced: all that was held of an event was searched for its end again with each part, which takes the square of its length; 0.5 MB in chunks of 8 bytes took 2.03 s of the 2 s that the test's client gave.

--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -25,6 +25,17 @@
 	return end
 }
 
+// completeEventsAfter is completeEvents for data of which no event ends in the first searched bytes: an event of any length is
+// searched once.
+func completeEventsAfter(data []byte, searched int) int {
+	from := max(0, searched-maxEventEnd+1)
+	complete := completeEvents(data[from:])
+	if complete == 0 {
+		return 0
+	}
+	return from + complete
+}
+
 // cutEvent splits data after its first event. If no event ends in data, all of it is the event.
 func cutEvent(data []byte) (event, rest []byte) {
 	end := len(data)
--- a/internal/fleet/proxy/resume.go
+++ b/internal/fleet/proxy/resume.go
@@ -150,8 +150,9 @@
 			}
 			reserved = required
 		}
+		searched := len(buffered)
 		buffered = append(buffered, chunk[:n]...)
-		if complete := completeEvents(buffered); complete > 0 {
+		if complete := completeEventsAfter(buffered, searched); complete > 0 {
 			e.recordFirstToken(attempt)
 			e.recordChunk(attempt)
 			if err := e.writeNewEvents(response, buffered[:complete]); err != nil {
