--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// seenInRecords are the behaviours that records tell; the other ones are not counted.
+// notCounted are the behaviours that records do not tell.
 var notCounted = []behaviour.Name{behaviour.KeepsConnection, behaviour.NewConnection, behaviour.ChunkedBody, behaviour.RetriesPromise, behaviour.RevokedKey,
 	behaviour.OddLast, behaviour.DeletesFirst}
 
