--- a/review/probe/leave.go
+++ b/review/probe/leave.go
@@ -39,6 +39,7 @@
 	clients := p.startClients(700*time.Millisecond, 15*time.Second)
 	time.Sleep(4 * time.Second)
 	leaving := p.raters[0]
+	leaving.awaitBeat()
 	restarted := time.Now()
 	if p.trouble {
 		if err := p.killCore(); err != nil {
--- a/review/probe/rater.go
+++ b/review/probe/rater.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// awaitBeat returns just after the rater's next heartbeat, so that the one after that is due in heartbeatEvery.
+func (r *rater) awaitBeat() {
+	for last := r.sequence.Load(); r.sequence.Load() == last; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
 // sendReady sends a heartbeat to a node.
 func (r *rater) sendReady(node string) error { return r.send(node, "ready") }
 
