--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -110,7 +110,7 @@
 // freeNetwork returns the first two bytes of loopback addresses that nobody uses.
 func freeNetwork() (string, error) {
 	for range 50 {
-		network := fmt.Sprintf("127.%d", 64+rand.IntN(60))
+		network := fmt.Sprintf("127.%d", 2+rand.IntN(250))
 		free := true
 		for z := range zones {
 			listener, err := net.Listen("tcp4", fmt.Sprintf("%s.%d.1:%d", network, z+1, frontPort))
--- a/review/probe/leave.go
+++ b/review/probe/leave.go
@@ -36,7 +36,7 @@
 	if err := p.awaitServing(15 * time.Second); err != nil {
 		return err
 	}
-	clients := p.startClients(700*time.Millisecond, 15*time.Second)
+	clients := p.startClients(300*time.Millisecond, 15*time.Second)
 	time.Sleep(4 * time.Second)
 	leaving := p.raters[0]
 	leaving.awaitBeat()
@@ -114,13 +114,14 @@
 			continue // its machine was not in touch
 		}
 		late, last = late+1, one.at
-		if sent.status != http.StatusOK {
+		if sent.status != http.StatusOK || sent.err != nil {
 			lost++
 		}
 	}
-	p.records.note("of %d requests, %d reached the rater later than DrainMs after the acknowledgement, from machines in touch; the last %.3f s after it (the rater ended after %.3f s); %d of them got no success",
-		len(outcomes), late, last.Sub(acknowledged).Seconds()*min(1, float64(late)), ended.Sub(acknowledged).Seconds(), lost)
+	p.records.note("the rater ended %.3f s after the acknowledgement; of %d requests %d reached it later than DrainMs after that, from machines in touch; %d of these got no whole answer",
+		ended.Sub(acknowledged).Seconds(), len(outcomes), late, lost)
 	if late > 0 {
+		p.records.note("the last one reached it %.3f s after the acknowledgement", last.Sub(acknowledged).Seconds())
 		return fmt.Errorf("%w: DRAIN, %d requests", errBroken, late)
 	}
 	return nil
