Show that a stream without length looks complete where its rater crashes behind a lossy link

Where the end of the second, silent connection comes over 100 ms after that of the answer, the client gets a part of the stream that ends as complete.

--- a/review/probe/clients.go
+++ b/review/probe/clients.go
@@ -25,7 +25,8 @@
 	front   *machine
 	sentAt  time.Time
 	endAt   time.Time
-	status  int // 0: no whole answer
+	status  int // 0: no answer
+	events  int // received
 	err     error
 }
 
@@ -77,22 +78,25 @@
 func (c *clients) request(transport *http.Transport, front *machine) {
 	seen := outcome{attempt: fmt.Sprintf("%016x", rand.Uint64()), front: front, sentAt: time.Now()}
 	c.play.records.line("client sends %s to %s", seen.attempt, front.name)
-	seen.status, seen.err = send(transport, front, report, seen.attempt, c.deadline)
+	seen.status, seen.events, seen.err = send(transport, front, report, seen.attempt, c.deadline)
 	seen.endAt = time.Now()
-	c.play.records.line("client gets %d for %s (%v)", seen.status, seen.attempt, seen.err)
+	c.play.records.line("client gets %d with %d events for %s (%v)", seen.status, seen.events, seen.attempt, seen.err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, seen)
 }
 
-// send sends one try and returns the status of a whole answer.
-func send(transport *http.Transport, front *machine, path, attempt string, deadline time.Duration) (int, error) {
+// errBodyCut is wrapped by the error of an answer that has begun and did not end as complete.
+var errBodyCut = errors.New("answer cut")
+
+// send sends one try and returns the status of the answer and the number of its events. The error is nil if the answer ended as complete.
+func send(transport *http.Transport, front *machine, path, attempt string, deadline time.Duration) (status, events int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	body := []byte("report " + attempt)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front.address(frontPort)+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	request.Host = hostname
 	request.GetBody = nil // a client of the pages sends each try once
@@ -101,13 +105,15 @@
 	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	response, err := transport.RoundTrip(request)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.ReadAll(response.Body); err != nil {
-		return 0, err
+	received, err := io.ReadAll(response.Body)
+	events = bytes.Count(received, []byte("\n\n"))
+	if err != nil {
+		return response.StatusCode, events, fmt.Errorf("%w: %w", errBodyCut, err)
 	}
-	return response.StatusCode, nil
+	return response.StatusCode, events, nil
 }
 
 // awaitServing waits until all fronts serve.
@@ -128,7 +134,7 @@
 func awaitFront(m *machine, deadline time.Time) error {
 	transport := &http.Transport{DisableKeepAlives: true}
 	for {
-		status, err := send(transport, m, report, fmt.Sprintf("%016x", rand.Uint64()), 5*callWithin)
+		status, _, err := send(transport, m, report, fmt.Sprintf("%016x", rand.Uint64()), 5*callWithin)
 		if status == http.StatusOK {
 			return nil
 		}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -28,7 +28,8 @@
 
 // cases are the plays by name. A play returns nil if the rule held.
 var cases = map[string]func(p *play) error{
-	"leave": playLeave,
+	"leave":    playLeave,
+	"unframed": playUnframed,
 }
 
 func main() { os.Exit(run()) }
--- a/review/probe/rater.go
+++ b/review/probe/rater.go
@@ -18,6 +18,9 @@
 // callWithin is how long a rater or the operator waits for an answer.
 const callWithin = time.Second
 
+// streamEvents is the number of events of a stream.
+const streamEvents = 64
+
 // rater is a stand-in for a rater: it registers by heartbeats, and runs every request for work.
 type rater struct {
 	play    *play
@@ -33,6 +36,8 @@
 	sequence atomic.Int64
 	running  atomic.Int64
 	server   *http.Server
+	link     *link
+	unframed bool // answers have no length and end with their connections
 	quit     chan struct{}
 	quitOnce sync.Once
 
@@ -50,13 +55,14 @@
 // newRater starts a rater that calls the given nodes.
 func (p *play) newRater(number int, service, zone string, nodes []string) (*rater, error) {
 	r := &rater{play: p, id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), service: service, zone: zone, ip: fmt.Sprintf("%s.200.%d", p.network, number),
-		slots: 64, work: 20 * time.Millisecond, events: 64, nodes: nodes, quit: make(chan struct{})}
+		slots: 64, work: 20 * time.Millisecond, events: streamEvents, nodes: nodes, quit: make(chan struct{})}
 	listener, err := net.Listen("tcp4", r.address())
 	if err != nil {
 		return nil, err
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
-	go func() { _ = r.server.Serve(listener) }()
+	r.link = newLink(p, listener)
+	go func() { _ = r.server.Serve(r.link) }()
 	p.raters = append(p.raters, r)
 	return r, nil
 }
@@ -79,11 +85,16 @@
 	r.play.records.line("rater %s runs %s", r.id, attempt)
 	w.Header().Set("Response-Seal", "seal-"+attempt)
 	w.Header().Set("Instance-Load", fmt.Sprintf("%d,0,%d", running, r.slots))
-	whole := true
-	if r.events > 0 {
+	var whole bool
+	switch {
+	case r.unframed:
+		whole = r.streamUnframed(w, attempt)
+	case r.events > 0:
 		whole = r.stream(w, request)
-	} else if whole = r.wait(request); whole {
-		_, _ = w.Write(body)
+	default:
+		if whole = r.wait(request); whole {
+			_, _ = w.Write(body)
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,6 +118,32 @@
 	return true
 }
 
+// streamUnframed answers with events that end with the connection, and reports whether it sent all of them.
+func (r *rater) streamUnframed(w http.ResponseWriter, attempt string) bool {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return false
+	}
+	defer func() { _ = connection.Close() }()
+	if _, err := fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Type: text/event-stream\r\n"+
+		"Connection: close\r\n\r\n", attempt, attempt); err != nil {
+		return false
+	}
+	for number := 1; number <= r.events; number++ {
+		time.Sleep(r.work)
+		if _, err := fmt.Fprintf(connection, "id: %d\ndata: %s\n\n", number, strings.Repeat("t", 60)); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// crash ends the rater's process as a kill does.
+func (r *rater) crash() {
+	r.leave()
+	r.link.crash()
+}
+
 // wait works for a while, and reports whether nobody has broken the request off meanwhile.
 func (r *rater) wait(request *http.Request) bool {
 	select {
@@ -198,7 +235,7 @@
 
 // stop ends the rater's process: everything on its connections is broken off.
 func (r *rater) stop() {
-	r.leave()
+	r.crash()
 	_ = r.server.Close()
 }
 
