Log which deregistration was acknowledged, and which node heard of it

A control process now logs 'deregistration replicated' (info, once a rater) before it acknowledges, with the sequence number that it knows and whether it knows more than the ID; a node logs 'backend leaves' (debug).

--- a/internal/fleet/controlplane/deregistration.go
+++ b/internal/fleet/controlplane/deregistration.go
@@ -37,6 +37,8 @@
 		pending = slices.DeleteFunc(pending, func(address string) bool { return replicated[address] })
 		if g.replicatedWidely(replicated, pending) {
 			g.setAcknowledged(record.ID)
+			g.node.log.Info("deregistration replicated", "rater", record.ID, "state", record.State, "sequence", record.Sequence,
+				"described", record.Address != "")
 			return nil
 		}
 		if g.node.now()-began > replicateTimeout-exchangeTimeout {
--- a/internal/fleet/dataplane/configwatcher.go
+++ b/internal/fleet/dataplane/configwatcher.go
@@ -186,6 +186,9 @@
 	if change.Config {
 		w.table.Store(w.state.Table())
 	}
+	for _, record := range change.Leaving {
+		w.node.log.Debug("backend leaves", "backend", record.ID, "state", record.State, "sequence", record.Sequence)
+	}
 	w.leaseEnd.Store(int64(w.state.LeaseEnd()))
 	w.node.retries.setNodes(w.state.Nodes())
 	w.nodesEstimate.Store(int64(w.state.Nodes()))
--- a/internal/fleet/distribution/clientstate.go
+++ b/internal/fleet/distribution/clientstate.go
@@ -66,6 +66,7 @@
 type Change struct {
 	Config   bool
 	Backends bool
+	Leaving  []registry.Record // of the known backends that now drain or are removed
 }
 
 // Apply applies the reply to a poll that was sent at the given time. If the configuration cannot be applied, Apply
@@ -90,7 +91,7 @@
 		c.epoch, c.members = reply.Epoch, reply.Members
 	}
 	c.sessions = reply.Sessions
-	change.Backends = c.applyBackends(reply)
+	c.applyBackends(reply, &change)
 	return change, nil
 }
 
@@ -161,17 +162,19 @@
 	return state, nil
 }
 
-// applyBackends applies the reply's records and reports whether that changes the result of Backends.
-func (c *ClientState) applyBackends(reply *PollReply) bool {
-	changed := false
+// applyBackends applies the reply's records and notes in change what that changes in the result of Backends.
+func (c *ClientState) applyBackends(reply *PollReply, change *Change) {
 	for _, record := range reply.Records {
-		changed = c.applyBackend(record) || changed
+		known, present := c.backends[record.ID]
+		change.Backends = c.applyBackend(record) || change.Backends
+		if applied := c.backends[record.ID]; present && applied.State > known.State {
+			change.Leaving = append(change.Leaving, applied)
+		}
 	}
 	if reply.Whole {
-		changed = c.dropUnlisted(reply) || changed
+		change.Backends = c.dropUnlisted(reply) || change.Backends
 	}
 	c.registryOwner, c.registryVersion, c.eventSeq = reply.RegistryOwner, reply.RegistryVersion, reply.EventSeq
-	return changed
 }
 
 func (c *ClientState) applyBackend(record registry.Record) bool {
--- a/internal/fleet/registry/record.go
+++ b/internal/fleet/registry/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 )
 
@@ -15,6 +16,19 @@
 	Removed        // the backend has exited, or another backend has its address
 )
 
+// String returns the state's name in the log.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Removed:
+		return "removed"
+	}
+	return fmt.Sprintf("state %d", uint8(s))
+}
+
 // Record describes one backend instance: one run of its process. The field names are part of the wire format.
 type Record struct {
 	ID         string // unique for each start of the process
