Apply the removal of a backend whatever its sequence number

Cause: a node merged records by another rule than the control processes. It compared sequence numbers before states and dropped a record with a lower one than it knew. A deregistration has no sequence number: its record has the one that the acknowledging control process knows, 0 if that has just been started, or that of an older heartbeat that came late.

Why this works: registry.Join is now the one rule for both. The later state wins whatever the sequence numbers, all else is that of the newer heartbeat, and a record with the ID alone is the oldest. What a node hears from any replica it follows thus takes effect, which the acknowledgement has always counted on. A stale replica still takes nothing back. Nothing changes on the wire.

Evidence: before, TestRecordOfALeavingBackendIsAppliedWhateverItsSequence, TestDrainingOfAnOlderHeartbeatIsApplied and both cases of TestRemovalAcknowledgedByARestartedProcessReachesANode failed ("Should be empty, but was [{i0 llm 10.0.0.0:1 3 ready ...}]"); they pass.

--- a/internal/fleet/controlplane/deregistration_test.go
+++ b/internal/fleet/controlplane/deregistration_test.go
@@ -58,6 +58,32 @@
 	require.Zero(t, n.gossip.registryConfirmedAt(&replica.View{}, self), "no view")
 }
 
+// Guards against an acknowledged removal that no node applies: the control process has just been started and knows less of the
+// backend than the nodes do (review/4).
+func TestRemovalAcknowledgedByARestartedProcessReachesANode(t *testing.T) {
+	for name, before := range map[string]string{"knows nothing": "", "knows a late heartbeat": heartbeatBody(0, 2)} {
+		t.Run(name, func(t *testing.T) {
+			node := distribution.NewClientState(false, time.Second)
+			running := newSingleNode(t, 0, 0)
+			require.Equal(t, http.StatusOK, do(running, http.MethodPut, "/-/instances/i0", heartbeatBody(0, 3)).Code)
+			reply, _ := poll(t, running, nil)
+			_, err := node.Apply(0, reply)
+			require.NoError(t, err)
+			require.Len(t, node.Backends(), 1)
+
+			restarted := newSingleNode(t, 0, 0)
+			if before != "" {
+				require.Equal(t, http.StatusOK, do(restarted, http.MethodPut, "/-/instances/i0", before).Code)
+			}
+			require.Equal(t, http.StatusOK, do(restarted, http.MethodDelete, "/-/instances/i0", "").Code)
+			reply, _ = poll(t, restarted, nil)
+			_, err = node.Apply(0, reply)
+			require.NoError(t, err)
+			require.Empty(t, node.Backends())
+		})
+	}
+}
+
 // partitionedConn drops all data written and read while the partition lasts.
 type partitionedConn struct {
 	net.Conn
--- a/internal/fleet/distribution/clientstate.go
+++ b/internal/fleet/distribution/clientstate.go
@@ -177,19 +177,14 @@
 	c.registryOwner, c.registryVersion, c.eventSeq = reply.RegistryOwner, reply.RegistryVersion, reply.EventSeq
 }
 
+// applyBackend applies a record of a registry replica and reports whether that changes the result of Backends.
 func (c *ClientState) applyBackend(record registry.Record) bool {
 	known, present := c.backends[record.ID]
 	if !present {
 		c.backends[record.ID] = record
 		return record.State != registry.Removed
 	}
-	if record.Sequence < known.Sequence || record.State < known.State { // from a stale registry replica
-		return false
-	}
-	if record.Address == "" { // the backend has deregistered, and the registry knows only its ID
-		record = known
-		record.State = registry.Removed
-	}
+	record = registry.Join(known, record) // the replica may know less of the backend than this node does
 	c.backends[record.ID] = record
 	return known.State != record.State || known.Late != record.Late || known.Silent != record.Silent || known.Address != record.Address
 }
--- a/internal/fleet/distribution/clientstate_test.go
+++ b/internal/fleet/distribution/clientstate_test.go
@@ -114,6 +114,42 @@
 	require.Equal(t, registry.Draining, c.Backends()[0].State)
 }
 
+// Guards against a node that goes on sending requests to a backend whose removal was acknowledged by a control process that knew
+// less of it than the node: only its ID, or an older heartbeat.
+func TestRecordOfALeavingBackendIsAppliedWhateverItsSequence(t *testing.T) {
+	onlyID := registry.Record{ID: "a", State: registry.Removed}
+	for _, known := range []registry.Record{backendRecord("a", 9, registry.Ready), backendRecord("a", 9, registry.Draining)} {
+		for _, leaving := range []registry.Record{onlyID, backendRecord("a", 4, registry.Removed), backendRecord("a", 9, registry.Removed), backendRecord("a", 10, registry.Removed)} {
+			c := NewClientState(true, revokeAfter)
+			first := reply(1, `{"Revision":1}`, 0)
+			first.Records, first.Whole, first.RegistryOwner = []registry.Record{known}, true, 1
+			mustApply(t, c, time.Second, first)
+			require.Len(t, c.Backends(), 1)
+			restarted := reply(1, "", 0)
+			restarted.Records, restarted.Whole, restarted.RegistryOwner = []registry.Record{leaving}, true, 2
+			change := mustApply(t, c, 2*time.Second, restarted)
+			require.True(t, change.Backends, "%v then %v", known, leaving)
+			require.Len(t, change.Leaving, 1)
+			require.Empty(t, c.Backends(), "%v then %v", known, leaving)
+			mustApply(t, c, 3*time.Second, first)
+			require.Empty(t, c.Backends(), "a replica that has not heard of it does not bring it back")
+		}
+	}
+}
+
+// Guards against a draining backend that goes on getting requests, as above.
+func TestDrainingOfAnOlderHeartbeatIsApplied(t *testing.T) {
+	c := NewClientState(true, revokeAfter)
+	first := reply(1, `{"Revision":1}`, 0)
+	first.Records, first.RegistryOwner = []registry.Record{backendRecord("a", 9, registry.Ready)}, 1
+	mustApply(t, c, time.Second, first)
+	older := reply(1, "", 0)
+	older.Records, older.RegistryOwner = []registry.Record{backendRecord("a", 8, registry.Draining)}, 2
+	require.True(t, mustApply(t, c, 2*time.Second, older).Backends)
+	require.Equal(t, registry.Draining, c.Backends()[0].State)
+	require.EqualValues(t, 9, c.Backends()[0].Sequence)
+}
+
 func TestEmptyRegistryOfRestartedControlPlaneRemovesNoBackend(t *testing.T) {
 	c := NewClientState(true, revokeAfter)
 	first := reply(1, `{"Revision":1}`, 0)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -1,8 +1,8 @@
 // Package registry keeps the backends that have registered with the control plane. It is pure: time is an
 // argument, and nothing is stored or sent. Its state is soft state, rebuilt from heartbeats.
 //
-// Each control process has a replica. Records of other replicas are merged one by one: the higher sequence number
-// wins, and the lifecycle only moves forward, so that a draining or removed backend never becomes ready again
+// Each control process has a replica. Records of other replicas are merged one by one, by Join: the higher sequence
+// number wins, and the lifecycle only moves forward, so that a draining or removed backend never becomes ready again
 // under the same ID. Therefore the result does not depend on the order of the merges.
 package registry
 
@@ -129,15 +129,11 @@
 	}
 	e.lastHeartbeat = max(e.lastHeartbeat, lastHeartbeat)
 	previous := e.record
-	state := max(record.State, previous.State) // a draining backend does not become ready again under the same ID
-	if record.State == Removed && record.Backend == "" {
-		record = previous // the other replica knows only the ID
-	}
+	record = Join(previous, record)
 	// Each replica decides for itself whether a backend is overdue. Only a newer heartbeat clears that state; the
 	// state in another replica's record is ignored.
 	stale := lastHeartbeat < e.lastHeartbeat
-	record.State, record.Late, record.Silent = state, previous.Late && stale, previous.Silent && stale
-	record.Sequence = max(record.Sequence, previous.Sequence)
+	record.Late, record.Silent = previous.Late && stale, previous.Silent && stale
 	e.record = record
 	unchanged := previous.State == record.State && previous.Address == record.Address && previous.Backend == record.Backend &&
 		previous.Late == record.Late && previous.Silent == record.Silent && previous.Slots == record.Slots &&
