Acknowledge no deregistration before all control processes are known

Cause: registries are not stored, and a process that has just been started knows voters and seeds only. It acknowledged a deregistration that nobody had but processes which had themselves just been started; the control processes without a copy had not called yet, the nodes not polled.

Why this works: for discoveryTime after its start, a period of the others' gossip and a call, a process acknowledges none. It replicates at once, looks for processes to tell in every round, and acknowledges if it learns of all within the call, else 503 as before. The call may now take its 0.85 s unless an exchange is due, so that a DELETE 0.1 s after a start is still acknowledged in it.

Evidence: before, TestDeregistrationReachesProcessesThatAreNoVotersRightAfterAStart failed in 3 of 3 runs ("acknowledged, and the relay was not told"); it passes.

--- a/internal/fleet/controlplane/deregistration.go
+++ b/internal/fleet/controlplane/deregistration.go
@@ -18,30 +18,35 @@
 	exchangeTimeout        = 250 * time.Millisecond // of one exchange
 	replicateRetryInterval = 20 * time.Millisecond
 	unresponsiveAfter      = 2 * time.Second
+	// discoveryTime is how long after its start a process has been called by every other running process, also by those that are
+	// neither voters nor seeds, and therefore knows whom to tell: a period of their gossip and the time of a call.
+	discoveryTime = gossipInterval + 100*time.Millisecond
 )
 
 // replicateDeregistration replicates the record of a draining or removed backend. It returns nil once the record
-// is known to a majority of the voters and to every control process that a data plane node may follow, and
-// otherwise an error of kind OutcomeUnknown.
+// is known to a majority of the voters and to every responsive control process, and otherwise an error of kind
+// OutcomeUnknown. Registries are not stored: where all voters are killed, the other processes restore the record.
 func (g *gossiper) replicateDeregistration(record registry.Record) error {
 	if g.isAcknowledged(record.ID) {
 		return nil
 	}
 	began := g.node.now()
-	pending := g.peers()
 	replicated := map[string]bool{}
+	isReplicated := func(address string) bool { return replicated[address] }
 	for {
+		pending := slices.DeleteFunc(g.peers(), isReplicated)
 		for _, address := range g.exchangeAll(pending, []registry.Record{record}) {
 			replicated[address] = true
 		}
-		pending = slices.DeleteFunc(pending, func(address string) bool { return replicated[address] })
+		pending = slices.DeleteFunc(g.peers(), isReplicated)
 		if g.replicatedWidely(replicated, pending) {
 			g.setAcknowledged(record.ID)
 			g.node.log.Info("deregistration replicated", "rater", record.ID, "state", record.State, "sequence", record.Sequence,
 				"described", record.Address != "")
 			return nil
 		}
-		if g.node.now()-began > replicateTimeout-exchangeTimeout {
+		remaining := replicateTimeout - (g.node.now() - began)
+		if remaining < replicateRetryInterval || len(pending) > 0 && remaining < exchangeTimeout {
 			return errkind.New(errkind.OutcomeUnknown, "not enough of the control plane has the news that rater %s leaves", record.ID)
 		}
 		time.Sleep(replicateRetryInterval)
@@ -70,7 +75,8 @@
 }
 
 // replicatedWidely reports whether a majority of the voters has a record and every pending process, which has not
-// confirmed it, has been unresponsive for so long that no data plane node follows it.
+// confirmed it, has been unresponsive for so long that no data plane node follows it. A process that started less than
+// discoveryTime ago does not know all processes yet.
 func (g *gossiper) replicatedWidely(replicated map[string]bool, pending []string) bool {
 	published, _ := g.node.replicator.Published()
 	voters := 0
@@ -85,6 +91,9 @@
 	now := g.node.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now-g.started < discoveryTime {
+		return false
+	}
 	for _, address := range pending {
 		// A recently started process does not know when the others last responded.
 		if now-max(g.lastExchanges[address], g.started) < unresponsiveAfter {
--- a/internal/fleet/controlplane/deregistration_test.go
+++ b/internal/fleet/controlplane/deregistration_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"linenwheel.dev/linenwheel/internal/fleet/distribution"
+	"linenwheel.dev/linenwheel/internal/fleet/registry"
 	"linenwheel.dev/linenwheel/internal/fleet/replica"
 	"linenwheel.dev/linenwheel/internal/fleet/settings"
 )
@@ -43,6 +45,37 @@
 	require.False(t, g.replicatedWidely(addressSet("b", "d"), []string{"c", "e"}), "c answered just now: nodes may follow it")
 	g.started = now
 	require.False(t, g.replicatedWidely(addressSet("b", "c"), []string{"x"}), "this process started too recently to know which are unresponsive")
+	require.False(t, g.replicatedWidely(addressSet("b", "c", "d", "e"), nil), "this process started too recently to know all")
+	g.started = now - discoveryTime
+	require.True(t, g.replicatedWidely(addressSet("b", "c", "d", "e"), nil))
+}
+
+// Guards against an acknowledged removal that is lost when the processes that have just been started are killed once more: no other
+// process had been told, as those that are neither voters nor seeds had not called yet.
+func TestDeregistrationReachesProcessesThatAreNoVotersRightAfterAStart(t *testing.T) {
+	c := newCluster(t)
+	ctx, stop := context.WithCancel(context.Background())
+	relay := newClusterNode(t, 4, "CountsForQuorum=false\n")
+	ended := make(chan error, 1)
+	go func() { ended <- relay.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-ended)
+	})
+	started := c.nodes[0].gossip
+	require.Eventually(t, func() bool { return slices.Contains(started.peers(), relay.settings.OwnInternalAddress()) }, time.Minute, 10*time.Millisecond)
+
+	started.mu.Lock()
+	started.started, started.lastCalls = c.nodes[0].now(), map[string]time.Duration{} // as after its start
+	started.mu.Unlock()
+	require.Eventually(t, func() bool {
+		return do(c.nodes[0], http.MethodDelete, "/-/instances/i0", "").Code == http.StatusOK
+	}, time.Minute, time.Millisecond)
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	record, known := relay.registry.Get(0, "i0")
+	require.True(t, known, "acknowledged, and the relay was not told")
+	require.Equal(t, registry.Removed, record.State)
 }
 
 func TestRegistryIsConfirmedByMajorityOfExchanges(t *testing.T) {
@@ -119,12 +152,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 3)
 	for i := range 3 {
-		text := fmt.Sprintf("Ip=127.7.1.%d\nListen.Control=127.7.1.%d:7001\nInternalPorts=7002,7003\nBootstrap=true\nCountsForQuorum=true\n"+
-			"Seeds=127.7.1.1:7001,127.7.1.2:7001,127.7.1.3:7001\nFaultTolerance.Machines=1\nDataDir=%s\nBounds.GraceS=3\n", i+1, i+1, t.TempDir())
-		set, err := settings.Parse("boot.conf", text)
-		require.NoError(t, err)
-		n, err := New(set, log.New(io.Discard))
-		require.NoError(t, err)
+		n := newClusterNode(t, i+1, "CountsForQuorum=true\nDataDir="+t.TempDir()+"\n")
 		n.pool.Wrap = func(conn net.Conn) net.Conn {
 			if i == 2 || strings.HasPrefix(conn.RemoteAddr().String(), "127.7.1.3:") {
 				return partitionedConn{conn, c.partitioned}
@@ -150,6 +178,18 @@
 	return c
 }
 
+// newClusterNode returns a control process of the cluster, with further lines of its settings. It does not run yet.
+func newClusterNode(t *testing.T, number int, further string) *Node {
+	t.Helper()
+	text := fmt.Sprintf("Ip=127.7.1.%d\nListen.Control=127.7.1.%d:7001\nInternalPorts=7002,7003\nBootstrap=true\n"+
+		"Seeds=127.7.1.1:7001,127.7.1.2:7001,127.7.1.3:7001\nFaultTolerance.Machines=1\nBounds.GraceS=3\n%s", number, number, further)
+	set, err := settings.Parse("boot.conf", text)
+	require.NoError(t, err)
+	n, err := New(set, log.New(io.Discard))
+	require.NoError(t, err)
+	return n
+}
+
 const drainingHeartbeat = `{"Backend":"llm","Address":"10.0.0.1:1","State":"draining","Sequence":7}`
 
 // A partitioned process must not acknowledge a deregistration: data plane nodes that poll the other processes
--- a/internal/fleet/controlplane/helpers_test.go
+++ b/internal/fleet/controlplane/helpers_test.go
@@ -35,7 +35,7 @@
 	return n
 }
 
-// newUnconfiguredNode returns a control process that is the only member, before the first order.
+// newUnconfiguredNode returns a control process that is the only member, before the first order. It has been running for a minute.
 func newUnconfiguredNode(t *testing.T) *Node {
 	t.Helper()
 	set, err := settings.Parse("boot.conf", "Ip=127.0.0.1\nListen.Control=127.0.0.1:1\nInternalPorts=2,3\nSeeds=127.0.0.1:1\nBootstrap=true\nCountsForQuorum=true\n")
@@ -47,6 +47,7 @@
 	for now := time.Duration(0); now < 5*time.Second; now += tickInterval {
 		n.replicator.step(func(time.Duration) replica.Ready { return n.replicator.machine.Tick(now) })
 	}
+	n.gossip.started -= time.Minute
 	n.replicator.publish()
 	go n.replicator.Run()
 	t.Cleanup(n.replicator.Stop)
