Read the single name of a lab command in one place

run and replay each checked on their own that there is one name among flags; singleName does now, and parseInterspersed is the new name of mixed. No behaviour changes. Measured: go test ./cmd/linenwheel-lab passes.

--- a/cmd/linenwheel-lab/compare.go
+++ b/cmd/linenwheel-lab/compare.go
@@ -37,7 +37,7 @@
 		LongHelp:   compareHelp,
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := mixed(f, args)
+			names, err := parseInterspersed(f, args)
 			if err != nil {
 				return err
 			}
--- a/cmd/linenwheel-lab/replay.go
+++ b/cmd/linenwheel-lab/replay.go
@@ -63,14 +63,11 @@
 		LongHelp:   replayHelp,
 		FlagSet:    f,
 		Exec: func(_ context.Context, args []string) error {
-			names, err := mixed(f, args)
+			name, err := singleName(f, args, "want one file, experiment or site")
 			if err != nil {
 				return err
 			}
-			if len(names) != 1 {
-				return usage(errors.New("want one file, experiment or site"))
-			}
-			return p.run(to, names[0])
+			return p.run(to, name)
 		},
 	}
 }
--- a/cmd/linenwheel-lab/run.go
+++ b/cmd/linenwheel-lab/run.go
@@ -70,14 +70,11 @@
 		LongHelp:   runHelp,
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := mixed(f, args)
+			name, err := singleName(f, args, "want one experiment: a name (see list) or a file")
 			if err != nil {
 				return err
 			}
-			if len(names) != 1 {
-				return usage(errors.New("want one experiment: a name (see list) or a file"))
-			}
-			e, err := p.load(names[0])
+			e, err := p.load(name)
 			if err != nil {
 				return err
 			}
@@ -98,7 +95,7 @@
 			}
 			printOutcome(to.out, o)
 			if reportTo != "" {
-				r, err := report.New(e, o, p.again(names[0], e, command), traces...)
+				r, err := report.New(e, o, p.again(name, e, command), traces...)
 				if err != nil {
 					return err
 				}
@@ -119,8 +116,21 @@
 	}
 }
 
-// mixed lets flags stand behind names too, and gives the names.
-func mixed(f *flag.FlagSet, args []string) (names []string, err error) {
+// singleName returns the only name among a command's arguments. If there is none or there are several, it returns a usage error with
+// the text wanted.
+func singleName(f *flag.FlagSet, args []string, wanted string) (string, error) {
+	names, err := parseInterspersed(f, args)
+	if err != nil {
+		return "", err
+	}
+	if len(names) != 1 {
+		return "", usage(errors.New(wanted))
+	}
+	return names[0], nil
+}
+
+// parseInterspersed parses the flags that follow or stand between names, and returns the names.
+func parseInterspersed(f *flag.FlagSet, args []string) (names []string, err error) {
 	for len(args) > 0 {
 		names = append(names, args[0])
 		if err := f.Parse(args[1:]); err != nil {
--- a/cmd/linenwheel-lab/sim.go
+++ b/cmd/linenwheel-lab/sim.go
@@ -66,7 +66,7 @@
 		LongHelp:   simHelp,
 		FlagSet:    f,
 		Exec: func(ctx context.Context, args []string) error {
-			names, err := mixed(f, args)
+			names, err := parseInterspersed(f, args)
 			if err != nil {
 				return err
 			}
