Have TestWatchdogLoop stall the machine only once the stuck check has begun

The test moved the clock when the first check had reported, which may be before the loop has gone on to the second, whose name the report has. The product reports rightly. Change: the second check says that it has begun, and the test waits for that in both rounds. What it asserts is unchanged.

--- a/internal/node/systemd/service_test.go
+++ b/internal/node/systemd/service_test.go
@@ -75,6 +75,7 @@
 		Checks: []Check{
 			{"poller", func(context.Context) { passed <- "poller" }},
 			{"timers", func(ctx context.Context) {
+				passed <- "timers begin"
 				select {
 				case <-pass:
 				case <-ctx.Done():
@@ -85,6 +86,7 @@
 	ended := make(chan struct{})
 	go func() { w.Run(ctx); close(ended) }()
 	assert.Equal(t, "poller", <-passed)
+	assert.Equal(t, "timers begin", <-passed)
 	pass <- struct{}{}
 	assert.Equal(t, "WATCHDOG=1", next())
 	for c.Next() != 1e12+1000 { // until the pause between two rounds has begun
@@ -92,7 +94,8 @@
 	}
 	c.Advance(1000) // the next round is stuck at the timers
 	assert.Equal(t, "poller", <-passed)
-	c.Advance(60000) // the machine stalls
+	assert.Equal(t, "timers begin", <-passed) // before that, the check that has not returned may still be the poller
+	c.Advance(60000)                          // the machine stalls
 	assert.Equal(t, "timers2000", <-passed)
 	assert.Equal(t, "STATUS=stuck: timers has not answered for 2000 ms", next())
 	pass <- struct{}{}
